Workspace with the types that its packages share

Cause: the repository was empty. The packages need one vocabulary before they can be built side by side: sizes, requests, attempts, verdicts, the events and actions of a rack owner, the frames between servers, and the platform's calls.

Ruled out: opaque strings and JSON maps between the packages.

--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of the scheduler.
+//!
+//! Every machine in this crate has the form `event + now → actions`. None of them opens a
+//! socket, reads a clock or spawns a task, so the server and a replayed trace drive the same code
+//! and get the same result.
+
+pub mod action;
+pub mod attempt;
+pub mod class;
+pub mod event;
+pub mod gang;
+pub mod name;
+pub mod rack;
+pub mod request;
+pub mod resource;
+pub mod share;
+pub mod size;
+pub mod time;
+pub mod verdict;
+pub mod worker;
--- /dev/null
+++ b/crates/decide/src/request.rs
@@ -0,0 +1,80 @@
+//! Requests as the decisions see them; payloads stay outside.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::class::Class;
+use crate::name::Name;
+use crate::size::Size;
+use crate::time::Time;
+
+/// The id of a request, unique over the whole fleet; written as 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u128);
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// A text that is not the id of a request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is no request id; give 1 to 32 hexadecimal digits")]
+pub struct IdError {
+    /// The text as given.
+    pub text: String,
+}
+
+impl FromStr for Id {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Id, IdError> {
+        let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let parsed = digits
+            .then(|| u128::from_str_radix(text, 16).ok())
+            .flatten();
+        parsed.map(Id).ok_or_else(|| IdError {
+            text: text.to_owned(),
+        })
+    }
+}
+
+impl Serialize for Id {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Id {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Id, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// One task to run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    /// Identifies the request, also when its caller comes again.
+    pub id: Id,
+    /// The team that it runs for and is billed to.
+    pub team: Name,
+    /// The service, queue or job that it belongs to; sizes are learnt by it.
+    pub kind: Name,
+    /// How urgently it is served.
+    pub class: Class,
+    /// The declared size.
+    pub size: Size,
+    /// The declared run time.
+    pub estimate: Duration,
+    /// When the caller's patience ends; [`Time::MAX`] for none.
+    pub deadline: Time,
+    /// Whether a second attempt is harmless after one whose fate is unknown.
+    pub idempotent: bool,
+    /// The gang whose members start together, if any.
+    pub gang: Option<Id>,
+}
--- /dev/null
+++ b/crates/decide/src/size.rs
@@ -0,0 +1,118 @@
+//! Amounts of the resources that workers have and tasks need.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(default, deny_unknown_fields)]
+pub struct Size {
+    /// Thousandths of a processor core.
+    pub millicores: u64,
+    /// Mebibytes of memory.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+    /// Task slots.
+    pub slots: u64,
+}
+
+impl Size {
+    /// No resources at all.
+    pub const ZERO: Size = Size {
+        millicores: 0,
+        memory_mib: 0,
+        accelerators: 0,
+        slots: 0,
+    };
+
+    /// As much of everything as can be expressed.
+    pub const MAX: Size = Size {
+        millicores: u64::MAX,
+        memory_mib: u64::MAX,
+        accelerators: u64::MAX,
+        slots: u64::MAX,
+    };
+
+    /// Tells whether this amount fits into `room` in every resource.
+    pub fn fits(&self, room: &Size) -> bool {
+        self.millicores <= room.millicores
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+            && self.slots <= room.slots
+    }
+
+    /// Adds in every resource, saturating.
+    #[must_use]
+    pub fn plus(&self, other: &Size) -> Size {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// Subtracts in every resource, stopping at zero.
+    #[must_use]
+    pub fn minus(&self, other: &Size) -> Size {
+        self.zip(other, u64::saturating_sub)
+    }
+
+    /// Subtracts in every resource, or returns `None` where one would fall below zero.
+    pub fn checked_minus(&self, other: &Size) -> Option<Size> {
+        other.fits(self).then(|| self.minus(other))
+    }
+
+    /// Takes the larger amount of each resource.
+    #[must_use]
+    pub fn max(&self, other: &Size) -> Size {
+        self.zip(other, u64::max)
+    }
+
+    /// Takes the smaller amount of each resource.
+    #[must_use]
+    pub fn min(&self, other: &Size) -> Size {
+        self.zip(other, u64::min)
+    }
+
+    /// Multiplies every resource by `count`, saturating.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Size {
+        let each = Size {
+            millicores: count,
+            memory_mib: count,
+            accelerators: count,
+            slots: count,
+        };
+        self.zip(&each, u64::saturating_mul)
+    }
+
+    /// Tells whether nothing is left of any resource.
+    pub fn is_zero(&self) -> bool {
+        *self == Size::ZERO
+    }
+
+    /// Returns the largest fraction that this amount takes of `total`, over processors, memory
+    /// and accelerators.
+    ///
+    /// This is the dominant share of Ghodsi et al., "Dominant Resource Fairness" (NSDI 2011).
+    /// Slots are left out, since they bound concurrency and are not paid for.
+    pub fn dominant(&self, total: &Size) -> f64 {
+        let part = |used: u64, of: u64| {
+            if of == 0 {
+                0.0
+            } else {
+                used as f64 / of as f64
+            }
+        };
+        part(self.millicores, total.millicores)
+            .max(part(self.memory_mib, total.memory_mib))
+            .max(part(self.accelerators, total.accelerators))
+    }
+
+    fn zip(&self, other: &Size, join: impl Fn(u64, u64) -> u64) -> Size {
+        Size {
+            millicores: join(self.millicores, other.millicores),
+            memory_mib: join(self.memory_mib, other.memory_mib),
+            accelerators: join(self.accelerators, other.accelerators),
+            slots: join(self.slots, other.slots),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,7 @@
+//! Clients of the platform: the table service, the object store, the instance list and the
+//! workers. `docs/PLATFORM.md` gives the protocol that they speak.
+
+pub mod instance;
+pub mod object;
+pub mod table;
+pub mod worker;
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,6 @@
+//! Frames that servers exchange over `h2` streams, and their codec.
+
+pub mod frame;
+
+/// The version of the protocol between servers; a peer of another version is refused.
+pub const VERSION: u16 = 1;
