--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,8 +6,11 @@
 
 pub mod action;
 pub mod attempt;
+pub mod cell;
 pub mod class;
+pub mod config;
 pub mod event;
+pub mod fleet;
 pub mod gang;
 pub mod name;
 pub mod rack;
