--- /dev/null
+++ b/crates/server/src/settings/document.rs
@@ -0,0 +1,284 @@
+//! An INI document whose entries know their lines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use azurepath_decide::name::Name;
+use ini::Ini;
+
+use super::unit;
+
+/// One thing that is wrong in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, counted from 1; 0 where the whole file is meant.
+    pub line: usize,
+    /// The section and the key, as `[section] key`.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to type instead.
+    pub remedy: String,
+}
+
+/// Settings that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The file could not be read.
+    #[error("{file}: it could not be read ({detail}); give the path of a settings file")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// What was seen.
+        detail: String,
+    },
+    /// The file has faults.
+    #[error("{}", Listing { file, faults })]
+    Faulty {
+        /// The file.
+        file: String,
+        /// All faults by line.
+        faults: Vec<Fault>,
+    },
+}
+
+struct Listing<'a> {
+    file: &'a str,
+    faults: &'a [Fault],
+}
+
+impl fmt::Display for Listing<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            let Fault {
+                line,
+                key,
+                problem,
+                remedy,
+            } = fault;
+            write!(f, "{}:{line}: {key}: {problem}; {remedy}", self.file)?;
+        }
+        Ok(())
+    }
+}
+
+/// An entry as written.
+#[derive(Clone, Debug)]
+struct Entry {
+    line: usize,
+    value: String,
+}
+
+/// The entries of a file, with what is known to be wrong with them.
+#[derive(Debug)]
+pub(super) struct Document {
+    file: String,
+    entries: BTreeMap<(String, String), Entry>,
+    sections: BTreeMap<String, usize>,
+    known: BTreeSet<(&'static str, &'static str)>,
+    faults: Vec<Fault>,
+}
+
+impl Document {
+    /// Reads the entries.
+    pub(super) fn parse(file: &str, text: &str) -> Result<Document, Error> {
+        let ini = Ini::load_from_str_noescape(text).map_err(|error| Error::Faulty {
+            file: file.to_owned(),
+            faults: vec![Fault {
+                line: error.line,
+                key: "syntax".to_owned(),
+                problem: error.msg.to_string(),
+                remedy: "write `[section]` and `key = value` lines".to_owned(),
+            }],
+        })?;
+        let mut document = Document {
+            file: file.to_owned(),
+            entries: BTreeMap::new(),
+            sections: BTreeMap::new(),
+            known: BTreeSet::new(),
+            faults: Vec::new(),
+        };
+        document.place(text, &ini);
+        Ok(document)
+    }
+
+    /// Finds the line of each entry, which the library does not tell.
+    fn place(&mut self, text: &str, ini: &Ini) {
+        let mut section = String::new();
+        for (index, raw) in text.lines().enumerate() {
+            let line = index + 1;
+            let trimmed = raw.trim();
+            if let Some(name) = trimmed.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+                section = name.trim().to_owned();
+                self.sections.entry(section.clone()).or_insert(line);
+                continue;
+            }
+            let comment = trimmed.is_empty() || trimmed.starts_with([';', '#']);
+            let Some(end) = trimmed.find(['=', ':']).filter(|_| !comment) else {
+                continue;
+            };
+            self.enter(&section, trimmed[..end].trim_end(), line, ini);
+        }
+    }
+
+    fn enter(&mut self, section: &str, key: &str, line: usize, ini: &Ini) {
+        let name = (!section.is_empty()).then_some(section);
+        let value = ini.get_from(name, key).unwrap_or_default().trim().to_owned();
+        let place = (section.to_owned(), key.to_owned());
+        if let Some(first) = self.entries.get(&place) {
+            let remedy = format!("keep one of them; the first is on line {}", first.line);
+            self.fault(line, section, key, "is given twice".to_owned(), remedy);
+            return;
+        }
+        self.entries.insert(place, Entry { line, value });
+    }
+
+    /// Tells whether the file has a section.
+    pub(super) fn present(&self, section: &str) -> bool {
+        self.sections.contains_key(section)
+    }
+
+    /// Reads a name: letters, digits, `-`, `_` and `.`.
+    pub(super) fn name(&mut self, section: &'static str, key: &'static str) -> Name {
+        let remedy = "give a name of letters, digits, '-', '_' and '.'";
+        let read = |text: &str| {
+            let right = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+            (!text.is_empty() && text.chars().all(right)).then(|| Name::from(text))
+        };
+        self.required(section, key, remedy, read)
+            .unwrap_or_else(|| Name::from(""))
+    }
+
+    /// Reads an address by IP number and port.
+    pub(super) fn address(&mut self, section: &'static str, key: &'static str) -> SocketAddr {
+        let remedy = "give an IP number and a port, such as 10.0.0.7:8080";
+        self.required(section, key, remedy, |text| text.parse().ok())
+            .unwrap_or_else(|| SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)))
+    }
+
+    /// Reads a path.
+    pub(super) fn path(&mut self, section: &'static str, key: &'static str) -> PathBuf {
+        let read = |text: &str| (!text.is_empty()).then(|| PathBuf::from(text));
+        self.required(section, key, "give the path of a file", read)
+            .unwrap_or_default()
+    }
+
+    /// Reads a span of time.
+    pub(super) fn span(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: Duration,
+    ) -> Duration {
+        let remedy = "give a whole number with ms, s, m or h, such as 1500ms";
+        self.optional(section, key, remedy, unit::span)
+            .unwrap_or(default)
+    }
+
+    /// Reads a number of bytes.
+    pub(super) fn bytes(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: u64,
+    ) -> u64 {
+        let remedy = "give a whole number with B, KiB, MiB or GiB, such as 8MiB";
+        self.optional(section, key, remedy, unit::bytes)
+            .unwrap_or(default)
+    }
+
+    /// Notes an entry that does not go together with another.
+    pub(super) fn clash(&mut self, section: &str, key: &str, remedy: &str) {
+        let place = (section.to_owned(), key.to_owned());
+        let line = self.entries.get(&place).map_or(0, |entry| entry.line);
+        let problem = "clashes with another setting".to_owned();
+        self.fault(line, section, key, problem, remedy.to_owned());
+    }
+
+    /// Ends the reading: entries that nothing asked for are unknown.
+    pub(super) fn finish(mut self) -> Result<(), Error> {
+        self.unknown();
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        Err(Error::Faulty {
+            file: self.file,
+            faults: self.faults,
+        })
+    }
+
+    fn unknown(&mut self) {
+        let entries = std::mem::take(&mut self.entries);
+        for ((section, key), entry) in entries {
+            let keys: Vec<&str> = self
+                .known
+                .iter()
+                .filter(|(known, _)| *known == section)
+                .map(|(_, key)| *key)
+                .collect();
+            if keys.contains(&key.as_str()) {
+                continue;
+            }
+            let (problem, remedy) = if keys.is_empty() {
+                let sections: BTreeSet<&str> = self.known.iter().map(|(known, _)| *known).collect();
+                let list = sections.into_iter().collect::<Vec<_>>().join(", ");
+                ("is in an unknown section", format!("the sections are {list}"))
+            } else {
+                ("is no key", format!("the keys of [{section}] are {}", keys.join(", ")))
+            };
+            self.fault(entry.line, &section, &key, problem.to_owned(), remedy);
+        }
+    }
+
+    fn required<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        remedy: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let place = (section.to_owned(), key.to_owned());
+        if !self.entries.contains_key(&place) {
+            self.known.insert((section, key));
+            let line = self.sections.get(section).copied().unwrap_or(0);
+            let problem = "is missing".to_owned();
+            self.fault(line, section, key, problem, remedy.to_owned());
+            return None;
+        }
+        self.optional(section, key, remedy, read)
+    }
+
+    fn optional<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        remedy: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.known.insert((section, key));
+        let place = (section.to_owned(), key.to_owned());
+        let Entry { line, value } = self.entries.get(&place)?.clone();
+        let parsed = read(&value);
+        if parsed.is_none() {
+            let problem = format!("can't be {value:?}");
+            self.fault(line, section, key, problem, remedy.to_owned());
+        }
+        parsed
+    }
+
+    fn fault(&mut self, line: usize, section: &str, key: &str, problem: String, remedy: String) {
+        self.faults.push(Fault {
+            line,
+            key: format!("[{section}] {key}"),
+            problem,
+            remedy,
+        });
+    }
+}
