Requests name the ownership that they were routed to

Cause: a submit names no rack, so an owner may place it on any of its racks. When that owner dies its racks go to several servers, and none of them alone can say that the request did not run. A late copy in a socket of a paused owner could also start after the request was routed anew. Conclusion: a request carries the rack and the epoch it was routed to; owners take it up only under that epoch and on that rack.

--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -52,7 +52,12 @@
     },
     /// A request has arrived.
     Submit(Request),
-    /// A request whose earlier owner died comes again: attach to it or say that it is not here.
+    /// A request whose earlier owner or connection was lost comes again: attach to it or say that
+    /// it is not here.
+    ///
+    /// `NotRun` with any reason but `NoOwner` and `Leaving` means that it never began on the rack
+    /// and never will: a `Submit` of the same target that comes later is refused. It is said only
+    /// after every worker of the rack has been claimed or is surely free of the request.
     Resume(Request),
     /// A caller has withdrawn its request.
     Cancel {
--- a/crates/decide/src/request.rs
+++ b/crates/decide/src/request.rs
@@ -77,4 +77,20 @@
     pub idempotent: bool,
     /// The gang whose members start together, if any.
     pub gang: Option<Id>,
+    /// The ownership that it was routed to; none for any rack of the owner.
+    #[serde(default)]
+    pub target: Option<Target>,
+}
+
+/// The ownership of a rack that a request was routed to.
+///
+/// An owner takes a submitted or resumed request up only while it owns the rack at just this epoch,
+/// and starts it on no other rack. It answers `NoOwner` otherwise. So a late copy of a request never
+/// starts under a later ownership, and only one rack has to be asked for its fate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The rack.
+    pub rack: Name,
+    /// The epoch of the rack's ownership.
+    pub epoch: u64,
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -66,6 +66,8 @@
 pub struct Task {
     /// The rack whose owner is meant.
     pub rack: String,
+    /// The epoch of the rack's ownership that is meant.
+    pub epoch: u64,
     /// The request's id.
     pub id: u128,
     /// The team.
