--- a/crates/server/src/process/engine.rs
+++ b/crates/server/src/process/engine.rs
@@ -1,6 +1,7 @@
 //! The task that owns the rack owner's machine and carries out what it wants done.
 
 mod calls;
+mod replies;
 mod task;
 
 use azurepath_decide::event::Event;
@@ -22,6 +23,8 @@
     pub payload: Bytes,
     /// Whether the task is long-running; its end then shows in renewals.
     pub detached: bool,
+    /// Whether the reply is kept for a while, since its way to the caller may break.
+    pub keep: bool,
 }
 
 /// What a caller is told, with the payload of the answer.
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process.
 
 pub mod allotment;
+pub mod clock;
 pub mod dump;
 pub mod engine;
 pub mod instances;
@@ -39,6 +40,8 @@
     pub addresses: Addresses,
     /// The root logger.
     pub log: Logger,
+    /// The clock.
+    pub clock: clock::Clock,
     /// The clients of the platform.
     pub platform: Platform,
     /// The owner's machine.
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,200 @@
+//! Conversions between frames and what the decisions know.
+
+use std::time::Duration;
+
+use azurepath_decide::attempt::Attempt;
+use azurepath_decide::class::Class;
+use azurepath_decide::name::Name;
+use azurepath_decide::request::{Id, Request};
+use azurepath_decide::time::Time;
+use azurepath_decide::verdict;
+
+use crate::frame::{Chunk, Fate, Target, Task, Verdict};
+
+/// A frame that says something that this version does not know.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{what} {value:?} is unknown; run the same release on both servers")]
+pub struct Mismatch {
+    /// What was read.
+    pub what: &'static str,
+    /// The value.
+    pub value: String,
+}
+
+const URGENT: u8 = 0;
+const SERVICE: u8 = 1;
+const BATCH: u8 = 2;
+
+/// The patience that stands for no end, in microseconds.
+const ENDLESS_US: u64 = u64::MAX;
+
+fn class_number(class: Class) -> u8 {
+    match class {
+        Class::Urgent => URGENT,
+        Class::Service => SERVICE,
+        Class::Batch => BATCH,
+    }
+}
+
+fn class(number: u8) -> Result<Class, Mismatch> {
+    match number {
+        URGENT => Ok(Class::Urgent),
+        SERVICE => Ok(Class::Service),
+        BATCH => Ok(Class::Batch),
+        other => Err(Mismatch {
+            what: "the class",
+            value: other.to_string(),
+        }),
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl Task {
+    /// Makes the frame of a request; `now` turns its deadline into the patience that is left.
+    pub fn new(request: &Request, now: Time) -> Task {
+        let (rack, epoch) = match &request.target {
+            Some(target) => (target.rack.to_string(), target.epoch),
+            None => (String::new(), 0),
+        };
+        let patience_us = match request.deadline {
+            Time::MAX => ENDLESS_US,
+            deadline => micros(deadline.since(now)),
+        };
+        Task {
+            rack,
+            epoch,
+            id: request.id.0,
+            team: request.team.to_string(),
+            kind: request.kind.to_string(),
+            class: class_number(request.class),
+            size: request.size,
+            estimate_us: micros(request.estimate),
+            patience_us,
+            idempotent: request.idempotent,
+            gang: request.gang.map(|gang| gang.0),
+        }
+    }
+
+    /// Returns the request; `now` turns the patience that is left into a deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Mismatch`] for a class that this version does not know.
+    pub fn request(&self, now: Time) -> Result<Request, Mismatch> {
+        let deadline = match self.patience_us {
+            ENDLESS_US => Time::MAX,
+            left => now.after(Duration::from_micros(left)),
+        };
+        let target = (!self.rack.is_empty()).then(|| azurepath_decide::request::Target {
+            rack: Name::from(self.rack.as_str()),
+            epoch: self.epoch,
+        });
+        Ok(Request {
+            id: Id(self.id),
+            team: Name::from(self.team.as_str()),
+            kind: Name::from(self.kind.as_str()),
+            class: class(self.class)?,
+            size: self.size,
+            estimate: Duration::from_micros(self.estimate_us),
+            deadline,
+            idempotent: self.idempotent,
+            gang: self.gang.map(Id),
+            target,
+        })
+    }
+}
+
+impl Verdict {
+    /// Makes the frame of a verdict.
+    pub fn new(request: Id, verdict: &verdict::Verdict) -> Verdict {
+        Verdict {
+            id: request.0,
+            fate: Fate::from(verdict),
+        }
+    }
+}
+
+impl From<&verdict::Verdict> for Fate {
+    fn from(verdict: &verdict::Verdict) -> Fate {
+        match verdict {
+            verdict::Verdict::NotRun {
+                reason,
+                retry_after,
+            } => Fate::NotRun {
+                reason: *reason,
+                retry_after_us: retry_after.map(micros),
+            },
+            verdict::Verdict::Unknown { attempt } => Fate::Unknown {
+                attempt: attempt.number,
+            },
+            verdict::Verdict::Ran {
+                attempt,
+                worker,
+                outcome,
+            } => Fate::Ran {
+                attempt: attempt.number,
+                worker: worker.to_string(),
+                outcome: outcome.to_string(),
+            },
+        }
+    }
+}
+
+impl TryFrom<Verdict> for verdict::Verdict {
+    type Error = Mismatch;
+
+    fn try_from(frame: Verdict) -> Result<verdict::Verdict, Mismatch> {
+        let attempt = |number| Attempt {
+            request: Id(frame.id),
+            number,
+        };
+        Ok(match frame.fate {
+            Fate::NotRun {
+                reason,
+                retry_after_us,
+            } => verdict::Verdict::NotRun {
+                reason,
+                retry_after: retry_after_us.map(Duration::from_micros),
+            },
+            Fate::Unknown { attempt: number } => verdict::Verdict::Unknown {
+                attempt: attempt(number),
+            },
+            Fate::Ran {
+                attempt: number,
+                worker,
+                outcome,
+            } => verdict::Verdict::Ran {
+                attempt: attempt(number),
+                worker: Name::from(worker),
+                outcome: outcome.parse().map_err(|_| Mismatch {
+                    what: "the outcome",
+                    value: outcome,
+                })?,
+            },
+        })
+    }
+}
+
+impl From<Target> for Id {
+    fn from(target: Target) -> Id {
+        Id(target.id)
+    }
+}
+
+impl From<Id> for Target {
+    fn from(id: Id) -> Target {
+        Target { id: id.0 }
+    }
+}
+
+impl From<&Chunk> for Attempt {
+    fn from(chunk: &Chunk) -> Attempt {
+        Attempt {
+            request: Id(chunk.id),
+            number: chunk.attempt,
+        }
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,8 +3,6 @@
 //! A stream carries either one request (`Submit` or `Resume`, then `Chunk`s and `End`, answered by
 //! `Verdict`, `Chunk`s and `End`) or one control frame and its one reply.
 
-use azurepath_decide::attempt::Attempt;
-use azurepath_decide::request;
 use azurepath_decide::size::Size;
 use azurepath_decide::verdict::Reason;
 use bytes::Bytes;
@@ -190,18 +188,3 @@
     /// What to do.
     pub remedy: String,
 }
-
-impl From<Target> for request::Id {
-    fn from(target: Target) -> request::Id {
-        request::Id(target.id)
-    }
-}
-
-impl From<&Chunk> for Attempt {
-    fn from(chunk: &Chunk) -> Attempt {
-        Attempt {
-            request: request::Id(chunk.id),
-            number: chunk.attempt,
-        }
-    }
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,10 @@
 //! Frames that servers exchange over `h2` streams, and their codec.
 
+pub mod codec;
+mod convert;
 pub mod frame;
 
+pub use convert::Mismatch;
+
 /// The version of the protocol between servers; a peer of another version is refused.
 pub const VERSION: u16 = 1;
