--- /dev/null
+++ b/crates/server/src/connection/listener.rs
@@ -0,0 +1,248 @@
+//! The side that other servers connect to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::event::Event;
+use azurepath_decide::gang::Ask;
+use azurepath_decide::request::Id;
+use azurepath_decide::share::Summary;
+use azurepath_decide::verdict::Verdict;
+use azurepath_wire::frame::{self, Document, Fault, Frame, Task};
+use bytes::Bytes;
+use h2::server::{Builder, Connection, SendResponse};
+use h2::RecvStream;
+use http::{Request, Response, StatusCode};
+use slog::{Logger, debug};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::ping::{self, Pace};
+use super::stream::{Reader, Writer};
+use super::{Error, call, tuning};
+use crate::metrics::Metrics;
+use crate::process::clock::Clock;
+use crate::process::engine::{self, Submission};
+use crate::process::{Control, router};
+
+/// How long the set-up of a connection may take.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What streams of peers are served with.
+#[derive(Clone)]
+pub struct Service {
+    /// The clock.
+    pub clock: Clock,
+    /// The owner's machine.
+    pub engine: engine::Handle,
+    /// The entry's machine.
+    pub router: router::Handle,
+    /// Takes `Change`, `Beat` and `Handover`.
+    pub control: mpsc::Sender<Control>,
+    /// How connections are pinged.
+    pub pace: Pace,
+    /// The longest payload that is taken, in bytes.
+    pub limit: u64,
+    /// The logger.
+    pub log: Logger,
+    /// The instruments.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Accepts connections of peers until `halt`, then closes those that are open.
+pub async fn run(listener: TcpListener, service: Service, halt: CancellationToken) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = halt.cancelled() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    connections.spawn(serve(socket, service.clone(), halt.clone()));
+                }
+                Err(error) => {
+                    debug!(service.log, "accept failed"; "error" => %error);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve(socket: TcpStream, service: Service, halt: CancellationToken) {
+    // A socket that can't be tuned still works.
+    let _ = socket.set_nodelay(true);
+    let handshake = Builder::new()
+        .initial_window_size(tuning::STREAM_WINDOW)
+        .initial_connection_window_size(tuning::CONNECTION_WINDOW)
+        .max_concurrent_streams(tuning::STREAMS)
+        .max_frame_size(tuning::FRAME_BYTES)
+        .max_header_list_size(tuning::HEADER_BYTES)
+        .handshake::<_, Bytes>(socket);
+    let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
+        service.metrics.peer_faults.add(1, &[]);
+        return;
+    };
+    let Some(pings) = connection.ping_pong() else {
+        return;
+    };
+    let mut streams = JoinSet::new();
+    tokio::select! {
+        () = accept(&mut connection, &service, &mut streams) => {}
+        _ = ping::watch(pings, service.pace, Arc::new(Notify::new())) => {}
+        () = halt.cancelled() => {}
+    }
+    drop(connection);
+    streams.shutdown().await;
+}
+
+async fn accept(
+    connection: &mut Connection<TcpStream, Bytes>,
+    service: &Service,
+    streams: &mut JoinSet<()>,
+) {
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => {
+                let Some(Ok((request, response))) = accepted else {
+                    return;
+                };
+                streams.spawn(stream(request, response, service.clone()));
+            }
+            Some(_) = streams.join_next(), if !streams.is_empty() => {}
+        }
+    }
+}
+
+async fn stream(
+    request: Request<RecvStream>,
+    mut response: SendResponse<Bytes>,
+    service: Service,
+) {
+    let known = request.uri().path() == call::PATH;
+    let status = if known { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    let Ok(stream) = response.send_response(head, !known) else {
+        return;
+    };
+    if !known {
+        return;
+    }
+    let mut writer = Writer::new(stream);
+    let mut reader = Reader::new(request.into_body());
+    if let Err(error) = service.answer(&mut reader, &mut writer).await {
+        service.metrics.peer_faults.add(1, &[]);
+        debug!(service.log, "stream of a peer failed"; "error" => %error);
+        let fault = Frame::Fault(Fault {
+            kind: "unserved".to_owned(),
+            remedy: error.to_string(),
+        });
+        // The peer may be gone; it then sees a lost connection.
+        let _ = writer.send(&fault, true).await;
+    }
+}
+
+impl Service {
+    async fn answer(&self, reader: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
+        let reply = match reader.frame().await? {
+            Frame::Submit(task) => return self.request(task, false, reader, writer).await,
+            Frame::Resume(task) => return self.request(task, true, reader, writer).await,
+            Frame::Cancel(target) => {
+                self.engine.cancel(Id::from(target));
+                Frame::Done
+            }
+            Frame::Summary(document) => {
+                let summary: Summary = parse(&document)?;
+                self.engine.event(Event::Peer(summary.clone()));
+                self.router.summary(summary);
+                Frame::Done
+            }
+            Frame::Reserve(document) => self.reserve(&document).await?,
+            Frame::Commit(target) => {
+                let gang = Id::from(target);
+                self.engine.event(Event::Commit { gang });
+                Frame::Done
+            }
+            Frame::Release(target) => {
+                let gang = Id::from(target);
+                self.engine.event(Event::Release { gang });
+                Frame::Done
+            }
+            frame @ (Frame::Change(_) | Frame::Beat(_) | Frame::Handover(_)) => {
+                self.control(frame).await?
+            }
+            other => {
+                return Err(Error::Unexpected {
+                    frame: (&other).into(),
+                });
+            }
+        };
+        writer.send(&reply, true).await
+    }
+
+    async fn request(
+        &self,
+        task: Task,
+        resume: bool,
+        reader: &mut Reader,
+        writer: &mut Writer,
+    ) -> Result<(), Error> {
+        let request = task.request(self.clock.now())?;
+        let payload = reader.payload(task.id, 0, self.limit).await?;
+        let submission = Submission {
+            request,
+            payload,
+            detached: false,
+            keep: true,
+        };
+        let reply = if resume {
+            self.engine.resume(submission)
+        } else {
+            self.engine.submit(submission)
+        };
+        let reply = reply.await.map_err(|_| Error::Ended)?;
+        let id = Id(task.id);
+        let verdict = Frame::Verdict(frame::Verdict::new(id, &reply.verdict));
+        match &reply.verdict {
+            Verdict::Ran { attempt, .. } => {
+                writer.send(&verdict, false).await?;
+                let number = attempt.number;
+                writer.send_payload(task.id, number, &reply.payload).await
+            }
+            Verdict::NotRun { .. } | Verdict::Unknown { .. } => writer.send(&verdict, true).await,
+        }
+    }
+
+    async fn reserve(&self, document: &Document) -> Result<Frame, Error> {
+        let ask: Ask = parse(document)?;
+        let hold = self.engine.reserve(ask).await.map_err(|_| Error::Ended)?;
+        let json = serde_json::to_string(&hold).map_err(|error| unreadable(&error))?;
+        Ok(Frame::Held(Document { json }))
+    }
+
+    async fn control(&self, frame: Frame) -> Result<Frame, Error> {
+        let (reply, receiver) = oneshot::channel();
+        let control = Control { frame, reply };
+        self.control.send(control).await.map_err(|_| Error::Ended)?;
+        receiver.await.map_err(|_| Error::Ended)
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(document: &Document) -> Result<T, Error> {
+    serde_json::from_str(&document.json).map_err(|error| unreadable(&error))
+}
+
+fn unreadable(error: &serde_json::Error) -> Error {
+    Error::Fault(Fault {
+        kind: "unreadable".to_owned(),
+        remedy: format!("{error}; run the same release on both servers"),
+    })
+}
--- /dev/null
+++ b/crates/server/src/connection/mod.rs
@@ -0,0 +1,12 @@
+//! What lives as long as a connection between two servers.
+
+pub mod call;
+pub mod error;
+pub mod link;
+pub mod listener;
+pub mod ping;
+pub mod pool;
+pub mod stream;
+pub mod tuning;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/server/src/connection/pool.rs
@@ -0,0 +1,296 @@
+//! The links to all other servers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::fleet::{Server, View};
+use azurepath_decide::name::Name;
+use azurepath_decide::request::Id;
+use azurepath_decide::share::Summary;
+use azurepath_wire::frame::{Document, Frame, Target, Task};
+use serde_json::{Value, json};
+use slog::Logger;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::call::{self, Broken, Call};
+use super::link::{self, Link};
+use super::ping::Pace;
+use crate::metrics::Metrics;
+use crate::process::clock::Clock;
+use crate::process::engine::{Reply, Submission};
+
+/// How long a cancellation may take.
+const CANCEL_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a summary may take to a peer.
+const SUMMARY_WAIT: Duration = Duration::from_secs(2);
+
+/// The shortest pause between two summaries to the same peer.
+const SUMMARY_PAUSE: Duration = Duration::from_millis(200);
+
+/// A message to the pool.
+#[derive(Debug)]
+enum Message {
+    /// Asks for the link to a server.
+    Open(Server, oneshot::Sender<link::Handle>),
+    /// Tells a server that a caller has gone.
+    Cancel(Server, Id),
+    /// Asks for the state.
+    Dump(oneshot::Sender<Value>),
+}
+
+/// A way to talk to other servers.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    sender: mpsc::UnboundedSender<Message>,
+    limit: u64,
+}
+
+impl Handle {
+    /// Sends a request to the server that owns its rack and waits for the whole reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`], which tells whether the server may have taken the request.
+    pub async fn submit(
+        &self,
+        server: &Server,
+        submission: &Submission,
+        clock: Clock,
+        resume: bool,
+    ) -> Result<Reply, Broken> {
+        let link = self.open(server).await?;
+        let request = &submission.request;
+        let call = Call {
+            task: Task::new(request, clock.now()),
+            resume,
+            payload: &submission.payload,
+            limit: self.limit,
+            deadline: clock.instant(request.deadline),
+        };
+        call::submit(&link, call).await
+    }
+
+    /// Sends a control frame and waits for its one reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`], which tells whether the server may have taken the frame.
+    pub async fn control(
+        &self,
+        server: &Server,
+        frame: &Frame,
+        wait: Duration,
+    ) -> Result<Frame, Broken> {
+        let link = self.open(server).await?;
+        call::control(&link, frame, wait).await
+    }
+
+    /// Tells a server that a caller has gone.
+    pub fn cancel(&self, server: Server, request: Id) {
+        // Once the pool has ended, the process is stopping and its callers have been answered.
+        let _ = self.sender.send(Message::Cancel(server, request));
+    }
+
+    /// Returns the state of the links.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken::Unsent`] where the pool has ended.
+    pub async fn dump(&self) -> Result<Value, Broken> {
+        let (reply, receiver) = oneshot::channel();
+        let _ = self.sender.send(Message::Dump(reply));
+        receiver.await.map_err(|_| Broken::Unsent)
+    }
+
+    async fn open(&self, server: &Server) -> Result<link::Handle, Broken> {
+        let (reply, receiver) = oneshot::channel();
+        let _ = self.sender.send(Message::Open(server.clone(), reply));
+        receiver.await.map_err(|_| Broken::Unsent)
+    }
+}
+
+/// The task that owns the links.
+pub struct Pool {
+    /// The own name.
+    pub name: Name,
+    /// How connections are pinged.
+    pub pace: Pace,
+    /// The longest answer that is taken, in bytes.
+    pub limit: u64,
+    /// The fleet; links to servers that have left it are closed.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The newest summary of the own racks, which all peers are told.
+    pub summary: watch::Receiver<Option<Arc<Summary>>>,
+    /// The logger.
+    pub log: Logger,
+    /// The instruments.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The receiving end of a pool's handle.
+pub struct Inbox(mpsc::UnboundedReceiver<Message>);
+
+/// Makes a handle and the end that the pool reads from.
+pub fn channel(limit: u64) -> (Handle, Inbox) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    (Handle { sender, limit }, Inbox(receiver))
+}
+
+struct Entry {
+    server: Server,
+    handle: link::Handle,
+    halt: CancellationToken,
+}
+
+struct State {
+    pool: Pool,
+    links: BTreeMap<Name, Entry>,
+    tasks: JoinSet<()>,
+}
+
+impl Pool {
+    /// Runs until `halt`.
+    pub async fn run(self, mut inbox: Inbox, halt: CancellationToken) {
+        let mut view = self.view.clone();
+        let mut state = State {
+            pool: self,
+            links: BTreeMap::new(),
+            tasks: JoinSet::new(),
+        };
+        loop {
+            tokio::select! {
+                () = halt.cancelled() => break,
+                message = inbox.0.recv() => match message {
+                    Some(message) => state.take(message),
+                    None => break,
+                },
+                Ok(()) = view.changed() => state.compare(&view.borrow_and_update().clone()),
+                Some(_) = state.tasks.join_next(), if !state.tasks.is_empty() => {}
+            }
+        }
+        state.tasks.shutdown().await;
+    }
+}
+
+impl State {
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Open(server, reply) => {
+                let handle = self.link(&server);
+                // The asker may have gone meanwhile.
+                let _ = reply.send(handle);
+            }
+            Message::Cancel(server, request) => {
+                let handle = self.link(&server);
+                self.tasks.spawn(async move {
+                    let frame = Frame::Cancel(Target::from(request));
+                    // A cancellation that is lost costs only the work.
+                    let _ = call::control(&handle, &frame, CANCEL_WAIT).await;
+                });
+            }
+            Message::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+        }
+    }
+
+    /// Opens links to new servers and closes those to servers that have left.
+    fn compare(&mut self, view: &View) {
+        self.links.retain(|name, entry| {
+            let stays = view
+                .servers
+                .get(name)
+                .is_some_and(|server| server.incarnation == entry.server.incarnation);
+            if !stays {
+                entry.halt.cancel();
+            }
+            stays
+        });
+        for server in view.servers.values() {
+            if server.name != self.pool.name {
+                self.link(server);
+            }
+        }
+    }
+
+    fn link(&mut self, server: &Server) -> link::Handle {
+        let known = self.links.get(&server.name).filter(|entry| {
+            entry.server.incarnation == server.incarnation && entry.server.address == server.address
+        });
+        if let Some(entry) = known {
+            return entry.handle.clone();
+        }
+        let sender = watch::Sender::new(None);
+        let handle = link::Handle {
+            sender: sender.subscribe(),
+            hurry: Arc::new(Notify::new()),
+        };
+        let halt = CancellationToken::new();
+        let link = Link {
+            server: server.clone(),
+            pace: self.pool.pace,
+            sender,
+            hurry: handle.hurry.clone(),
+            metrics: self.pool.metrics.clone(),
+            log: self.pool.log.clone(),
+        };
+        self.tasks.spawn(link.run(halt.clone()));
+        let summary = self.pool.summary.clone();
+        self.tasks
+            .spawn(publish(handle.clone(), summary, halt.clone()));
+        let entry = Entry {
+            server: server.clone(),
+            handle: handle.clone(),
+            halt,
+        };
+        if let Some(old) = self.links.insert(server.name.clone(), entry) {
+            old.halt.cancel();
+        }
+        handle
+    }
+
+    fn dump(&self) -> Value {
+        let links: BTreeMap<&Name, Value> = self
+            .links
+            .iter()
+            .map(|(name, entry)| {
+                let state = json!({
+                    "address": entry.server.address,
+                    "incarnation": entry.server.incarnation,
+                    "connected": entry.handle.sender.borrow().is_some(),
+                });
+                (name, state)
+            })
+            .collect();
+        json!(links)
+    }
+}
+
+/// Tells one peer each summary, skipping those that a newer one has replaced.
+async fn publish(
+    link: link::Handle,
+    mut summary: watch::Receiver<Option<Arc<Summary>>>,
+    halt: CancellationToken,
+) {
+    summary.mark_changed();
+    loop {
+        tokio::select! {
+            () = halt.cancelled() => return,
+            changed = summary.changed() => if changed.is_err() { return },
+        }
+        let newest = summary.borrow_and_update().clone();
+        if let Some(json) = newest.and_then(|newest| serde_json::to_string(&*newest).ok()) {
+            let frame = Frame::Summary(Document { json });
+            // The next summary replaces one that is lost.
+            let _ = call::control(&link, &frame, SUMMARY_WAIT).await;
+        }
+        tokio::select! {
+            () = halt.cancelled() => return,
+            () = tokio::time::sleep(SUMMARY_PAUSE) => {}
+        }
+    }
+}
