Clients of the platform over HTTP

The clients tell a call that was surely not sent (no connection) from one whose fate is unknown (anything after that). A short answer, another checksum or another attempt's header is an error.

--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,200 @@
+//! Calls over HTTP/1.1 that tell "surely not sent" from "may have been sent".
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+use volo_http::client;
+use volo_http::error::client::ErrorKind;
+
+/// The longest body of an answer in bytes.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+
+/// How long the set-up of a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The header with the CRC-32 of an answer's payload, as hexadecimal digits.
+pub const CHECKSUM: &str = "azurepath-checksum";
+
+/// Why a call gave no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The call may have been taken.
+    Lost(String),
+}
+
+impl Failure {
+    /// Returns what was seen.
+    pub(crate) fn into_detail(self) -> String {
+        match self {
+            Failure::NotSent(detail) | Failure::Lost(detail) => detail,
+        }
+    }
+}
+
+/// A call.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path with its query.
+    pub(crate) path: String,
+    /// Headers besides those that the client sets.
+    pub(crate) headers: HeaderMap,
+    /// The payload.
+    pub(crate) body: Bytes,
+    /// How long the whole call may take.
+    pub(crate) timeout: Duration,
+}
+
+impl Call {
+    /// Makes a call without a payload.
+    pub(crate) fn new(method: Method, path: impl Into<String>, timeout: Duration) -> Call {
+        Call {
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            timeout,
+        }
+    }
+
+    /// Makes a `POST` of a document.
+    pub(crate) fn post(path: impl Into<String>, body: &impl Serialize, timeout: Duration) -> Call {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        Call {
+            body: Bytes::from(body),
+            ..Call::new(Method::POST, path, timeout)
+        }
+    }
+}
+
+/// An answer, whole.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The headers.
+    pub(crate) headers: HeaderMap,
+    /// The payload.
+    pub(crate) body: Bytes,
+}
+
+impl Reply {
+    /// Returns a header's text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the payload as a document.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| Failure::Lost(format!("answer is not as agreed: {error}")))
+    }
+
+    /// Describes the reply for an error.
+    pub(crate) fn describe(&self) -> String {
+        let text = String::from_utf8_lossy(&self.body);
+        let short: String = text.chars().take(200).collect();
+        format!("status {}: {short}", self.status.as_u16())
+    }
+}
+
+/// A pool of connections to any number of addresses.
+#[derive(Clone)]
+pub(crate) struct Pool {
+    client: client::Client,
+}
+
+impl Pool {
+    /// Makes an empty pool that keeps `idle` unused connections to an address at most.
+    pub(crate) fn new(idle: usize) -> Pool {
+        let mut builder = client::Client::builder();
+        builder.set_connect_timeout(CONNECT_TIMEOUT);
+        builder.set_pool_idle_timeout(IDLE_TIMEOUT);
+        builder.set_max_idle_per_host(idle);
+        let client = builder.build().unwrap_or_default();
+        Pool { client }
+    }
+
+    /// Calls and waits for the whole answer.
+    pub(crate) async fn call(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
+        let timeout = call.timeout;
+        match tokio::time::timeout(timeout, self.exchange(address, call)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Lost(format!("no answer within {timeout:?}"))),
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
+        let uri = format!("http://{address}{}", call.path);
+        let mut request = self
+            .client
+            .request(call.method, uri)
+            .body(Body::from(call.body));
+        request.headers_mut().extend(call.headers);
+        let response = request.send().await.map_err(|error| {
+            let detail = error.to_string();
+            match error.kind() {
+                ErrorKind::Connect | ErrorKind::Builder => Failure::NotSent(detail),
+                _ => Failure::Lost(detail),
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        let collected = Limited::new(body, BODY_LIMIT).collect().await;
+        let body = collected
+            .map_err(|error| Failure::Lost(format!("the answer broke off: {error}")))?
+            .to_bytes();
+        let reply = Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        };
+        check(&reply)?;
+        Ok(reply)
+    }
+}
+
+/// Refuses an answer that is shorter than its length or does not match its checksum.
+fn check(reply: &Reply) -> Result<(), Failure> {
+    let length = reply
+        .header("content-length")
+        .and_then(|text| text.parse::<usize>().ok());
+    if length.is_some_and(|length| length != reply.body.len()) {
+        return Err(Failure::Lost("the answer is short".to_owned()));
+    }
+    let checksum = reply.header(CHECKSUM);
+    let right = checksum.is_none_or(|text| {
+        u32::from_str_radix(text, 16).is_ok_and(|sum| sum == crc32fast::hash(&reply.body))
+    });
+    if !right {
+        return Err(Failure::Lost(
+            "the answer's checksum is another's".to_owned(),
+        ));
+    }
+    Ok(())
+}
+
+/// Escapes a text for the query part of a path.
+pub(crate) fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        let plain = byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte);
+        if plain {
+            escaped.push(char::from(byte));
+        } else {
+            escaped.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    escaped
+}
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -1,13 +1,23 @@
 //! The platform's lagging list of live and leaving instances.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use ::http::{Method, StatusCode};
 use async_trait::async_trait;
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::worker;
 use serde::{Deserialize, Serialize};
 
+use crate::http::{Call, Pool};
+
+/// How long the reading of the list may take.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Unused connections that are kept.
+const IDLE: usize = 2;
+
 /// An instance as listed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
@@ -84,3 +94,34 @@
     /// Returns [`Error`] where the list can't be read.
     async fn instances(&self) -> Result<Vec<Instance>, Error>;
 }
+
+/// A client of the instance list over HTTP.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    pool: Pool,
+}
+
+impl Client {
+    /// Makes a client of the instance list at an address.
+    pub fn new(address: SocketAddr) -> Client {
+        Client {
+            address,
+            pool: Pool::new(IDLE),
+        }
+    }
+}
+
+#[async_trait]
+impl List for Client {
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        let call = Call::new(Method::GET, "/instances", TIMEOUT);
+        let error = |detail: String| Error { detail };
+        let reply = self.pool.call(self.address, call).await;
+        let reply = reply.map_err(|failure| error(failure.into_detail()))?;
+        if reply.status != StatusCode::OK {
+            return Err(error(reply.describe()));
+        }
+        reply.json().map_err(|failure| error(failure.into_detail()))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,11 @@
 //! Clients of the platform: the table service, the object store, the instance list and the
 //! workers. `docs/PLATFORM.md` gives the protocol that they speak.
 
+mod http;
+
 pub mod instance;
 pub mod object;
 pub mod table;
 pub mod worker;
+
+pub use http::CHECKSUM;
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,9 +1,21 @@
 //! The transactional table service.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::http::{Method, StatusCode};
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::http::{Call, Failure, Pool, escape};
+
+/// How long a call to the table may take.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Unused connections that are kept.
+const IDLE: usize = 16;
+
 /// A row as read.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -115,3 +127,104 @@
     /// Returns [`Error::Unavailable`] where the table can't be read.
     async fn scan(&self, prefix: &str, after: Option<&str>, limit: u32) -> Result<Page, Error>;
 }
+
+/// A client of the table service over HTTP.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    pool: Pool,
+}
+
+impl Client {
+    /// Makes a client of the table service at an address.
+    pub fn new(address: SocketAddr) -> Client {
+        Client {
+            address,
+            pool: Pool::new(IDLE),
+        }
+    }
+
+    async fn get(&self, path: String) -> Result<crate::http::Reply, Error> {
+        let call = Call::new(Method::GET, path, TIMEOUT);
+        let unavailable = |failure: Failure| Error::Unavailable {
+            detail: failure.into_detail(),
+        };
+        self.pool
+            .call(self.address, call)
+            .await
+            .map_err(unavailable)
+    }
+}
+
+/// The body of a `409`.
+#[derive(Deserialize)]
+struct Conflict {
+    key: String,
+    revision: u64,
+}
+
+#[async_trait]
+impl Table for Client {
+    async fn transact(&self, transaction: Transaction) -> Result<Commit, Error> {
+        let call = Call::post("/table/transact", &transaction, TIMEOUT);
+        let reply = self
+            .pool
+            .call(self.address, call)
+            .await
+            .map_err(|failure| match failure {
+                Failure::NotSent(detail) => Error::Unavailable { detail },
+                Failure::Lost(detail) => Error::Unknown { detail },
+            })?;
+        let unknown = |failure: Failure| Error::Unknown {
+            detail: failure.into_detail(),
+        };
+        match reply.status {
+            StatusCode::OK => reply.json().map_err(unknown),
+            StatusCode::CONFLICT => {
+                let Conflict { key, revision } = reply.json().map_err(unknown)?;
+                Err(Error::Conflict { key, revision })
+            }
+            StatusCode::SERVICE_UNAVAILABLE => Err(Error::Unavailable {
+                detail: reply.describe(),
+            }),
+            status if status.is_client_error() => Err(Error::Invalid {
+                detail: reply.describe(),
+            }),
+            _ => Err(Error::Unknown {
+                detail: reply.describe(),
+            }),
+        }
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Row>, Error> {
+        let reply = self.get(format!("/table/row?key={}", escape(key))).await?;
+        if reply.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        found(&reply).map(Some)
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&str>, limit: u32) -> Result<Page, Error> {
+        let mut path = format!("/table/scan?prefix={}&limit={limit}", escape(prefix));
+        if let Some(after) = after {
+            path.push_str("&after=");
+            path.push_str(&escape(after));
+        }
+        found(&self.get(path).await?)
+    }
+}
+
+/// Reads the document of a successful read.
+fn found<T: serde::de::DeserializeOwned>(reply: &crate::http::Reply) -> Result<T, Error> {
+    match reply.status {
+        StatusCode::OK => reply.json().map_err(|failure| Error::Unavailable {
+            detail: failure.into_detail(),
+        }),
+        status if status.is_client_error() => Err(Error::Invalid {
+            detail: reply.describe(),
+        }),
+        _ => Err(Error::Unavailable {
+            detail: reply.describe(),
+        }),
+    }
+}
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -3,12 +3,30 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ::http::{HeaderValue, Method, StatusCode};
 use async_trait::async_trait;
 use azurepath_decide::attempt::{Attempt, Outcome, Refusal, Running};
 use azurepath_decide::worker::{Interrupt, Inventory, Report};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::http::{Call, Failure, Pool, Reply};
+
+/// How long a call that runs no task of a caller may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Unused connections that are kept to a worker; it takes 64 in all.
+const IDLE: usize = 32;
+
+/// The header with the order of a start, as JSON.
+pub const ORDER: &str = "azurepath-order";
+
+/// The header that names the attempt of an answer.
+pub const ATTEMPT: &str = "azurepath-attempt";
+
+/// The header that says how the attempt ended.
+pub const OUTCOME: &str = "azurepath-outcome";
+
 /// A claim of a worker by the owner of its rack.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -93,6 +111,9 @@
 
     /// Starts an attempt and waits for its answer, `patience` at most.
     ///
+    /// A detached attempt is answered as soon as it has begun, with an empty payload and the
+    /// outcome `Done`; its end shows in renewals.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::Refused`] only where the attempt surely did not start.
@@ -136,3 +157,151 @@
     /// As for [`Worker::start`].
     async fn probe(&self, worker: SocketAddr, epoch: u64) -> Result<(), Error>;
 }
+
+/// The body of a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Why.
+    pub refused: Refusal,
+}
+
+/// The body of a call that only names the ownership's epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// The epoch of the ownership.
+    pub epoch: u64,
+}
+
+/// The body of an interrupt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Interruption {
+    /// The epoch of the ownership.
+    pub epoch: u64,
+    /// How.
+    pub how: Interrupt,
+}
+
+/// A client of all workers over HTTP.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new()
+    }
+}
+
+impl Client {
+    /// Makes a client without connections.
+    pub fn new() -> Client {
+        Client {
+            pool: Pool::new(IDLE),
+        }
+    }
+
+    async fn call(&self, worker: SocketAddr, call: Call) -> Result<Reply, Error> {
+        let reply = self.pool.call(worker, call).await.map_err(fail)?;
+        if reply.status == StatusCode::CONFLICT {
+            let Refused { refused } = reply.json().map_err(fail)?;
+            return Err(Error::Refused(refused));
+        }
+        if !reply.status.is_success() {
+            let detail = reply.describe();
+            return Err(Error::Lost { detail });
+        }
+        Ok(reply)
+    }
+}
+
+fn fail(failure: Failure) -> Error {
+    match failure {
+        Failure::NotSent(_) => Error::Refused(Refusal::Unreachable),
+        Failure::Lost(detail) => Error::Lost { detail },
+    }
+}
+
+/// Reads the answer of an attempt and refuses another attempt's.
+fn answer(attempt: Attempt, reply: Reply) -> Result<Answer, Error> {
+    let lost = |detail: String| Error::Lost { detail };
+    let named = reply.header(ATTEMPT).unwrap_or_default();
+    if named != attempt.to_string() {
+        return Err(lost(format!("the answer is that of attempt {named:?}")));
+    }
+    let outcome = reply.header(OUTCOME).unwrap_or_default().parse();
+    let outcome = outcome.map_err(|_| lost("the answer names no outcome".to_owned()))?;
+    Ok(Answer {
+        attempt,
+        outcome,
+        payload: reply.body,
+    })
+}
+
+#[async_trait]
+impl Worker for Client {
+    async fn claim(&self, worker: SocketAddr, claim: Claim) -> Result<Inventory, Error> {
+        let reply = self
+            .call(worker, Call::post("/claim", &claim, TIMEOUT))
+            .await?;
+        reply.json().map_err(fail)
+    }
+
+    async fn renew(&self, worker: SocketAddr, claim: Claim) -> Result<Renewal, Error> {
+        let reply = self
+            .call(worker, Call::post("/renew", &claim, TIMEOUT))
+            .await?;
+        reply.json().map_err(fail)
+    }
+
+    async fn start(
+        &self,
+        worker: SocketAddr,
+        order: Order,
+        payload: Bytes,
+        patience: Duration,
+    ) -> Result<Answer, Error> {
+        let attempt = order.running.attempt;
+        let mut call = Call::new(Method::POST, "/tasks", patience);
+        let json = serde_json::to_vec(&order).unwrap_or_default();
+        let header = HeaderValue::from_bytes(&json).map_err(|_| Error::Refused(Refusal::Broken))?;
+        call.headers.insert(ORDER, header);
+        call.body = payload;
+        let reply = self.call(worker, call).await?;
+        if reply.status == StatusCode::ACCEPTED {
+            return Ok(Answer {
+                attempt,
+                outcome: Outcome::Done,
+                payload: Bytes::new(),
+            });
+        }
+        answer(attempt, reply)
+    }
+
+    async fn attach(
+        &self,
+        worker: SocketAddr,
+        attempt: Attempt,
+        patience: Duration,
+    ) -> Result<Answer, Error> {
+        let call = Call::new(Method::GET, format!("/tasks/{attempt}"), patience);
+        answer(attempt, self.call(worker, call).await?)
+    }
+
+    async fn interrupt(
+        &self,
+        worker: SocketAddr,
+        epoch: u64,
+        attempt: Attempt,
+        how: Interrupt,
+    ) -> Result<(), Error> {
+        let path = format!("/tasks/{attempt}/interrupt");
+        let call = Call::post(path, &Interruption { epoch, how }, TIMEOUT);
+        self.call(worker, call).await.map(drop)
+    }
+
+    async fn probe(&self, worker: SocketAddr, epoch: u64) -> Result<(), Error> {
+        let call = Call::post("/probe", &Probe { epoch }, TIMEOUT);
+        self.call(worker, call).await.map(drop)
+    }
+}
