Stand-ins of the platform and the workers

Each runs on a thread of its own and serves docs/PLATFORM.md on a port of the kernel's choice. Faults are switched over the stand-in's own HTTP; a worker records what it began and ended.

A refused connection was first taken as a lost answer: volo-http gives the set-up of a connection the error kind of a sent request.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,5 +1,6 @@
 //! Calls over HTTP/1.1 that tell "surely not sent" from "may have been sent".
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,14 +11,12 @@
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 use volo_http::client;
+use volo_http::error::ClientError;
 use volo_http::error::client::ErrorKind;
 
 /// The longest body of an answer in bytes.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 
-/// How long the set-up of a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -120,7 +119,6 @@
     /// Makes an empty pool that keeps `idle` unused connections to an address at most.
     pub(crate) fn new(idle: usize) -> Pool {
         let mut builder = client::Client::builder();
-        builder.set_connect_timeout(CONNECT_TIMEOUT);
         builder.set_pool_idle_timeout(IDLE_TIMEOUT);
         builder.set_max_idle_per_host(idle);
         let client = builder.build().unwrap_or_default();
@@ -143,13 +141,7 @@
             .request(call.method, uri)
             .body(Body::from(call.body));
         request.headers_mut().extend(call.headers);
-        let response = request.send().await.map_err(|error| {
-            let detail = error.to_string();
-            match error.kind() {
-                ErrorKind::Connect | ErrorKind::Builder => Failure::NotSent(detail),
-                _ => Failure::Lost(detail),
-            }
-        })?;
+        let response = request.send().await.map_err(|error| classify(&error))?;
         let (parts, body) = response.into_parts();
         let collected = Limited::new(body, BODY_LIMIT).collect().await;
         let body = collected
@@ -165,6 +157,22 @@
     }
 }
 
+/// Tells an error before the request was sent from one after.
+fn classify(error: &ClientError) -> Failure {
+    let detail = error.to_string();
+    let early = matches!(error.kind(), ErrorKind::Connect | ErrorKind::Builder);
+    // The library gives the set-up of a connection the kind of a sent request, but only there is
+    // the source a bare error of the socket.
+    let no_connection = error
+        .source()
+        .is_some_and(<dyn Error>::is::<std::io::Error>);
+    if early || no_connection {
+        Failure::NotSent(detail)
+    } else {
+        Failure::Lost(detail)
+    }
+}
+
 /// Refuses an answer that is shorter than its length or does not match its checksum.
 fn check(reply: &Reply) -> Result<(), Failure> {
     let length = reply
--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,86 @@
+//! The rows of the table service.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use azurepath_platform::table::{Check, Commit, Page, Row, Transaction};
+use serde_json::Value;
+
+/// The most rows of one scan.
+const SCAN_LIMIT: usize = 1_000;
+
+/// The rows with one growing revision.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    revision: u64,
+    rows: BTreeMap<String, (u64, Value)>,
+}
+
+/// A row whose check failed.
+#[derive(serde::Serialize)]
+pub(crate) struct Conflict {
+    /// The key.
+    pub(crate) key: String,
+    /// The revision that the row has.
+    pub(crate) revision: u64,
+}
+
+impl Rows {
+    /// Applies a transaction whole or not at all.
+    pub(crate) fn transact(&mut self, transaction: Transaction) -> Result<Commit, Conflict> {
+        for Check { key, revision } in transaction.checks {
+            let found = self.rows.get(&key).map_or(0, |(revision, _)| *revision);
+            if found != revision {
+                return Err(Conflict {
+                    key,
+                    revision: found,
+                });
+            }
+        }
+        self.revision += 1;
+        for write in transaction.writes {
+            match write.value {
+                Some(value) => self.rows.insert(write.key, (self.revision, value)),
+                None => self.rows.remove(&write.key),
+            };
+        }
+        Ok(Commit {
+            revision: self.revision,
+        })
+    }
+
+    /// Reads one row.
+    pub(crate) fn read(&self, key: &str) -> Option<Row> {
+        self.rows.get(key).map(|entry| row(key, entry))
+    }
+
+    /// Reads rows by prefix.
+    pub(crate) fn scan(&self, prefix: &str, after: Option<&str>, limit: Option<usize>) -> Page {
+        let limit = limit.unwrap_or(SCAN_LIMIT).clamp(1, SCAN_LIMIT);
+        let from = match after {
+            Some(after) if after >= prefix => Bound::Excluded(after),
+            _ => Bound::Included(prefix),
+        };
+        let range = self.rows.range::<str, _>((from, Bound::Unbounded));
+        let mut found = range.take_while(|(key, _)| key.starts_with(prefix));
+        let rows: Vec<Row> = found
+            .by_ref()
+            .take(limit)
+            .map(|(key, entry)| row(key, entry))
+            .collect();
+        let more = found.next().is_some();
+        let last = rows.last().map(|row| row.key.clone());
+        Page {
+            next: last.filter(|_| more),
+            rows,
+        }
+    }
+}
+
+fn row(key: &str, (revision, value): &(u64, Value)) -> Row {
+    Row {
+        key: key.to_owned(),
+        revision: *revision,
+        value: value.clone(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,288 @@
+//! The stand-in of a worker.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use azurepath_decide::attempt::{Attempt, Outcome, Refusal};
+use azurepath_decide::name::Name;
+use azurepath_decide::request;
+use azurepath_decide::size::Size;
+use azurepath_platform::worker::{
+    ATTEMPT, Claim, Interruption, ORDER, OUTCOME, Order, Probe, Refused,
+};
+use http::{HeaderValue, Method, StatusCode};
+use tokio::sync::Notify;
+
+use crate::fault::{self, Gate};
+use crate::host::{Call, Host, Reply, Site, lock};
+
+mod record;
+mod state;
+mod task;
+
+pub use record::{Begun, Ended, Record};
+pub use task::Behaviour;
+
+use state::{Finished, Standing, State};
+
+/// How often leases and pauses are looked at.
+const TICK: Duration = Duration::from_millis(5);
+
+/// What a worker is made with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The worker's name.
+    pub name: Name,
+    /// All that it holds.
+    pub capacity: Size,
+    /// How old its reports of use are.
+    pub usage_lag: Duration,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    /// Told whenever a task has ended or a fault has changed.
+    changed: Notify,
+}
+
+impl Shared {
+    /// Waits until the worker does not stand still; leases are looked at first.
+    async fn go_on(&self) {
+        loop {
+            if !lock(&self.state).faults.paused {
+                return;
+            }
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Looks at the leases and ends the tasks whose time has come.
+    async fn run(self: Arc<Shared>) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            self.go_on().await;
+            let ended = lock(&self.state).advance(Instant::now());
+            if ended {
+                self.changed.notify_waiters();
+            }
+        }
+    }
+
+    /// Waits for the end of an attempt; none where the worker does not know it.
+    async fn finished(&self, attempt: Attempt) -> Option<Finished> {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let standing = lock(&self.state).standing(attempt);
+            match standing {
+                Standing::Unknown => return None,
+                Standing::Finished(finished) => return Some(finished),
+                Standing::Runs { due: None } => changed.await,
+                Standing::Runs { due: Some(due) } => tokio::select! {
+                    () = changed => {}
+                    () = tokio::time::sleep_until(due.into()) => self.end_due().await,
+                },
+            }
+        }
+    }
+
+    async fn end_due(&self) {
+        self.go_on().await;
+        if lock(&self.state).advance(Instant::now()) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    async fn start(&self, call: &Call) -> Result<Reply, Reply> {
+        let header = call.headers.get(ORDER).map(HeaderValue::as_bytes);
+        let order: Order = serde_json::from_slice(header.unwrap_or_default())
+            .map_err(|error| Reply::text(StatusCode::BAD_REQUEST, error.to_string()))?;
+        let attempt = order.running.attempt;
+        let detached = order.detached;
+        let begun = lock(&self.state).start(order, &call.body, Instant::now());
+        begun.map_err(refuse)?;
+        if detached {
+            return Ok(Reply::empty(StatusCode::ACCEPTED));
+        }
+        self.task_answer(attempt).await
+    }
+
+    async fn task_answer(&self, attempt: Attempt) -> Result<Reply, Reply> {
+        let Some(finished) = self.finished(attempt).await else {
+            return Err(Reply::text(StatusCode::NOT_FOUND, "no such attempt"));
+        };
+        self.go_on().await;
+        let mut state = lock(&self.state);
+        let faults = &mut state.faults;
+        let cut = take(&mut faults.short_answers) || take(&mut faults.lose_answers);
+        let crossed = take(&mut faults.crossed_answers);
+        drop(state);
+        let named = Attempt {
+            number: attempt.number + u32::from(crossed),
+            ..attempt
+        };
+        let mut reply = Reply {
+            body: finished.payload,
+            ..Reply::empty(StatusCode::OK)
+        };
+        put(&mut reply, ATTEMPT, &named.to_string());
+        put(&mut reply, OUTCOME, &finished.outcome.to_string());
+        Ok(if cut { reply.lost() } else { reply })
+    }
+
+    async fn handle(&self, call: &Call) -> Result<Reply, Reply> {
+        let path = call.path.trim_start_matches('/');
+        let parts: Vec<&str> = path.split('/').collect();
+        match (&call.method, parts.as_slice()) {
+            (&Method::POST, ["claim"]) => {
+                let claim: Claim = call.json()?;
+                let claimed = lock(&self.state).claim(&claim, Instant::now());
+                let inventory = claimed.map_err(refuse)?;
+                Ok(Reply::json(StatusCode::OK, &inventory))
+            }
+            (&Method::POST, ["renew"]) => {
+                let claim: Claim = call.json()?;
+                let renewed = lock(&self.state).renew(&claim, Instant::now());
+                let renewal = renewed.map_err(refuse)?;
+                Ok(Reply::json(StatusCode::OK, &renewal))
+            }
+            (&Method::POST, ["tasks"]) => self.start(call).await,
+            (&Method::GET, ["tasks", attempt]) => self.task_answer(parse(attempt)?).await,
+            (&Method::POST, ["tasks", attempt, "interrupt"]) => {
+                let Interruption { epoch, how } = call.json()?;
+                let attempt = parse(attempt)?;
+                let interrupted = lock(&self.state).interrupt(epoch, attempt, how, Instant::now());
+                interrupted.map_err(refuse)?;
+                self.changed.notify_waiters();
+                Ok(Reply::empty(StatusCode::NO_CONTENT))
+            }
+            (&Method::POST, ["probe"]) => {
+                let Probe { epoch } = call.json()?;
+                let healthy = lock(&self.state).probe(epoch).map_err(refuse)?;
+                let status = if healthy {
+                    StatusCode::NO_CONTENT
+                } else {
+                    StatusCode::INTERNAL_SERVER_ERROR
+                };
+                Ok(Reply::empty(status))
+            }
+            (&Method::POST, ["fault"]) => {
+                lock(&self.state).faults = call.json()?;
+                self.changed.notify_waiters();
+                Ok(Reply::empty(StatusCode::NO_CONTENT))
+            }
+            (&Method::GET, ["record"]) => {
+                Ok(Reply::json(StatusCode::OK, &lock(&self.state).record))
+            }
+            _ => Err(Reply::text(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+}
+
+/// Counts a fault down and tells whether it strikes.
+fn take(left: &mut u64) -> bool {
+    let strikes = *left > 0;
+    *left = left.saturating_sub(1);
+    strikes
+}
+
+fn put(reply: &mut Reply, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        reply.headers.push((name, value));
+    }
+}
+
+fn refuse(refused: Refusal) -> Reply {
+    Reply::json(StatusCode::CONFLICT, &Refused { refused })
+}
+
+/// Reads an attempt as it is written in paths.
+fn parse(text: &str) -> Result<Attempt, Reply> {
+    let split = text.split_once('-').and_then(|(request, number)| {
+        Some(Attempt {
+            request: request.parse::<request::Id>().ok()?,
+            number: number.parse().ok()?,
+        })
+    });
+    split.ok_or_else(|| Reply::text(StatusCode::BAD_REQUEST, "no attempt"))
+}
+
+impl Site for Shared {
+    fn gate(&self, path: &str) -> Option<Gate> {
+        let switch = matches!(path, "/fault" | "/record");
+        (!switch).then(|| lock(&self.state).faults.gate())
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        if self.gate(&call.path).is_some() {
+            self.go_on().await;
+        }
+        let answered = self.handle(&call).await;
+        answered.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+/// The stand-in of a worker.
+pub struct Standin {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+impl Standin {
+    /// Starts a worker that no owner has claimed.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port or thread can be had.
+    pub fn start(settings: Settings) -> Result<Standin> {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::new(settings)),
+            changed: Notify::new(),
+        });
+        let host = Host::start(Arc::clone(&shared), Arc::clone(&shared).run())?;
+        Ok(Standin { host, shared })
+    }
+
+    /// Returns the worker's name.
+    pub fn name(&self) -> Name {
+        lock(&self.shared.state).settings.name.clone()
+    }
+
+    /// Returns all that the worker holds.
+    pub fn capacity(&self) -> Size {
+        lock(&self.shared.state).settings.capacity
+    }
+
+    /// Returns the address that the worker listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Switches faults as `POST /fault` does.
+    pub fn fault(&self, faults: fault::Worker) {
+        lock(&self.shared.state).faults = faults;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns what the worker began and ended.
+    pub fn record(&self) -> Record {
+        lock(&self.shared.state).record.clone()
+    }
+
+    /// Stops it and waits for its end; tasks and calls in flight break off.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the stand-in has panicked.
+    pub async fn stop(self) -> Result<()> {
+        self.host.stop().await
+    }
+}
+
+/// Returns how an attempt ends that a behaviour lets run to its end.
+fn outcome(fail: bool) -> Outcome {
+    if fail { Outcome::Failed } else { Outcome::Done }
+}
--- /dev/null
+++ b/crates/standin/src/worker/record.rs
@@ -0,0 +1,66 @@
+//! What a worker has done, for tests to hold promises against.
+
+use std::time::SystemTime;
+
+use azurepath_decide::attempt::{Attempt, Outcome};
+use azurepath_decide::name::Name;
+use azurepath_decide::size::Size;
+use serde::{Deserialize, Serialize};
+
+/// An attempt that has begun.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The team that it runs for.
+    pub team: Name,
+    /// The service, queue or job that it belongs to.
+    pub kind: Name,
+    /// The size that it was started with.
+    pub size: Size,
+    /// When, in microseconds of Unix time.
+    pub at_us: u64,
+}
+
+/// An attempt that has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When, in microseconds of Unix time.
+    pub at_us: u64,
+}
+
+/// What a worker has done, as `GET /record` tells it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Attempts that have begun, in order.
+    pub begun: Vec<Begun>,
+    /// Attempts that have ended, in order.
+    pub ended: Vec<Ended>,
+    /// The most of each resource that ran at a time.
+    pub most: Size,
+    /// Starts that were refused because the worker had no room.
+    pub overcommits: u64,
+    /// Calls that were refused because of their epoch.
+    pub stale_epochs: u64,
+    /// Starts that were refused as duplicates.
+    pub duplicates: u64,
+    /// Starts that were refused because the worker was leaving.
+    pub leaving: u64,
+    /// Tasks that were stopped because the lease lapsed.
+    pub lapsed: u64,
+    /// Probes.
+    pub probes: u64,
+    /// The epoch that the worker obeys.
+    pub epoch: u64,
+}
+
+/// Returns the time in microseconds of Unix time.
+pub(super) fn unix_micros() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/standin/src/worker/state.rs
@@ -0,0 +1,306 @@
+//! What a worker knows: its epoch, its lease, what runs and what has ended.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use azurepath_decide::attempt::{Attempt, Outcome, Refusal};
+use azurepath_decide::request;
+use azurepath_decide::size::Size;
+use azurepath_decide::worker::{Interrupt, Inventory, Report, Usage};
+use azurepath_platform::worker::{self, Claim, Order, Renewal};
+use bytes::Bytes;
+
+use super::record::{Begun, Ended, Record, unix_micros};
+use super::task::Task;
+use super::{Settings, outcome};
+use crate::fault;
+
+/// How long the answer of an attempt that has ended is kept.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// How long the end of a detached attempt is told in every renewal.
+const TOLD: Duration = Duration::from_secs(60);
+
+/// An attempt that has ended.
+#[derive(Clone, Debug)]
+pub(super) struct Finished {
+    /// How it ended.
+    pub(super) outcome: Outcome,
+    /// What it answers.
+    pub(super) payload: Bytes,
+    detached: bool,
+    at: Instant,
+}
+
+/// How an attempt stands.
+#[derive(Debug)]
+pub(super) enum Standing {
+    /// The worker does not know it.
+    Unknown,
+    /// It runs.
+    Runs {
+        /// When it ends, unless it runs until it is stopped.
+        due: Option<Instant>,
+    },
+    /// It has ended.
+    Finished(Finished),
+}
+
+/// The state of a worker.
+#[derive(Debug)]
+pub(super) struct State {
+    /// What the worker was made with.
+    pub(super) settings: Settings,
+    /// The faults that are switched on.
+    pub(super) faults: fault::Worker,
+    /// What has been done.
+    pub(super) record: Record,
+    epoch: u64,
+    lease: Option<Instant>,
+    running: BTreeMap<Attempt, Task>,
+    finished: BTreeMap<Attempt, Finished>,
+}
+
+impl State {
+    /// Makes the state of a worker that no owner has claimed.
+    pub(super) fn new(settings: Settings) -> State {
+        State {
+            settings,
+            faults: fault::Worker::default(),
+            record: Record::default(),
+            epoch: 0,
+            lease: None,
+            running: BTreeMap::new(),
+            finished: BTreeMap::new(),
+        }
+    }
+
+    /// Obeys an epoch unless a higher one has been seen.
+    fn obey(&mut self, epoch: u64) -> Result<(), Refusal> {
+        if epoch < self.epoch {
+            self.record.stale_epochs += 1;
+            return Err(Refusal::StaleEpoch);
+        }
+        self.epoch = epoch;
+        self.record.epoch = epoch;
+        Ok(())
+    }
+
+    fn hold(&mut self, claim: &Claim, now: Instant) -> Result<(), Refusal> {
+        self.advance(now);
+        self.obey(claim.epoch)?;
+        self.lease = Some(now + Duration::from_millis(claim.lease_ms));
+        Ok(())
+    }
+
+    /// Takes a claim.
+    pub(super) fn claim(&mut self, claim: &Claim, now: Instant) -> Result<Inventory, Refusal> {
+        self.hold(claim, now)?;
+        let running = self.running.values().map(|task| task.running.clone());
+        Ok(Inventory {
+            worker: self.settings.name.clone(),
+            epoch: self.epoch,
+            running: running.collect(),
+            ended: self.finished.keys().copied().collect(),
+        })
+    }
+
+    /// Takes a renewal.
+    pub(super) fn renew(&mut self, claim: &Claim, now: Instant) -> Result<Renewal, Refusal> {
+        self.hold(claim, now)?;
+        Ok(Renewal {
+            report: self.report(now),
+            ended: self.told(now),
+            leaving: self.faults.leaving,
+        })
+    }
+
+    /// Reports the use of the tasks that ran when the lag began.
+    fn report(&self, now: Instant) -> Report {
+        let old = |task: &&Task| now.duration_since(task.begun) >= self.settings.usage_lag;
+        let usage = self.running.values().filter(old).map(|task| Usage {
+            attempt: task.running.attempt,
+            used: task.used,
+        });
+        Report {
+            worker: self.settings.name.clone(),
+            usage: usage.collect(),
+        }
+    }
+
+    /// Returns the detached attempts that have ended lately.
+    fn told(&self, now: Instant) -> Vec<worker::Ended> {
+        let told = |finished: &Finished| finished.detached && now - finished.at < TOLD;
+        let ended = self.finished.iter().filter(|(_, end)| told(end));
+        ended
+            .map(|(attempt, finished)| worker::Ended {
+                attempt: *attempt,
+                outcome: finished.outcome,
+            })
+            .collect()
+    }
+
+    /// Starts an attempt unless it must be refused.
+    pub(super) fn start(
+        &mut self,
+        order: Order,
+        payload: &Bytes,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.advance(now);
+        self.obey(order.epoch)?;
+        let attempt = order.running.attempt;
+        self.admit(attempt, &order.running.size)?;
+        let begun = Begun {
+            attempt,
+            team: order.running.team.clone(),
+            kind: order.running.kind.clone(),
+            size: order.running.size,
+            at_us: unix_micros(),
+        };
+        self.record.begun.push(begun);
+        let longer = Duration::from_millis(self.faults.slow_ms);
+        let mut task = Task::begin(order.running, order.detached, payload, longer, now);
+        if self.faults.fail_all {
+            task.fail = true;
+            task.due = Some(now);
+        }
+        self.running.insert(attempt, task);
+        self.record.most = Size::max(&self.record.most, &self.in_use());
+        Ok(())
+    }
+
+    fn admit(&mut self, attempt: Attempt, size: &Size) -> Result<(), Refusal> {
+        if self.met(attempt) {
+            self.record.duplicates += 1;
+            return Err(Refusal::Duplicate);
+        }
+        if self.faults.leaving {
+            self.record.leaving += 1;
+            return Err(Refusal::Leaving);
+        }
+        if self.faults.refuse_all || self.lease.is_none() {
+            return Err(Refusal::Broken);
+        }
+        if !self.in_use().plus(size).fits(&self.settings.capacity) {
+            self.record.overcommits += 1;
+            return Err(Refusal::NoRoom);
+        }
+        Ok(())
+    }
+
+    /// Tells whether the attempt would run its request a second time.
+    fn met(&self, attempt: Attempt) -> bool {
+        let runs = self
+            .running
+            .keys()
+            .any(|other| other.request == attempt.request);
+        let done = self.of(attempt.request).any(|(other, finished)| {
+            other.number >= attempt.number || finished.outcome == Outcome::Done
+        });
+        runs || done
+    }
+
+    fn of(&self, request: request::Id) -> impl Iterator<Item = (&Attempt, &Finished)> {
+        let first = Attempt { request, number: 0 };
+        let last = Attempt {
+            request,
+            number: u32::MAX,
+        };
+        self.finished.range(first..=last)
+    }
+
+    fn in_use(&self) -> Size {
+        let sizes = self.running.values().map(|task| task.running.size);
+        sizes.fold(Size::ZERO, |sum, size| sum.plus(&size))
+    }
+
+    /// Interrupts an attempt; one that does not run is left as it is.
+    pub(super) fn interrupt(
+        &mut self,
+        epoch: u64,
+        attempt: Attempt,
+        how: Interrupt,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.obey(epoch)?;
+        match how {
+            Interrupt::Throttle => {
+                if let Some(task) = self.running.get_mut(&attempt) {
+                    task.throttle(now);
+                }
+            }
+            Interrupt::Checkpoint => self.end(attempt, Outcome::Checkpointed, now),
+            Interrupt::Stop => self.end(attempt, Outcome::Stopped, now),
+        }
+        Ok(())
+    }
+
+    /// Runs a probe and tells whether it succeeded.
+    pub(super) fn probe(&mut self, epoch: u64) -> Result<bool, Refusal> {
+        self.obey(epoch)?;
+        self.record.probes += 1;
+        Ok(!self.faults.fail_all && !self.faults.refuse_all)
+    }
+
+    /// Stops all tasks of a lapsed lease, ends those that are due and forgets old answers; tells
+    /// whether any task has ended.
+    pub(super) fn advance(&mut self, now: Instant) -> bool {
+        let before = self.record.ended.len();
+        if self.lease.is_some_and(|lease| lease <= now) {
+            self.lapse(now);
+        }
+        let due = |task: &&Task| task.due.is_some_and(|due| due <= now);
+        let ready: Vec<Attempt> = self
+            .running
+            .values()
+            .filter(due)
+            .map(|task| task.running.attempt)
+            .collect();
+        for attempt in ready {
+            let fail = self.running.get(&attempt).is_some_and(|task| task.fail);
+            self.end(attempt, outcome(fail), now);
+        }
+        self.finished
+            .retain(|_, finished| now - finished.at < MEMORY);
+        self.record.ended.len() > before
+    }
+
+    fn lapse(&mut self, now: Instant) {
+        self.lease = None;
+        let attempts: Vec<Attempt> = self.running.keys().copied().collect();
+        for attempt in attempts {
+            self.record.lapsed += 1;
+            self.end(attempt, Outcome::Stopped, now);
+        }
+    }
+
+    fn end(&mut self, attempt: Attempt, outcome: Outcome, now: Instant) {
+        let Some(task) = self.running.remove(&attempt) else {
+            return;
+        };
+        let ended = Ended {
+            attempt,
+            outcome,
+            at_us: unix_micros(),
+        };
+        self.record.ended.push(ended);
+        let whole = outcome == Outcome::Done;
+        let finished = Finished {
+            outcome,
+            payload: if whole { task.payload } else { Bytes::new() },
+            detached: task.detached,
+            at: now,
+        };
+        self.finished.insert(attempt, finished);
+    }
+
+    /// Returns how an attempt stands.
+    pub(super) fn standing(&self, attempt: Attempt) -> Standing {
+        if let Some(task) = self.running.get(&attempt) {
+            return Standing::Runs { due: task.due };
+        }
+        let finished = self.finished.get(&attempt).cloned();
+        finished.map_or(Standing::Unknown, Standing::Finished)
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/worker_promises.rs
@@ -0,0 +1,191 @@
+//! What the stand-in of a worker promises, met through the client.
+
+use std::time::Duration;
+
+use azurepath_decide::attempt::{Attempt, Outcome, Refusal, Running};
+use azurepath_decide::class::Class;
+use azurepath_decide::request;
+use azurepath_decide::size::Size;
+use azurepath_decide::worker::Interrupt;
+use azurepath_platform::worker::{Claim, Client, Error, Order, Worker};
+use azurepath_standin::fault;
+use azurepath_standin::worker::{Settings, Standin};
+use bytes::Bytes;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+const LONG: &[u8] = br#"{"run_ms":600000}"#;
+
+fn size(slots: u64) -> Size {
+    Size {
+        millicores: 1_000 * slots,
+        memory_mib: 100 * slots,
+        accelerators: 0,
+        slots,
+    }
+}
+
+fn worker() -> Standin {
+    Standin::start(Settings {
+        name: "w1".into(),
+        capacity: size(2),
+        usage_lag: Duration::ZERO,
+    })
+    .expect("a port and a thread")
+}
+
+fn claim(epoch: u64) -> Claim {
+    Claim {
+        epoch,
+        lease_ms: 600_000,
+    }
+}
+
+fn attempt(id: u128, number: u32) -> Attempt {
+    Attempt {
+        request: request::Id(id),
+        number,
+    }
+}
+
+fn order(epoch: u64, attempt: Attempt, detached: bool) -> Order {
+    Order {
+        epoch,
+        running: Running {
+            attempt,
+            team: "pairing".into(),
+            kind: "checks".into(),
+            class: Class::Urgent,
+            size: size(1),
+            gang: None,
+            idempotent: true,
+        },
+        detached,
+    }
+}
+
+#[tokio::test]
+async fn whole_answers() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    client.claim(at, claim(1)).await.unwrap();
+    let echo = Bytes::from(vec![7; 300_000]);
+    let started = client.start(at, order(1, attempt(1, 1), false), echo.clone(), PATIENCE);
+    let answer = started.await.unwrap();
+    assert_eq!((answer.payload, answer.outcome), (echo, Outcome::Done));
+    let said = Bytes::from_static(br#"{"run_ms":5,"answer":"fits","fail":false}"#);
+    let started = client.start(at, order(1, attempt(2, 1), false), said, PATIENCE);
+    assert_eq!(started.await.unwrap().payload, "fits");
+    let again = client.attach(at, attempt(2, 1), PATIENCE).await.unwrap();
+    assert_eq!(again.payload, "fits");
+    standin.stop().await.unwrap();
+}
+
+#[tokio::test]
+async fn short_or_crossed() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    client.claim(at, claim(1)).await.unwrap();
+    standin.fault(fault::Worker {
+        short_answers: 1,
+        crossed_answers: 3,
+        ..fault::Worker::default()
+    });
+    for id in [1, 2] {
+        let payload = Bytes::from_static(b"some payload");
+        let started = client.start(at, order(1, attempt(id, 1), false), payload, PATIENCE);
+        let error = started.await.unwrap_err();
+        assert!(matches!(error, Error::Lost { .. }), "{error}");
+        let answer = client.attach(at, attempt(id, 1), PATIENCE).await;
+        assert_eq!(answer.is_ok(), id == 2, "the third crossed answer");
+    }
+    standin.stop().await.unwrap();
+}
+
+#[tokio::test]
+async fn stale_epochs() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    client.claim(at, claim(5)).await.unwrap();
+    let stale = Err(Error::Refused(Refusal::StaleEpoch));
+    assert_eq!(client.claim(at, claim(4)).await.map(drop), stale);
+    assert_eq!(client.renew(at, claim(4)).await.map(drop), stale);
+    assert_eq!(client.probe(at, 4).await, stale);
+    let started = client.start(at, order(4, attempt(1, 1), false), Bytes::new(), PATIENCE);
+    assert_eq!(started.await.map(drop), stale);
+    assert_eq!(standin.record().stale_epochs, 4);
+    standin.stop().await.unwrap();
+}
+
+#[tokio::test]
+async fn room_and_repeats() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    client.claim(at, claim(1)).await.unwrap();
+    let long = Bytes::from_static(LONG);
+    for id in [1, 2] {
+        let started = client.start(at, order(1, attempt(id, 1), true), long.clone(), PATIENCE);
+        started.await.unwrap();
+    }
+    for (id, number, refusal) in [
+        (1, 1, Refusal::Duplicate),
+        (2, 2, Refusal::Duplicate),
+        (3, 1, Refusal::NoRoom),
+    ] {
+        let order = order(1, attempt(id, number), true);
+        let error = client.start(at, order, long.clone(), PATIENCE).await;
+        assert_eq!(error, Err(Error::Refused(refusal)));
+    }
+    client
+        .interrupt(at, 1, attempt(1, 1), Interrupt::Checkpoint)
+        .await
+        .unwrap();
+    let renewal = client.renew(at, claim(1)).await.unwrap();
+    assert_eq!(renewal.ended[0].outcome, Outcome::Checkpointed);
+    assert_eq!(renewal.report.usage[0].used, size(1));
+    let resumed = client.start(at, order(1, attempt(1, 2), true), long, PATIENCE);
+    resumed.await.unwrap();
+    let inventory = client.claim(at, claim(2)).await.unwrap();
+    assert_eq!(inventory.running.len(), 2);
+    assert_eq!(standin.record().most, size(2));
+    standin.stop().await.unwrap();
+}
+
+#[tokio::test]
+async fn lapsed_lease() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    let short = Claim {
+        epoch: 1,
+        lease_ms: 50,
+    };
+    client.claim(at, short).await.unwrap();
+    let long = Bytes::from_static(LONG);
+    let started = client.start(at, order(1, attempt(1, 1), false), long, PATIENCE);
+    assert_eq!(started.await.unwrap().outcome, Outcome::Stopped);
+    assert_eq!(standin.record().lapsed, 1);
+    standin.stop().await.unwrap();
+}
+
+#[tokio::test]
+async fn faults_by_switch() {
+    let standin = worker();
+    let (client, at) = (Client::new(), standin.address());
+    client.claim(at, claim(1)).await.unwrap();
+    let switch = volo_http::client::Client::default();
+    let body = r#"{"fail_all":true}"#;
+    let set = switch.post(format!("http://{at}/fault")).data(body);
+    assert_eq!(set.send().await.unwrap().status(), 204);
+    let failed = client.start(at, order(1, attempt(1, 1), false), Bytes::new(), PATIENCE);
+    assert_eq!(failed.await.unwrap().outcome, Outcome::Failed);
+    assert!(client.probe(at, 1).await.is_err());
+    standin.fault(fault::Worker {
+        leaving: true,
+        ..fault::Worker::default()
+    });
+    let refused = client.start(at, order(1, attempt(2, 1), false), Bytes::new(), PATIENCE);
+    assert_eq!(refused.await, Err(Error::Refused(Refusal::Leaving)));
+    assert!(client.renew(at, claim(1)).await.unwrap().leaving);
+    standin.stop().await.unwrap();
+    let gone = client.claim(at, claim(1)).await.map(drop);
+    assert_eq!(gone, Err(Error::Refused(Refusal::Unreachable)));
+}
