--- a/crates/server/src/cli.rs
+++ b/crates/server/src/cli.rs
@@ -64,10 +64,9 @@
 /// Returns [`Error`] with what to type instead.
 pub fn parse(arguments: impl IntoIterator<Item = String>) -> Result<Command, Error> {
     let arguments: Vec<String> = arguments.into_iter().collect();
-    let parsed =
-        Arguments::parse_args_default(&arguments).map_err(|error| Error::Options {
-            detail: error.to_string(),
-        })?;
+    let parsed = Arguments::parse_args_default(&arguments).map_err(|error| Error::Options {
+        detail: error.to_string(),
+    })?;
     if parsed.help {
         return Ok(Command::Print(help()));
     }
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -10,8 +10,8 @@
 use azurepath_decide::verdict::Verdict;
 use azurepath_wire::frame::{self, Document, Fault, Frame, Task};
 use bytes::Bytes;
-use h2::server::{Builder, Connection, SendResponse};
 use h2::RecvStream;
+use h2::server::{Builder, Connection, SendResponse};
 use http::{Request, Response, StatusCode};
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
 use crate::process::engine::{self, Submission};
+use crate::process::stop::Inflight;
 use crate::process::{Control, router};
 
 /// How long the set-up of a connection may take.
@@ -45,6 +46,8 @@
     pub router: router::Handle,
     /// Takes `Change`, `Beat` and `Handover`.
     pub control: mpsc::Sender<Control>,
+    /// Counts what is in flight.
+    pub inflight: Inflight,
     /// How connections are pinged.
     pub pace: Pace,
     /// The longest payload that is taken, in bytes.
@@ -94,10 +97,20 @@
         return;
     };
     let mut streams = JoinSet::new();
-    tokio::select! {
-        () = accept(&mut connection, &service, &mut streams) => {}
-        _ = ping::watch(pings, service.pace, Arc::new(Notify::new())) => {}
-        () = halt.cancelled() => {}
+    let watch = ping::watch(pings, service.pace, Arc::new(Notify::new()));
+    tokio::pin!(watch);
+    let halted = tokio::select! {
+        () = accept(&mut connection, &service, &mut streams) => false,
+        _ = &mut watch => false,
+        () = halt.cancelled() => true,
+    };
+    if halted {
+        // What has been answered is still sent, unless the peer has gone silent.
+        connection.graceful_shutdown();
+        tokio::select! {
+            () = accept(&mut connection, &service, &mut streams) => {}
+            _ = &mut watch => {}
+        }
     }
     drop(connection);
     streams.shutdown().await;
@@ -121,13 +134,13 @@
     }
 }
 
-async fn stream(
-    request: Request<RecvStream>,
-    mut response: SendResponse<Bytes>,
-    service: Service,
-) {
+async fn stream(request: Request<RecvStream>, mut response: SendResponse<Bytes>, service: Service) {
     let known = request.uri().path() == call::PATH;
-    let status = if known { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let status = if known {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
     let mut head = Response::new(());
     *head.status_mut() = status;
     let Ok(stream) = response.send_response(head, !known) else {
@@ -195,6 +208,7 @@
         reader: &mut Reader,
         writer: &mut Writer,
     ) -> Result<(), Error> {
+        let _guard = self.inflight.enter();
         let request = task.request(self.clock.now())?;
         let payload = reader.payload(task.id, 0, self.limit).await?;
         let submission = Submission {
--- a/crates/server/src/connection/pool.rs
+++ b/crates/server/src/connection/pool.rs
@@ -119,8 +119,6 @@
     pub name: Name,
     /// How connections are pinged.
     pub pace: Pace,
-    /// The longest answer that is taken, in bytes.
-    pub limit: u64,
     /// The fleet; links to servers that have left it are closed.
     pub view: watch::Receiver<Arc<View>>,
     /// The newest summary of the own racks, which all peers are told.
--- /dev/null
+++ b/crates/server/src/process/dump.rs
@@ -0,0 +1,30 @@
+//! The state of the whole process as JSON.
+
+use serde_json::{Value, json};
+
+use super::Process;
+
+/// Returns the state.
+pub async fn dump(process: &Process) -> Value {
+    let engine = process.engine.dump().await.unwrap_or_default();
+    let router = process.router.dump().await.unwrap_or_default();
+    let peers = process.peers.dump().await.unwrap_or_default();
+    let server = &process.settings.server;
+    json!({
+        "server": server.name,
+        "failure_domain": server.failure_domain,
+        "region": server.region,
+        "incarnation": process.incarnation,
+        "version": env!("CARGO_PKG_VERSION"),
+        "http": process.addresses.http,
+        "peers_address": process.addresses.peers,
+        "phase": process.phase.borrow().to_string(),
+        "in_flight": process.inflight.count(),
+        "revision": process.snapshot.borrow().revision,
+        "view": **process.view.borrow(),
+        "instances": process.instances.borrow().len(),
+        "engine": engine,
+        "router": router,
+        "peers": peers,
+    })
+}
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -260,7 +260,10 @@
                 }
             }
             Action::Publish(summary) => {
-                self.engine.outputs.summary.send_replace(Some(Arc::new(summary)));
+                self.engine
+                    .outputs
+                    .summary
+                    .send_replace(Some(Arc::new(summary)));
             }
         }
     }
@@ -306,7 +309,8 @@
         let payload = pending.submission.payload.clone();
         let patience = self.patience(request.deadline);
         self.engine.metrics.attempts.add(1, &[]);
-        self.calls.start(Place { worker, address }, order, payload, patience);
+        self.calls
+            .start(Place { worker, address }, order, payload, patience);
     }
 
     fn attach(&mut self, attempt: Attempt, worker: Name) {
@@ -319,7 +323,8 @@
             .get(&attempt.request)
             .map_or(Time::MAX, |pending| pending.submission.request.deadline);
         let patience = self.patience(deadline);
-        self.calls.attach(Place { worker, address }, attempt, patience);
+        self.calls
+            .attach(Place { worker, address }, attempt, patience);
     }
 
     fn patience(&self, deadline: Time) -> Duration {
--- a/crates/server/src/process/membership.rs
+++ b/crates/server/src/process/membership.rs
@@ -79,6 +79,9 @@
     };
     View {
         servers: BTreeMap::from([(settings.name.clone(), server)]),
-        racks: racks.iter().map(|rack| (rack.clone(), owner.clone())).collect(),
+        racks: racks
+            .iter()
+            .map(|rack| (rack.clone(), owner.clone()))
+            .collect(),
     }
 }
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod dump;
 pub mod engine;
+pub mod entry;
 pub mod instances;
 pub mod membership;
 pub mod platform;
@@ -24,6 +25,7 @@
 
 use crate::connection::pool;
 use crate::metrics::Metrics;
+use crate::request::intent;
 use crate::settings::Settings;
 
 pub use platform::Platform;
@@ -50,6 +52,8 @@
     pub router: router::Handle,
     /// Connections to other servers.
     pub peers: pool::Handle,
+    /// The writer of intents.
+    pub intents: intent::Handle,
     /// The configuration in force here.
     pub snapshot: watch::Receiver<Arc<Snapshot>>,
     /// The fleet as last seen.
--- /dev/null
+++ b/crates/server/src/process/server.rs
@@ -0,0 +1,295 @@
+//! The start of a server and its end.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use azurepath_decide::candidate::Site;
+use azurepath_decide::cell;
+use azurepath_decide::config::Snapshot;
+use azurepath_decide::fleet::View;
+use azurepath_decide::route;
+use azurepath_platform::{instance, object, table, worker};
+use rand::Rng;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::clock::Clock;
+use super::engine::{self, Engine};
+use super::stop::{Inflight, Phase};
+use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
+use crate::connection::ping::Pace;
+use crate::connection::{listener, pool};
+use crate::metrics::Metrics;
+use crate::request::{http as entry, intent};
+use crate::settings::Settings;
+use crate::{logs, version};
+
+/// Control frames that may wait.
+const CONTROL_QUEUE: usize = 256;
+
+/// A running server.
+pub struct Server {
+    process: Process,
+    phase: watch::Sender<Phase>,
+    handed_over: watch::Receiver<bool>,
+    entry: super::entry::Entry,
+    tasks: JoinSet<()>,
+    writer: JoinSet<()>,
+    halt: CancellationToken,
+}
+
+impl Server {
+    /// Starts a server; it serves when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address can't be listened on.
+    pub async fn start(settings: Settings) -> anyhow::Result<Server> {
+        let platform = Platform {
+            table: Arc::new(table::Client::new(settings.platform.table)),
+            objects: Arc::new(object::Client::new(settings.platform.objects)),
+            instances: Arc::new(instance::Client::new(settings.platform.instances)),
+            workers: Arc::new(worker::Client::new()),
+        };
+        Server::start_on(settings, platform).await
+    }
+
+    /// Starts a server on given clients of the platform.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Server::start`].
+    pub async fn start_on(
+        settings: Settings,
+        platform: platform::Platform,
+    ) -> anyhow::Result<Server> {
+        let http = entry::bind(settings.server.http).await?;
+        let peers = entry::bind(settings.server.peers).await?;
+        let addresses = Addresses {
+            http: http.local_addr().context("the address is unknown")?,
+            peers: peers.local_addr().context("the address is unknown")?,
+        };
+        let log = logs::logger(&settings.server);
+        let metrics = Arc::new(Metrics::new()?);
+        let parts = Parts::new(&settings);
+        let process = parts.process(settings, addresses, platform, log, metrics);
+        parts.spawn(process, http, peers)
+    }
+
+    /// Returns what the tasks of the server share.
+    pub fn process(&self) -> &Process {
+        &self.process
+    }
+
+    /// Returns where the server listens.
+    pub fn addresses(&self) -> Addresses {
+        self.process.addresses
+    }
+
+    /// Stops the server: turns unready, serves on until its racks are handed over, then answers
+    /// all that is in flight, however long that takes, and joins all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a task has failed.
+    pub async fn stop(mut self) -> anyhow::Result<()> {
+        info!(self.process.log, "stopping");
+        self.phase.send_replace(Phase::Leaving);
+        let linger = self.process.settings.timing.linger;
+        let handed_over = async {
+            // Where membership has ended, there is nothing left to hand over.
+            let _ = self.handed_over.wait_for(|done| *done).await;
+        };
+        tokio::join!(tokio::time::sleep(linger), handed_over);
+        self.phase.send_replace(Phase::Closing);
+        self.process.inflight.drained().await;
+        info!(self.process.log, "drained");
+        self.entry.stop().await?;
+        self.halt.cancel();
+        join(&mut self.tasks).await?;
+        join(&mut self.writer).await?;
+        info!(self.process.log, "stopped");
+        Ok(())
+    }
+}
+
+async fn join(tasks: &mut JoinSet<()>) -> anyhow::Result<()> {
+    while let Some(joined) = tasks.join_next().await {
+        joined.context("a task of the server has failed")?;
+    }
+    Ok(())
+}
+
+/// All channels between the tasks.
+struct Parts {
+    clock: Clock,
+    engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
+    router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
+    peers: (pool::Handle, pool::Inbox),
+    intents: (intent::Handle, intent::Inbox),
+    snapshot: watch::Sender<Arc<Snapshot>>,
+    view: watch::Sender<Arc<View>>,
+    instances: watch::Sender<Arc<Vec<instance::Instance>>>,
+    phase: watch::Sender<Phase>,
+    handed_over: watch::Sender<bool>,
+}
+
+impl Parts {
+    fn new(settings: &Settings) -> Parts {
+        Parts {
+            clock: Clock::start(),
+            engine: engine::Handle::channel(),
+            router: router::Handle::channel(),
+            peers: pool::channel(settings.limits.body),
+            intents: intent::channel(),
+            snapshot: watch::Sender::new(Arc::default()),
+            view: watch::Sender::new(Arc::default()),
+            instances: watch::Sender::new(Arc::default()),
+            phase: watch::Sender::new(Phase::Starting),
+            handed_over: watch::Sender::new(false),
+        }
+    }
+
+    fn process(
+        &self,
+        settings: Settings,
+        addresses: Addresses,
+        platform: Platform,
+        log: Logger,
+        metrics: Arc<Metrics>,
+    ) -> Process {
+        Process {
+            settings: Arc::new(settings),
+            incarnation: rand::rng().random::<u64>() >> 1,
+            addresses,
+            log,
+            clock: self.clock,
+            platform,
+            engine: self.engine.0.clone(),
+            router: self.router.0.clone(),
+            peers: self.peers.0.clone(),
+            intents: self.intents.0.clone(),
+            snapshot: self.snapshot.subscribe(),
+            view: self.view.subscribe(),
+            instances: self.instances.subscribe(),
+            phase: self.phase.subscribe(),
+            inflight: Inflight::default(),
+            metrics,
+        }
+    }
+
+    fn spawn(
+        self,
+        process: Process,
+        http: tokio::net::TcpListener,
+        peers: tokio::net::TcpListener,
+    ) -> anyhow::Result<Server> {
+        let halt = CancellationToken::new();
+        let mut tasks = JoinSet::new();
+        let mut writer = JoinSet::new();
+        let timing = process.settings.timing;
+        let limit = process.settings.limits.body;
+        let pace = Pace {
+            interval: timing.ping,
+            timeout: timing.ping_timeout,
+        };
+        let (demands, demanded) = mpsc::unbounded_channel();
+        let summary = watch::Sender::new(None);
+        let (control, controlled) = mpsc::channel(CONTROL_QUEUE);
+        let name = process.settings.server.name.clone();
+        let seed = rand::rng().random();
+
+        let router = router::Task {
+            setup: route::Setup {
+                server: name.clone(),
+                site: Site {
+                    failure_domain: process.settings.server.failure_domain.clone(),
+                    region: process.settings.server.region.clone(),
+                },
+                seed,
+            },
+            clock: process.clock,
+            engine: process.engine.clone(),
+            peers: process.peers.clone(),
+            view: process.view.clone(),
+            instances: process.instances.clone(),
+            snapshot: process.snapshot.clone(),
+            summary: summary.subscribe(),
+        };
+        tasks.spawn(router.run(self.router.1, halt.clone()));
+        let pool = pool::Pool {
+            name: name.clone(),
+            pace,
+            view: process.view.clone(),
+            summary: summary.subscribe(),
+            log: process.log.clone(),
+            metrics: process.metrics.clone(),
+        };
+        tasks.spawn(pool.run(self.peers.1, halt.clone()));
+        let engine = Engine {
+            setup: cell::Setup { server: name, seed },
+            clock: process.clock,
+            timing,
+            workers: process.platform.workers.clone(),
+            instances: process.instances.clone(),
+            outputs: engine::Outputs { demands, summary },
+            handle: process.engine.clone(),
+            log: process.log.clone(),
+            metrics: process.metrics.clone(),
+        };
+        tasks.spawn(engine.run(self.engine.1, halt.clone()));
+        let service = listener::Service {
+            clock: process.clock,
+            engine: process.engine.clone(),
+            router: process.router.clone(),
+            control,
+            inflight: process.inflight.clone(),
+            pace,
+            limit,
+            log: process.log.clone(),
+            metrics: process.metrics.clone(),
+        };
+        tasks.spawn(listener::run(peers, service, halt.clone()));
+        let reader = instances::Reader {
+            list: process.platform.instances.clone(),
+            sender: self.instances,
+            engine: process.engine.clone(),
+            timing,
+            log: process.log.clone(),
+        };
+        tasks.spawn(reader.run(halt.clone()));
+        let handed_over = self.handed_over.subscribe();
+        let outputs = membership::Outputs {
+            view: self.view,
+            handed_over: self.handed_over,
+        };
+        tasks.spawn(membership::run(process.clone(), outputs, halt.clone()));
+        tasks.spawn(allotment::run(process.clone(), demanded, halt.clone()));
+        tasks.spawn(version::run(
+            process.clone(),
+            self.snapshot,
+            controlled,
+            halt.clone(),
+        ));
+        let intents = intent::Writer {
+            table: process.platform.table.clone(),
+            metrics: process.metrics.clone(),
+        };
+        writer.spawn(intents.run(self.intents.1, halt.clone()));
+        let entry = super::entry::Entry::start(process.clone(), http);
+        self.phase.send_replace(Phase::Serving);
+        info!(process.log, "listening";
+            "http" => %process.addresses.http, "peers" => %process.addresses.peers);
+        Ok(Server {
+            process,
+            phase: self.phase,
+            handed_over,
+            entry,
+            tasks,
+            writer,
+            halt,
+        })
+    }
+}
--- /dev/null
+++ b/crates/server/src/request/intent.rs
@@ -0,0 +1,385 @@
+//! Durable intents: a request that must not run twice is written down before its first start.
+//!
+//! The row `intent/ID` is made by compare-and-set, so that a caller that comes again through any
+//! server meets the first. Rows of many requests go into one transaction.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::name::Name;
+use azurepath_decide::request::{Id, Request};
+use azurepath_platform::table::{Check, Commit, Error, Row, Table, Transaction, Write};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::problem::Ran;
+use crate::metrics::Metrics;
+
+/// The prefix of all intents.
+pub const PREFIX: &str = "intent/";
+
+/// How long intents are gathered for one transaction.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// The most intents in one transaction.
+const BATCH: usize = 128;
+
+/// How long one call to the table may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How often one write is tried.
+const TRIES: u32 = 8;
+
+/// The longest pause before an outcome is tried again; it doubles with each try.
+const CLOSE_PAUSE: Duration = Duration::from_millis(100);
+
+/// The row of an intent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The team.
+    pub team: Name,
+    /// The queue.
+    pub queue: Name,
+    /// What is known; `unknown` while it runs.
+    pub ran: Ran,
+    /// The writer's mark, by which it knows its own row after a lost answer.
+    pub write: u64,
+}
+
+/// Why a request may not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request was taken up before; what is known of it follows.
+    Duplicate(Ran),
+    /// The table can't be written, so that nothing has started.
+    TableUnavailable,
+}
+
+/// A message to the writer.
+#[derive(Debug)]
+enum Message {
+    /// Writes an intent down.
+    Open(Id, Record, oneshot::Sender<Result<u64, Refusal>>),
+    /// Records an outcome over the row of a revision.
+    Close(Id, Record, u64),
+}
+
+/// A way to write intents.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    sender: mpsc::UnboundedSender<Message>,
+}
+
+/// An intent that is written down.
+#[derive(Debug)]
+pub struct Intent {
+    sender: mpsc::UnboundedSender<Message>,
+    id: Id,
+    record: Record,
+    revision: u64,
+}
+
+impl Intent {
+    /// Records the outcome in the background.
+    pub fn close(mut self, ran: Ran) {
+        self.record.ran = ran;
+        let message = Message::Close(self.id, self.record, self.revision);
+        // Once the writer has ended the row stays as it is, which says `unknown`.
+        let _ = self.sender.send(message);
+    }
+}
+
+impl Handle {
+    /// Writes the intent of a request down.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] where the request may not start.
+    pub async fn open(&self, request: &Request) -> Result<Intent, Refusal> {
+        let record = Record {
+            team: request.team.clone(),
+            queue: request.kind.clone(),
+            ran: Ran::Unknown,
+            write: rand::rng().random(),
+        };
+        let (reply, receiver) = oneshot::channel();
+        let message = Message::Open(request.id, record.clone(), reply);
+        let _ = self.sender.send(message);
+        let revision = receiver.await.map_err(|_| Refusal::TableUnavailable)??;
+        Ok(Intent {
+            sender: self.sender.clone(),
+            id: request.id,
+            record,
+            revision,
+        })
+    }
+}
+
+/// The receiving end of a handle.
+pub struct Inbox(mpsc::UnboundedReceiver<Message>);
+
+/// Makes a handle and the end that the writer reads from.
+pub fn channel() -> (Handle, Inbox) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    (Handle { sender }, Inbox(receiver))
+}
+
+/// The task that writes intents.
+pub struct Writer {
+    /// The table.
+    pub table: Arc<dyn Table>,
+    /// The instruments.
+    pub metrics: Arc<Metrics>,
+}
+
+/// A write that waits.
+#[derive(Debug)]
+struct Pending {
+    id: Id,
+    record: Record,
+    /// The revision that the row must have; 0 where it must not exist.
+    revision: u64,
+    /// Takes the revision; none for an outcome.
+    reply: Option<oneshot::Sender<Result<u64, Refusal>>>,
+    tries: u32,
+    /// When it is written.
+    due: Instant,
+}
+
+impl Pending {
+    fn finish(self, result: Result<u64, Refusal>) {
+        if let Some(reply) = self.reply {
+            // The caller may have gone; its intent then stays as unknown.
+            let _ = reply.send(result);
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("{PREFIX}{}", self.id)
+    }
+}
+
+impl Writer {
+    /// Runs until `halt`, then writes what is left.
+    pub async fn run(self, inbox: Inbox, halt: CancellationToken) {
+        let mut inbox = inbox.0;
+        let mut waiting: Vec<Pending> = Vec::new();
+        loop {
+            let halted = halt.is_cancelled();
+            if halted {
+                inbox.close();
+            }
+            let now = Instant::now();
+            let (ready, later): (Vec<Pending>, Vec<Pending>) = waiting
+                .into_iter()
+                .partition(|pending| halted || pending.due <= now);
+            let mut batch = VecDeque::from(ready);
+            waiting = later;
+            if batch.is_empty() {
+                tokio::select! {
+                    message = inbox.recv() => match message {
+                        Some(message) => batch.push_back(pending(message)),
+                        None if waiting.is_empty() => return,
+                        None => continue,
+                    },
+                    () = halt.cancelled(), if !halted => continue,
+                    () = next_due(&waiting) => continue,
+                }
+            }
+            self.gather(&mut inbox, &mut batch).await;
+            waiting.extend(self.write(batch).await);
+        }
+    }
+
+    async fn gather(
+        &self,
+        inbox: &mut mpsc::UnboundedReceiver<Message>,
+        batch: &mut VecDeque<Pending>,
+    ) {
+        let end = Instant::now() + GATHER;
+        while batch.len() < BATCH {
+            match tokio::time::timeout_at(end, inbox.recv()).await {
+                Ok(Some(message)) => batch.push_back(pending(message)),
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+
+    /// Writes a batch and returns what has to be written again.
+    async fn write(&self, batch: VecDeque<Pending>) -> VecDeque<Pending> {
+        self.metrics.intent_writes.add(1, &[]);
+        let (unique, mut rest) = split(batch);
+        match self.transact(&unique).await {
+            Ok(commit) => {
+                for pending in unique {
+                    pending.finish(Ok(commit.revision));
+                }
+            }
+            Err(Error::Conflict { key, revision }) => {
+                for pending in unique {
+                    if pending.key() == key {
+                        rest.extend(self.conflict(pending, revision).await);
+                    } else {
+                        rest.push_back(pending);
+                    }
+                }
+            }
+            Err(Error::Unavailable { .. } | Error::Invalid { .. }) => {
+                rest.extend(self.unavailable(unique));
+            }
+            Err(Error::Unknown { .. }) => {
+                for pending in unique {
+                    rest.extend(self.read_back(pending).await);
+                }
+            }
+        }
+        rest
+    }
+
+    async fn transact(&self, batch: &VecDeque<Pending>) -> Result<Commit, Error> {
+        let mut transaction = Transaction::default();
+        for pending in batch {
+            transaction.checks.push(Check {
+                key: pending.key(),
+                revision: pending.revision,
+            });
+            transaction.writes.push(Write {
+                key: pending.key(),
+                // A record of names and numbers can always be written as JSON.
+                value: serde_json::to_value(&pending.record).ok(),
+            });
+        }
+        match tokio::time::timeout(CALL_TIMEOUT, self.table.transact(transaction)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Unknown {
+                detail: "no answer in time".to_owned(),
+            }),
+        }
+    }
+
+    /// Handles a row that has another revision than expected.
+    async fn conflict(&self, mut pending: Pending, revision: u64) -> Option<Pending> {
+        let Ok(row) = self.read(&pending).await else {
+            pending.finish(Err(Refusal::TableUnavailable));
+            return None;
+        };
+        let Some((row, record)) = row else {
+            pending.revision = 0;
+            return Some(pending);
+        };
+        if record.write == pending.record.write && record.ran == pending.record.ran {
+            pending.finish(Ok(row.revision));
+            return None;
+        }
+        pending.reply.as_ref()?;
+        if record.team != pending.record.team {
+            pending.finish(Err(Refusal::Duplicate(Ran::Unknown)));
+            return None;
+        }
+        if record.ran == Ran::NotRun {
+            // The first try surely did not run, so this one may take its row over.
+            pending.revision = row.revision.max(revision);
+            return Some(pending);
+        }
+        pending.finish(Err(Refusal::Duplicate(record.ran)));
+        None
+    }
+
+    /// Finds out whether a write whose answer was lost took effect.
+    async fn read_back(&self, mut pending: Pending) -> Option<Pending> {
+        match self.read(&pending).await {
+            Ok(Some((row, record))) if record.write == pending.record.write => {
+                if record.ran == pending.record.ran {
+                    pending.finish(Ok(row.revision));
+                    return None;
+                }
+                pending.revision = row.revision;
+                self.again(pending)
+            }
+            Ok(Some((row, _))) => self.conflict(pending, row.revision).await,
+            Ok(None) => self.again(pending),
+            Err(()) => {
+                // Nothing has started, and a row that may be there only says `unknown`.
+                pending.finish(Err(Refusal::TableUnavailable));
+                None
+            }
+        }
+    }
+
+    fn unavailable(&self, batch: VecDeque<Pending>) -> VecDeque<Pending> {
+        let mut rest = VecDeque::new();
+        for pending in batch {
+            if pending.reply.is_some() {
+                pending.finish(Err(Refusal::TableUnavailable));
+            } else {
+                rest.extend(self.again(pending));
+            }
+        }
+        rest
+    }
+
+    /// Counts one more try, unless there were enough; outcomes wait before the next.
+    fn again(&self, mut pending: Pending) -> Option<Pending> {
+        pending.tries += 1;
+        if pending.tries >= TRIES {
+            pending.finish(Err(Refusal::TableUnavailable));
+            return None;
+        }
+        if pending.reply.is_none() {
+            let bound = CLOSE_PAUSE.saturating_mul(1 << pending.tries);
+            pending.due = Instant::now() + bound.mul_f64(rand::rng().random());
+        }
+        Some(pending)
+    }
+
+    async fn read(&self, pending: &Pending) -> Result<Option<(Row, Record)>, ()> {
+        let key = pending.key();
+        let read = tokio::time::timeout(CALL_TIMEOUT, self.table.read(&key)).await;
+        let row = read.map_err(|_| ())?.map_err(|_| ())?;
+        let Some(row) = row else {
+            return Ok(None);
+        };
+        let record = serde_json::from_value(row.value.clone()).map_err(|_| ())?;
+        Ok(Some((row, record)))
+    }
+}
+
+fn pending(message: Message) -> Pending {
+    match message {
+        Message::Open(id, record, reply) => Pending {
+            id,
+            record,
+            revision: 0,
+            reply: Some(reply),
+            tries: 0,
+            due: Instant::now(),
+        },
+        Message::Close(id, record, revision) => Pending {
+            id,
+            record,
+            revision,
+            reply: None,
+            tries: 0,
+            due: Instant::now(),
+        },
+    }
+}
+
+async fn next_due(waiting: &[Pending]) {
+    match waiting.iter().map(|pending| pending.due).min() {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Keeps one write for each row; the others wait for the next transaction.
+fn split(batch: VecDeque<Pending>) -> (VecDeque<Pending>, VecDeque<Pending>) {
+    let mut seen = std::collections::BTreeSet::new();
+    batch
+        .into_iter()
+        .partition(|pending| seen.insert(pending.id))
+}
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -9,8 +9,9 @@
 mod document;
 mod unit;
 
-pub use document::{Error, Fault};
 use document::Document;
+pub use document::{Error, Fault};
+pub(crate) use unit::span;
 
 /// All settings.
 #[derive(Clone, Debug)]
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -114,7 +114,10 @@
         for (index, raw) in text.lines().enumerate() {
             let line = index + 1;
             let trimmed = raw.trim();
-            if let Some(name) = trimmed.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+            if let Some(name) = trimmed
+                .strip_prefix('[')
+                .and_then(|rest| rest.split(']').next())
+            {
                 section = name.trim().to_owned();
                 self.sections.entry(section.clone()).or_insert(line);
                 continue;
@@ -129,7 +132,11 @@
 
     fn enter(&mut self, section: &str, key: &str, line: usize, ini: &Ini) {
         let name = (!section.is_empty()).then_some(section);
-        let value = ini.get_from(name, key).unwrap_or_default().trim().to_owned();
+        let value = ini
+            .get_from(name, key)
+            .unwrap_or_default()
+            .trim()
+            .to_owned();
         let place = (section.to_owned(), key.to_owned());
         if let Some(first) = self.entries.get(&place) {
             let remedy = format!("keep one of them; the first is on line {}", first.line);
@@ -182,12 +189,7 @@
     }
 
     /// Reads a number of bytes.
-    pub(super) fn bytes(
-        &mut self,
-        section: &'static str,
-        key: &'static str,
-        default: u64,
-    ) -> u64 {
+    pub(super) fn bytes(&mut self, section: &'static str, key: &'static str, default: u64) -> u64 {
         let remedy = "give a whole number with B, KiB, MiB or GiB, such as 8MiB";
         self.optional(section, key, remedy, unit::bytes)
             .unwrap_or(default)
@@ -229,9 +231,15 @@
             let (problem, remedy) = if keys.is_empty() {
                 let sections: BTreeSet<&str> = self.known.iter().map(|(known, _)| *known).collect();
                 let list = sections.into_iter().collect::<Vec<_>>().join(", ");
-                ("is in an unknown section", format!("the sections are {list}"))
+                (
+                    "is in an unknown section",
+                    format!("the sections are {list}"),
+                )
             } else {
-                ("is no key", format!("the keys of [{section}] are {}", keys.join(", ")))
+                (
+                    "is no key",
+                    format!("the keys of [{section}] are {}", keys.join(", ")),
+                )
             };
             self.fault(entry.line, &section, &key, problem.to_owned(), remedy);
         }
--- a/crates/server/src/version/mod.rs
+++ b/crates/server/src/version/mod.rs
@@ -61,7 +61,9 @@
     loop {
         let table = &process.platform.table;
         let page = table.scan(PREFIX, after.as_deref(), PAGE_ROWS).await.ok()?;
-        page.rows.into_iter().for_each(|row| add(&mut snapshot, row));
+        page.rows
+            .into_iter()
+            .for_each(|row| add(&mut snapshot, row));
         after = page.next;
         if after.is_none() {
             return Some(snapshot);
