--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -1,12 +1,37 @@
 //! The machine of a rack owner: room, attempts and queues of all racks that one process owns.
 
+mod claim;
+mod demand;
+mod fate;
+mod intake;
+mod job;
+mod memory;
+mod place;
+mod timer;
+
+use std::collections::BTreeSet;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 use serde::{Deserialize, Serialize};
 
 use crate::action::Action;
+use crate::attempt::Attempt;
 use crate::event::Event;
-use crate::name::Name;
+use crate::fair::Teams;
+use crate::ledger::Ledger;
+use crate::name::{Map, Name};
+use crate::policy::Policy;
+use crate::queue::Queue;
+use crate::request;
+use crate::room::Room;
+use crate::size::Size;
 use crate::time::Time;
 
+use job::{Booking, Job};
+use memory::Memory;
+use timer::Timer;
+
 /// What a machine is made with.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
@@ -14,18 +39,67 @@
     pub server: Name,
     /// The seed of all random choices.
     pub seed: u64,
+    /// Who is served next, and where.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+/// The capacities of single workers, each once.
+#[derive(Debug, Default)]
+struct Ceilings {
+    /// Of the workers that may be placed on.
+    own: BTreeSet<Size>,
+    /// Of all known workers.
+    fleet: BTreeSet<Size>,
 }
 
 /// The machine.
 #[derive(Debug)]
 pub struct Cell {
     setup: Setup,
+    now: Time,
+    revision: Option<u64>,
+    teams: Teams,
+    ledger: Ledger,
+    room: Room,
+    ceilings: Ceilings,
+    queue: Queue,
+    jobs: Map<request::Id, Job>,
+    bookings: Map<Attempt, Booking>,
+    sought: BTreeSet<request::Id>,
+    memory: Memory,
+    timers: BTreeSet<(Time, Timer)>,
+    dirty: BTreeSet<usize>,
+    arrivals: u64,
+    asked: Option<Time>,
+    rng: ChaCha8Rng,
+    out: Vec<Action>,
 }
 
 impl Cell {
     /// Makes a machine that owns nothing.
     pub fn new(setup: Setup) -> Cell {
-        Cell { setup }
+        let rng = ChaCha8Rng::seed_from_u64(setup.seed);
+        Cell {
+            setup,
+            now: Time::default(),
+            revision: None,
+            teams: Teams::default(),
+            ledger: Ledger::default(),
+            room: Room::default(),
+            ceilings: Ceilings::default(),
+            queue: Queue::default(),
+            jobs: Map::default(),
+            bookings: Map::default(),
+            sought: BTreeSet::new(),
+            memory: Memory::default(),
+            timers: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            arrivals: 0,
+            asked: None,
+            rng,
+            out: Vec::new(),
+        }
     }
 
     /// Returns what the machine was made with.
@@ -34,5 +108,49 @@
     }
 
     /// Takes one event and appends what is to be done.
-    pub fn handle(&mut self, _now: Time, _event: Event, _actions: &mut Vec<Action>) {}
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        std::mem::swap(&mut self.out, actions);
+        self.run_timers();
+        self.take(event);
+        self.fill_dirty();
+        self.ask();
+        std::mem::swap(&mut self.out, actions);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Configure { revision, teams } => self.configure(revision, &teams),
+            Event::Gain(grant) => self.gain(&grant),
+            Event::Lose { rack } => self.lose(&rack),
+            Event::Allot(allotted) => self.allot(&allotted),
+            Event::Join(spec) => self.join(spec),
+            Event::Leave { worker } => self.leave(&worker),
+            Event::Gone { worker } => self.gone(&worker),
+            Event::Claimed(inventory) => self.claimed(&inventory),
+            Event::Unreachable { worker } => self.unreachable(&worker),
+            Event::Submit(request) => self.submit(request),
+            Event::Resume(request) => self.resume(request),
+            Event::Cancel { request } => self.cancel(request),
+            Event::Started { attempt, worker } => self.started(attempt, &worker),
+            Event::Refused {
+                attempt,
+                worker,
+                refusal,
+            } => self.refused(attempt, &worker, refusal),
+            Event::Ended {
+                attempt,
+                worker,
+                outcome,
+            } => self.ended(attempt, &worker, outcome),
+            Event::Lost { attempt, worker } => self.lost(attempt, &worker),
+            Event::Peer(summary) => self.teams.hear(summary),
+            Event::Report(_)
+            | Event::Probed { .. }
+            | Event::Reserve(_)
+            | Event::Commit { .. }
+            | Event::Release { .. }
+            | Event::Tick => {}
+        }
+    }
 }
--- /dev/null
+++ b/crates/decide/src/cell/claim.rs
@@ -0,0 +1,390 @@
+//! Racks come and go, and workers are claimed before anything is placed on them.
+
+use std::time::Duration;
+
+use crate::action::Action;
+use crate::attempt::{Attempt, Running};
+use crate::name::Name;
+use crate::rack::{Allotted, Grant};
+use crate::request::Request;
+use crate::resource::Team;
+use crate::room::Hold;
+use crate::size::Size;
+use crate::time::Time;
+use crate::verdict::{Reason, Verdict};
+use crate::worker::{Inventory, Spec};
+
+use super::job::{Booking, Job, Phase, State};
+use super::timer::Timer;
+use super::{Ceilings, Cell};
+
+/// How long after an unanswered claim the first repetition follows.
+const CLAIM_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long a claim may go unanswered before it is repeated.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How often the pause between claims doubles at most.
+const CLAIM_DOUBLINGS: u32 = 5;
+
+impl Cell {
+    pub(super) fn configure(&mut self, revision: u64, teams: &[Team]) {
+        if self.revision.is_some_and(|known| known > revision) {
+            return;
+        }
+        self.revision = Some(revision);
+        self.teams.configure(teams);
+    }
+
+    pub(super) fn gain(&mut self, grant: &Grant) {
+        let rack = self.ledger.index(&grant.rack);
+        let known = self.ledger.rack_mut(rack);
+        if known.epoch > grant.epoch {
+            return;
+        }
+        let again = known.owned && known.epoch == grant.epoch;
+        known.epoch = grant.epoch;
+        known.owned = true;
+        self.take_allotments(rack, &grant.allotments);
+        if again {
+            return;
+        }
+        for worker in self.room.rack(rack).to_vec() {
+            self.claim(worker);
+        }
+        self.resize();
+    }
+
+    pub(super) fn allot(&mut self, allotted: &Allotted) {
+        let Some(rack) = self.ledger.find(&allotted.rack) else {
+            return;
+        };
+        let known = self.ledger.rack(rack);
+        if known.owned && known.epoch == allotted.epoch {
+            self.take_allotments(rack, &allotted.allotments);
+        }
+    }
+
+    fn take_allotments(&mut self, rack: usize, allotments: &crate::rack::Allotments) {
+        let teams = &mut self.teams;
+        self.ledger
+            .allot(rack, allotments, |name| teams.index(name));
+        self.dirty.extend(self.room.rack(rack));
+    }
+
+    pub(super) fn lose(&mut self, rack: &Name) {
+        let Some(rack) = self.ledger.find(rack) else {
+            return;
+        };
+        self.ledger.rack_mut(rack).owned = false;
+        for worker in self.room.rack(rack).to_vec() {
+            self.room.get_mut(worker).hold = Hold::Free;
+            self.refresh(worker);
+        }
+        self.resize();
+        self.give_up_sought();
+        self.give_up_doubts(rack);
+        self.give_up_homeless();
+    }
+
+    /// Answers requests that no remaining rack could hold.
+    fn give_up_homeless(&mut self) {
+        for id in self.queue.ids() {
+            let Some(item) = self.queue.get(id) else {
+                continue;
+            };
+            if !self.could_hold(&item.size) {
+                self.deny(id, Reason::Leaving);
+            }
+        }
+        if self.ledger.owned().next().is_none() {
+            self.give_up_backoffs();
+        }
+    }
+
+    /// Answers requests that may run on a rack of which no more can be learnt.
+    fn give_up_sought(&mut self) {
+        for id in std::mem::take(&mut self.sought) {
+            self.say_unknown(
+                id,
+                Attempt {
+                    request: id,
+                    number: 1,
+                },
+            );
+            self.jobs.remove(&id);
+        }
+    }
+
+    pub(super) fn join(&mut self, spec: Spec) {
+        let rack = self.ledger.index(&spec.rack);
+        let (worker, fresh) = self.room.join(spec, rack);
+        if fresh && self.ledger.rack(rack).owned {
+            self.claim(worker);
+        }
+        self.refresh(worker);
+        self.resize();
+    }
+
+    pub(super) fn leave(&mut self, worker: &Name) {
+        let Some(worker) = self.room.find(worker) else {
+            return;
+        };
+        self.room.get_mut(worker).leaving = true;
+        self.refresh(worker);
+        self.resize();
+    }
+
+    pub(super) fn gone(&mut self, worker: &Name) {
+        let Some(worker) = self.room.find(worker) else {
+            return;
+        };
+        let known = self.room.get_mut(worker);
+        known.gone = true;
+        known.hold = Hold::Free;
+        let attempts = known.attempts.clone();
+        self.refresh(worker);
+        self.resize();
+        for attempt in attempts {
+            self.perished(attempt);
+        }
+        self.settle_sought();
+    }
+
+    /// Claims a worker of an owned rack, unless a claim is under way.
+    pub(super) fn claim(&mut self, worker: usize) {
+        let known = self.room.get(worker);
+        let rack = self.ledger.rack(known.rack);
+        if !rack.owned || known.gone {
+            return;
+        }
+        self.out.push(Action::Claim {
+            worker: known.spec.name.clone(),
+            epoch: rack.epoch,
+        });
+        self.room.get_mut(worker).hold = Hold::Claiming(self.now);
+        self.refresh(worker);
+        self.at(self.now.after(CLAIM_TIMEOUT), Timer::Claim(worker));
+    }
+
+    pub(super) fn unreachable(&mut self, worker: &Name) {
+        let Some(worker) = self.room.find(worker) else {
+            return;
+        };
+        let known = self.room.get_mut(worker);
+        known.hold = Hold::Free;
+        let doublings = known.silent.min(CLAIM_DOUBLINGS);
+        known.silent += 1;
+        self.refresh(worker);
+        let pause = self.jitter(CLAIM_PAUSE * (1 << doublings)) + CLAIM_PAUSE;
+        self.at(self.now.after(pause), Timer::Claim(worker));
+    }
+
+    pub(super) fn claim_again(&mut self, worker: usize) {
+        let due = match self.room.get(worker).hold {
+            Hold::Free => true,
+            Hold::Claiming(since) => self.now.since(since) >= CLAIM_TIMEOUT,
+            Hold::Claimed => false,
+        };
+        if due {
+            self.claim(worker);
+        }
+    }
+
+    pub(super) fn claimed(&mut self, inventory: &Inventory) {
+        let Some(worker) = self.room.find(&inventory.worker) else {
+            return;
+        };
+        let known = self.room.get(worker);
+        let rack = self.ledger.rack(known.rack);
+        if !rack.owned || known.gone || inventory.epoch != rack.epoch {
+            return;
+        }
+        let known = self.room.get_mut(worker);
+        known.hold = Hold::Claimed;
+        known.silent = 0;
+        for running in &inventory.running {
+            self.found_running(worker, running);
+        }
+        for attempt in &inventory.ended {
+            self.found_ended(worker, *attempt);
+        }
+        self.settle_absent(worker, inventory);
+        self.refresh(worker);
+        self.settle_sought();
+    }
+
+    fn found_running(&mut self, worker: usize, running: &Running) {
+        let attempt = running.attempt;
+        if self.bookings.contains_key(&attempt) {
+            self.begun(attempt, worker);
+            return;
+        }
+        self.adopt(worker, running);
+    }
+
+    /// Books an attempt that an earlier owner started.
+    fn adopt(&mut self, worker: usize, running: &Running) {
+        let attempt = running.attempt;
+        let team = self.teams.index(&running.team);
+        let booking = Booking {
+            worker,
+            team,
+            size: running.size,
+            kind: running.kind.clone(),
+            class: running.class,
+            gang: running.gang,
+            idempotent: running.idempotent,
+            state: State::Running,
+            epoch: self.epoch_of(worker),
+            doubted: Time::MAX,
+            sends: 1,
+            since: self.now,
+            interrupt: None,
+        };
+        self.book(attempt, booking);
+        self.tie(attempt, running, team);
+        self.attach(attempt);
+    }
+
+    /// Ties an adopted attempt to its request, which may be waiting here.
+    fn tie(&mut self, attempt: Attempt, running: &Running, team: usize) {
+        let id = attempt.request;
+        self.queue.remove(id);
+        self.sought.remove(&id);
+        let arrival = self.next_arrival();
+        let job = self.jobs.entry(id).or_insert_with(|| Job {
+            request: orphan(running),
+            team,
+            number: attempt.number,
+            phase: Phase::Placed(attempt),
+            caller: false,
+            cancelled: false,
+            arrival,
+        });
+        if !matches!(job.phase, Phase::Placed(_)) {
+            job.phase = Phase::Placed(attempt);
+            job.number = job.number.max(attempt.number);
+        }
+    }
+
+    /// Takes an attempt that has ended, by a worker's inventory.
+    fn found_ended(&mut self, worker: usize, attempt: Attempt) {
+        let id = attempt.request;
+        let name = self.room.get(worker).spec.name.clone();
+        if let Some(booking) = self.bookings.get(&attempt) {
+            if booking.worker == worker && booking.state == State::Doubt {
+                self.begun(attempt, worker);
+            }
+            return;
+        }
+        self.memory.ended(attempt, name, self.now);
+        if self.sought.remove(&id) {
+            self.attach_ended(id, attempt, worker);
+        }
+    }
+
+    /// Settles what a worker's inventory does not show.
+    fn settle_absent(&mut self, worker: usize, inventory: &Inventory) {
+        let booked = self.room.get(worker).attempts.clone();
+        for attempt in booked {
+            let shown = inventory.running.iter().any(|run| run.attempt == attempt)
+                || inventory.ended.contains(&attempt);
+            if !shown {
+                self.absent(attempt, inventory);
+            }
+        }
+    }
+
+    /// Answers sought requests once every worker of the owned racks is known.
+    pub(super) fn settle_sought(&mut self) {
+        if self.sought.is_empty() || !self.all_known() {
+            return;
+        }
+        for id in std::mem::take(&mut self.sought) {
+            self.deny(id, Reason::NoOwner);
+        }
+    }
+
+    /// Tells whether every worker of the owned racks has been claimed or is surely gone.
+    pub(super) fn all_known(&self) -> bool {
+        let mut owned = self.ledger.owned().peekable();
+        owned.peek().is_some()
+            && owned.all(|rack| {
+                let workers = self.room.rack(rack);
+                let known = |&worker: &usize| {
+                    let worker = self.room.get(worker);
+                    worker.gone || worker.hold == Hold::Claimed
+                };
+                !workers.is_empty() && workers.iter().all(known)
+            })
+    }
+
+    /// Works out anew whether a worker may be used, and marks it to be filled.
+    pub(super) fn refresh(&mut self, worker: usize) {
+        let rack = self.room.get(worker).rack;
+        let owned = self.ledger.rack(rack).owned;
+        self.room.refresh(worker, owned);
+        self.dirty.insert(worker);
+    }
+
+    /// Works out anew what the own workers hold.
+    fn resize(&mut self) {
+        let mut own = Size::ZERO;
+        self.ceilings = Ceilings::default();
+        for (_, worker) in self.room.iter().filter(|(_, worker)| !worker.gone) {
+            let capacity = worker.spec.capacity;
+            self.ceilings.fleet.insert(capacity);
+            if self.ledger.rack(worker.rack).owned && !worker.leaving {
+                self.ceilings.own.insert(capacity);
+                own = own.plus(&capacity);
+            }
+        }
+        self.teams.resize(own);
+    }
+
+    /// Returns the epoch under which a worker is owned.
+    pub(super) fn epoch_of(&self, worker: usize) -> u64 {
+        self.ledger.rack(self.room.get(worker).rack).epoch
+    }
+
+    fn give_up_backoffs(&mut self) {
+        let mut waiting: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.phase == Phase::Backoff)
+            .map(|(id, _)| *id)
+            .collect();
+        waiting.sort_unstable();
+        for id in waiting {
+            self.deny(id, Reason::Leaving);
+        }
+    }
+
+    /// Tells a caller that its request did not run, and forgets the request.
+    pub(super) fn deny(&mut self, id: crate::request::Id, reason: Reason) {
+        self.queue.remove(id);
+        self.sought.remove(&id);
+        let verdict = Verdict::NotRun {
+            reason,
+            retry_after: None,
+        };
+        self.answer(id, verdict);
+        self.jobs.remove(&id);
+    }
+}
+
+/// The request of an attempt whose caller is unknown.
+fn orphan(running: &Running) -> Request {
+    Request {
+        id: running.attempt.request,
+        team: running.team.clone(),
+        kind: running.kind.clone(),
+        class: running.class,
+        size: running.size,
+        estimate: Duration::ZERO,
+        deadline: Time::MAX,
+        idempotent: running.idempotent,
+        gang: running.gang,
+    }
+}
--- /dev/null
+++ b/crates/decide/src/cell/fate.rs
@@ -0,0 +1,376 @@
+//! What becomes of attempts, and what callers are told.
+
+use std::time::Duration;
+
+use crate::action::Action;
+use crate::attempt::{Attempt, Outcome, Refusal};
+use crate::name::Name;
+use crate::request;
+use crate::room::Hold;
+use crate::verdict::{Reason, Verdict};
+use crate::worker::{Interrupt, Inventory};
+
+use super::Cell;
+use super::job::{Booking, Cause, Phase, State, Told};
+use super::timer::Timer;
+
+/// How long a refused request waits at most before its next attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long an attempt in doubt waits before it is looked for again.
+const DOUBT_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long after it was sent a start may still arrive at a worker.
+const LATE: Duration = Duration::from_secs(30);
+
+/// How many attempts of one request may be refused.
+const MAX_ATTEMPTS: u32 = 8;
+
+impl Cell {
+    pub(super) fn started(&mut self, attempt: Attempt, worker: &Name) {
+        if let Some(worker) = self.booked_on(attempt, worker) {
+            self.begun(attempt, worker);
+        }
+    }
+
+    /// Notes that an attempt runs, or has ended on a worker that holds its answer.
+    pub(super) fn begun(&mut self, attempt: Attempt, worker: usize) {
+        let Some(booking) = self.bookings.get_mut(&attempt) else {
+            return;
+        };
+        if booking.worker != worker {
+            return;
+        }
+        let was = std::mem::replace(&mut booking.state, State::Running);
+        let told = booking.interrupt;
+        if was == State::Running {
+            return;
+        }
+        if was == State::Doubt {
+            self.attach(attempt);
+        }
+        if let Some(told) = told {
+            // The interrupt may have come before the start.
+            self.tell(attempt, told.how);
+        }
+    }
+
+    pub(super) fn refused(&mut self, attempt: Attempt, worker: &Name, refusal: Refusal) {
+        let Some(worker) = self.booked_on(attempt, worker) else {
+            return;
+        };
+        let booking = &self.bookings[&attempt];
+        let (sends, epoch) = (booking.sends, booking.epoch);
+        if booking.state == State::Running {
+            return;
+        }
+        match refusal {
+            Refusal::Duplicate => return self.doubt(attempt),
+            Refusal::NoRoom => self.claim(worker),
+            Refusal::Leaving => self.leave(&self.room.get(worker).spec.name.clone()),
+            Refusal::StaleEpoch => self.fenced(worker, epoch),
+            Refusal::Broken | Refusal::Unreachable => {}
+        }
+        let final_word = matches!(refusal, Refusal::Leaving | Refusal::StaleEpoch);
+        if sends > 1 && !final_word {
+            return self.doubt(attempt);
+        }
+        self.never_began(attempt);
+    }
+
+    /// Takes back an attempt that surely did not begin.
+    fn never_began(&mut self, attempt: Attempt) {
+        self.unbook(attempt);
+        let id = attempt.request;
+        let Some(job) = self.placed(attempt) else {
+            return;
+        };
+        if !job.caller {
+            self.jobs.remove(&id);
+        } else if job.cancelled {
+            self.deny(id, Reason::Cancelled);
+        } else if job.number >= MAX_ATTEMPTS {
+            self.deny(id, Reason::Refused);
+        } else {
+            self.back_off(id);
+        }
+    }
+
+    /// Lets a request wait a little before its next attempt.
+    fn back_off(&mut self, id: request::Id) {
+        if self.ledger.owned().next().is_none() {
+            return self.deny(id, Reason::Leaving);
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.phase = Phase::Backoff;
+        }
+        let pause = self.jitter(RETRY_PAUSE);
+        self.at(self.now.after(pause), Timer::Retry(id));
+    }
+
+    pub(super) fn retry(&mut self, id: request::Id) {
+        let job = self.jobs.get(&id);
+        if job.is_some_and(|job| job.phase == Phase::Backoff) {
+            self.enqueue(id);
+        }
+    }
+
+    /// Stops placing on a rack whose worker has seen a later owner.
+    fn fenced(&mut self, worker: usize, epoch: u64) {
+        let rack = self.ledger.rack(self.room.get(worker).rack);
+        if rack.epoch == epoch {
+            self.lose(&rack.name.clone());
+        }
+    }
+
+    pub(super) fn ended(&mut self, attempt: Attempt, worker: &Name, outcome: Outcome) {
+        if self.booked_on(attempt, worker).is_none() {
+            self.ended_attached(attempt, worker, outcome);
+            return;
+        }
+        self.unbook(attempt);
+        self.finish(attempt, worker, outcome);
+    }
+
+    /// Takes the answer of an attempt that had ended before it was attached to.
+    fn ended_attached(&mut self, attempt: Attempt, worker: &Name, outcome: Outcome) {
+        let known = self.room.find(worker).is_some();
+        if known && !self.bookings.contains_key(&attempt) && self.placed(attempt).is_some() {
+            self.finish(attempt, worker, outcome);
+        }
+    }
+
+    fn finish(&mut self, attempt: Attempt, worker: &Name, outcome: Outcome) {
+        let verdict = Verdict::Ran {
+            attempt,
+            worker: worker.clone(),
+            outcome,
+        };
+        self.memory.ended(attempt, worker.clone(), self.now);
+        if self.placed(attempt).is_some() {
+            self.answer(attempt.request, verdict);
+            self.jobs.remove(&attempt.request);
+        }
+    }
+
+    pub(super) fn lost(&mut self, attempt: Attempt, worker: &Name) {
+        if self.booked_on(attempt, worker).is_some() {
+            self.doubt(attempt);
+        } else if !self.bookings.contains_key(&attempt) && self.placed(attempt).is_some() {
+            self.say_unknown(attempt.request, attempt);
+            self.jobs.remove(&attempt.request);
+        }
+    }
+
+    /// Keeps the room of an attempt booked and asks its worker what runs there.
+    fn doubt(&mut self, attempt: Attempt) {
+        let Some(booking) = self.bookings.get_mut(&attempt) else {
+            return;
+        };
+        if booking.state != State::Doubt {
+            booking.state = State::Doubt;
+            booking.doubted = self.now;
+        }
+        let worker = booking.worker;
+        let rack = self.room.get(worker).rack;
+        if self.ledger.rack(rack).owned {
+            self.claim(worker);
+        } else {
+            self.say_unknown(attempt.request, attempt);
+        }
+    }
+
+    /// Tells the callers of attempts in doubt on a lost rack that their fate is unknown.
+    pub(super) fn give_up_doubts(&mut self, rack: usize) {
+        for worker in self.room.rack(rack).to_vec() {
+            for attempt in self.room.get(worker).attempts.clone() {
+                if self.bookings[&attempt].state == State::Doubt {
+                    self.say_unknown(attempt.request, attempt);
+                }
+            }
+        }
+    }
+
+    /// Settles an attempt that its worker's inventory does not show.
+    pub(super) fn absent(&mut self, attempt: Attempt, inventory: &Inventory) {
+        let Some(booking) = self.bookings.get(&attempt) else {
+            return;
+        };
+        let worker = booking.worker;
+        match booking.state {
+            // The start, or the end, may have crossed the inventory.
+            State::Sent => {}
+            State::Running => self.absent_running(attempt),
+            State::Doubt => self.absent_doubt(attempt, worker, inventory),
+        }
+    }
+
+    /// Gives back what no caller waits for; else the attempt's own end is awaited.
+    fn absent_running(&mut self, attempt: Attempt) {
+        let waits = self.placed(attempt).is_some_and(|job| job.caller);
+        if !waits {
+            self.unbook(attempt);
+            self.forget(attempt);
+        }
+    }
+
+    /// Sends an idempotent start to the same worker again, which runs a request once at a time.
+    ///
+    /// The absence proves nothing by itself: a start that was sent may still arrive, and a worker
+    /// that has been restarted remembers nothing.
+    fn absent_doubt(&mut self, attempt: Attempt, worker: usize, inventory: &Inventory) {
+        let other = |found: &Attempt| found.request == attempt.request && *found != attempt;
+        let elsewhere = inventory.running.iter().map(|run| run.attempt).find(other);
+        let elsewhere = elsewhere.or_else(|| inventory.ended.iter().copied().find(other));
+        if let Some(found) = elsewhere {
+            return self.give_way(attempt, found, worker);
+        }
+        let wanted = self
+            .placed(attempt)
+            .is_some_and(|job| job.caller && !job.cancelled);
+        let booking = &self.bookings[&attempt];
+        if wanted && booking.idempotent {
+            self.at(self.now.after(DOUBT_PAUSE), Timer::Resend(attempt));
+            return;
+        }
+        self.say_unknown(attempt.request, attempt);
+        if self.now.since(self.bookings[&attempt].doubted) < LATE {
+            self.at(self.now.after(LATE), Timer::Settle(attempt));
+        } else {
+            self.unbook(attempt);
+            self.forget(attempt);
+        }
+    }
+
+    /// Lets an attempt that the worker refused as a duplicate give way to the one that it knows.
+    fn give_way(&mut self, attempt: Attempt, found: Attempt, worker: usize) {
+        self.unbook(attempt);
+        if self.placed(attempt).is_none() {
+            return;
+        }
+        if self.bookings.contains_key(&found) {
+            if let Some(job) = self.jobs.get_mut(&found.request) {
+                job.phase = Phase::Placed(found);
+            }
+            self.attach(found);
+        } else {
+            self.attach_ended(found.request, found, worker);
+        }
+    }
+
+    /// Sends the start of an attempt in doubt again.
+    pub(super) fn resend(&mut self, attempt: Attempt) {
+        let Some(booking) = self.bookings.get(&attempt) else {
+            return;
+        };
+        let doubted = booking.state == State::Doubt;
+        let claimed = self.room.get(booking.worker).hold == Hold::Claimed;
+        let waits = self.placed(attempt).is_some_and(|job| job.caller);
+        if doubted && claimed && waits {
+            self.send(attempt);
+        }
+    }
+
+    /// Looks again for an attempt that nobody waits for.
+    pub(super) fn settle(&mut self, attempt: Attempt) {
+        let booking = self.bookings.get(&attempt);
+        if let Some(booking) = booking.filter(|booking| booking.state == State::Doubt) {
+            self.claim(booking.worker);
+        }
+    }
+
+    /// Settles an attempt on a worker that is surely gone.
+    pub(super) fn perished(&mut self, attempt: Attempt) {
+        let Some(booking) = self.unbook(attempt) else {
+            return;
+        };
+        let id = attempt.request;
+        let Some(job) = self.placed(attempt) else {
+            return;
+        };
+        let again = booking.idempotent && job.caller && !job.cancelled;
+        if again && job.number < MAX_ATTEMPTS {
+            self.back_off(id);
+        } else {
+            self.say_unknown(id, attempt);
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Waits for the answer of an attempt.
+    pub(super) fn attach(&mut self, attempt: Attempt) {
+        let Some(booking) = self.bookings.get(&attempt) else {
+            return;
+        };
+        let worker = self.room.get(booking.worker).spec.name.clone();
+        self.out.push(Action::Attach { attempt, worker });
+    }
+
+    /// Waits for the held answer of an attempt that has ended.
+    pub(super) fn attach_ended(&mut self, id: request::Id, attempt: Attempt, worker: usize) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.phase = Phase::Placed(attempt);
+            job.number = job.number.max(attempt.number);
+        }
+        let worker = self.room.get(worker).spec.name.clone();
+        self.out.push(Action::Attach { attempt, worker });
+    }
+
+    /// Interrupts a booked attempt, unless it was told the same before.
+    pub(super) fn interrupt(&mut self, attempt: Attempt, how: Interrupt, cause: Cause) {
+        let Some(booking) = self.bookings.get_mut(&attempt) else {
+            return;
+        };
+        if booking.interrupt.is_some_and(|told| told.how == how) {
+            return;
+        }
+        let at = self.now;
+        booking.interrupt = Some(Told { how, cause, at });
+        self.tell(attempt, how);
+    }
+
+    fn tell(&mut self, attempt: Attempt, how: Interrupt) {
+        let Some(booking) = self.bookings.get(&attempt) else {
+            return;
+        };
+        self.out.push(Action::Interrupt {
+            attempt,
+            worker: self.room.get(booking.worker).spec.name.clone(),
+            how,
+        });
+    }
+
+    /// Tells a request's caller what became of it, once.
+    pub(super) fn answer(&mut self, request: request::Id, verdict: Verdict) {
+        let Some(job) = self.jobs.get_mut(&request) else {
+            return;
+        };
+        if !std::mem::take(&mut job.caller) {
+            return;
+        }
+        self.memory.said(request, &verdict, self.now);
+        self.out.push(Action::Answer { request, verdict });
+    }
+
+    pub(super) fn say_unknown(&mut self, id: request::Id, attempt: Attempt) {
+        self.answer(id, Verdict::Unknown { attempt });
+    }
+
+    /// Returns the request of which an attempt is the one in hand.
+    fn placed(&self, attempt: Attempt) -> Option<&super::Job> {
+        let job = self.jobs.get(&attempt.request)?;
+        (job.phase == Phase::Placed(attempt)).then_some(job)
+    }
+
+    fn forget(&mut self, attempt: Attempt) {
+        if self.placed(attempt).is_some() {
+            self.jobs.remove(&attempt.request);
+        }
+    }
+
+    fn booked_on(&self, attempt: Attempt, worker: &Name) -> Option<usize> {
+        let worker = self.room.find(worker)?;
+        let booking: &Booking = self.bookings.get(&attempt)?;
+        (booking.worker == worker).then_some(worker)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/cell/intake.rs
@@ -0,0 +1,203 @@
+//! Requests arrive, come again and are withdrawn.
+
+use crate::attempt::Attempt;
+use crate::policy::Policy;
+use crate::queue::{Item, Key};
+use crate::request::{self, Request};
+use crate::size::Size;
+use crate::time::Time;
+use crate::verdict::Reason;
+use crate::worker::Interrupt;
+
+use super::Cell;
+use super::job::{Cause, Job, Phase};
+use super::memory::Fate;
+use super::timer::Timer;
+
+impl Cell {
+    pub(super) fn submit(&mut self, request: Request) {
+        if self.meet(&request) {
+            return;
+        }
+        let id = request.id;
+        self.admit(request, Phase::Queued);
+        if self.ledger.owned().next().is_none() {
+            self.deny(id, Reason::NoOwner);
+        } else {
+            self.enqueue(id);
+        }
+    }
+
+    pub(super) fn resume(&mut self, request: Request) {
+        if self.meet(&request) {
+            return;
+        }
+        let id = request.id;
+        self.admit(request, Phase::Sought);
+        self.sought.insert(id);
+        self.settle_sought();
+    }
+
+    /// Lets a request that comes again meet what is known of it.
+    fn meet(&mut self, request: &Request) -> bool {
+        let id = request.id;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            let waited = std::mem::replace(&mut job.caller, true);
+            job.request.deadline = request.deadline;
+            job.cancelled = false;
+            let phase = job.phase;
+            self.expire_at(id, request.deadline);
+            if let (Phase::Placed(attempt), false) = (phase, waited) {
+                self.attach(attempt);
+            }
+            return true;
+        }
+        match self.memory.get(id).cloned() {
+            None => false,
+            Some(Fate::Unknown(attempt)) => {
+                self.admit(request.clone(), Phase::Sought);
+                self.say_unknown(id, attempt);
+                self.jobs.remove(&id);
+                true
+            }
+            Some(Fate::Ended { attempt, worker }) => {
+                self.admit(request.clone(), Phase::Sought);
+                match self.room.find(&worker) {
+                    Some(worker) => self.attach_ended(id, attempt, worker),
+                    None => self.say_unknown(id, attempt),
+                }
+                true
+            }
+        }
+    }
+
+    fn admit(&mut self, request: Request, phase: Phase) {
+        let id = request.id;
+        let deadline = request.deadline;
+        let team = self.teams.index(&request.team);
+        let arrival = self.next_arrival();
+        let job = Job {
+            request,
+            team,
+            number: 0,
+            phase,
+            caller: true,
+            cancelled: false,
+            arrival,
+        };
+        self.jobs.insert(id, job);
+        self.expire_at(id, deadline);
+    }
+
+    pub(super) fn next_arrival(&mut self) -> u64 {
+        self.arrivals += 1;
+        self.arrivals
+    }
+
+    /// Puts a request into the queue and starts it where there is room.
+    pub(super) fn enqueue(&mut self, id: request::Id) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if !self.fleet_could_hold(&job.request.size) {
+            self.deny(id, Reason::TooLarge);
+            return;
+        }
+        let item = self.item(id);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.phase = Phase::Queued;
+        }
+        if self.queue.push(item) {
+            self.seat(id);
+        }
+    }
+
+    fn item(&self, id: request::Id) -> Item {
+        let job = &self.jobs[&id];
+        let deadline = match self.setup.policy {
+            Policy::Fair => job.request.deadline,
+            Policy::FirstFit | Policy::RandomTwo => Time::default(),
+        };
+        Item {
+            id,
+            class: job.request.class,
+            team: job.team,
+            size: booked(&job.request.size),
+            key: Key {
+                deadline,
+                arrival: job.arrival,
+            },
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: request::Id) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.cancelled = true;
+        match job.phase {
+            Phase::Queued | Phase::Backoff => self.deny(id, Reason::Cancelled),
+            Phase::Sought => {}
+            Phase::Placed(attempt) => self.interrupt(attempt, Interrupt::Stop, Cause::Unwanted),
+        }
+    }
+
+    /// Ends the patience of a request's caller.
+    pub(super) fn expire(&mut self, id: request::Id) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.request.deadline > self.now {
+            return;
+        }
+        let idempotent = job.request.idempotent;
+        match job.phase {
+            Phase::Queued | Phase::Backoff => self.deny(id, Reason::Expired),
+            Phase::Sought => {
+                let attempt = Attempt {
+                    request: id,
+                    number: 1,
+                };
+                self.sought.remove(&id);
+                self.say_unknown(id, attempt);
+                self.jobs.remove(&id);
+            }
+            Phase::Placed(attempt) => {
+                self.say_unknown(id, attempt);
+                if idempotent {
+                    self.interrupt(attempt, Interrupt::Stop, Cause::Unwanted);
+                }
+            }
+        }
+    }
+
+    fn expire_at(&mut self, id: request::Id, deadline: Time) {
+        if deadline != Time::MAX {
+            self.at(deadline, Timer::Expire(id));
+        }
+    }
+
+    /// Tells whether a worker of the own racks could hold a size if it were empty.
+    pub(super) fn could_hold(&self, size: &Size) -> bool {
+        let mut capacities = self.ceilings.own.iter();
+        capacities.any(|capacity| size.fits(capacity))
+    }
+
+    /// Tells whether some worker of the fleet could hold a size, as far as is known.
+    fn fleet_could_hold(&self, size: &Size) -> bool {
+        let size = booked(size);
+        let known = &self.ceilings.fleet;
+        let mut peers = self.teams.peers().values();
+        known.is_empty()
+            || known.iter().any(|capacity| size.fits(capacity))
+            || peers.any(|peer| size.fits(&peer.ceiling))
+    }
+}
+
+/// Every task takes a slot.
+pub(super) fn booked(size: &Size) -> Size {
+    Size {
+        slots: size.slots.max(1),
+        ..*size
+    }
+}
--- /dev/null
+++ b/crates/decide/src/cell/memory.rs
@@ -0,0 +1,80 @@
+//! What became of requests lately.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::attempt::Attempt;
+use crate::name::{Map, Name};
+use crate::request;
+use crate::time::Time;
+use crate::verdict::Verdict;
+
+/// How long a worker holds the answers of attempts that have ended.
+const SPAN: Duration = Duration::from_secs(600);
+
+/// How many requests are remembered at most.
+const CAPACITY: usize = 50_000;
+
+/// The fate of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Fate {
+    /// An attempt has ended on a worker that still holds its answer.
+    Ended {
+        /// The attempt.
+        attempt: Attempt,
+        /// The worker.
+        worker: Name,
+    },
+    /// Its caller was told that its fate is unknown.
+    Unknown(Attempt),
+}
+
+/// The fates of requests, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct Memory {
+    fates: Map<request::Id, (Time, Fate)>,
+    ages: VecDeque<(Time, request::Id)>,
+}
+
+impl Memory {
+    /// Returns the fate of a request.
+    pub(super) fn get(&self, request: request::Id) -> Option<&Fate> {
+        self.fates.get(&request).map(|(_, fate)| fate)
+    }
+
+    /// Remembers that an attempt has ended on a worker.
+    pub(super) fn ended(&mut self, attempt: Attempt, worker: Name, now: Time) {
+        let fate = Fate::Ended { attempt, worker };
+        self.put(attempt.request, fate, now);
+    }
+
+    /// Remembers a verdict; one that says that nothing ran leaves nothing to remember.
+    pub(super) fn said(&mut self, request: request::Id, verdict: &Verdict, now: Time) {
+        match verdict {
+            Verdict::NotRun { .. } => {}
+            Verdict::Unknown { attempt } => self.put(request, Fate::Unknown(*attempt), now),
+            Verdict::Ran {
+                attempt, worker, ..
+            } => self.ended(*attempt, worker.clone(), now),
+        }
+    }
+
+    fn put(&mut self, request: request::Id, fate: Fate, now: Time) {
+        self.fates.insert(request, (now, fate));
+        self.ages.push_back((now, request));
+        self.prune(now);
+    }
+
+    fn prune(&mut self, now: Time) {
+        while let Some(&(age, request)) = self.ages.front() {
+            if self.ages.len() <= CAPACITY && now.since(age) < SPAN {
+                break;
+            }
+            self.ages.pop_front();
+            let stale = self.fates.get(&request).is_some_and(|(at, _)| *at == age);
+            if stale {
+                self.fates.remove(&request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/cell/place.rs
@@ -0,0 +1,214 @@
+//! Waiting requests are placed where there is room.
+
+use strum::IntoEnumIterator;
+
+use rand::Rng;
+
+use crate::action::Action;
+use crate::attempt::Attempt;
+use crate::class::Class;
+use crate::policy::Policy;
+use crate::request;
+use crate::size::Size;
+use crate::time::Time;
+
+use super::Cell;
+use super::job::{Booking, Phase, State};
+
+impl Cell {
+    /// Starts a waiting request on the best worker that has room for it.
+    pub(super) fn seat(&mut self, id: request::Id) {
+        let Some(item) = self.queue.get(id).copied() else {
+            return;
+        };
+        if let Some(worker) = self.choose(item.team, &item.size) {
+            self.start(id, worker);
+        }
+    }
+
+    fn choose(&mut self, team: usize, size: &Size) -> Option<usize> {
+        if self.setup.policy == Policy::RandomTwo {
+            return self.choose_random(team, size);
+        }
+        let ledger = &self.ledger;
+        let chosen = self.room.first(size, |worker| {
+            size.fits(&ledger.account(worker.rack, team).rest())
+        });
+        if chosen.is_none() {
+            self.pass(team);
+        }
+        chosen
+    }
+
+    fn choose_random(&mut self, team: usize, size: &Size) -> Option<usize> {
+        let fits = |worker: &crate::room::Worker| {
+            worker.is_open()
+                && size.fits(&worker.free())
+                && size.fits(&self.ledger.account(worker.rack, team).rest())
+        };
+        let open: Vec<usize> = self
+            .room
+            .iter()
+            .filter(|(_, worker)| fits(worker))
+            .map(|(index, _)| index)
+            .collect();
+        if open.is_empty() {
+            self.pass(team);
+            return None;
+        }
+        let one = open[self.rng.random_range(0..open.len())];
+        let two = open[self.rng.random_range(0..open.len())];
+        let load = |worker: usize| self.room.get(worker).booked.millicores;
+        Some(if load(two) < load(one) { two } else { one })
+    }
+
+    /// Notes that work of a team found no place, so that it is tried again as allotments grow.
+    fn pass(&mut self, team: usize) {
+        for rack in self.ledger.owned().collect::<Vec<_>>() {
+            self.ledger.pass(rack, team);
+        }
+    }
+
+    /// Fills the workers whose room or allotment has grown.
+    pub(super) fn fill_dirty(&mut self) {
+        while let Some(worker) = self.dirty.pop_first() {
+            self.fill(worker);
+        }
+    }
+
+    fn fill(&mut self, worker: usize) {
+        while !self.queue.is_empty() && self.room.get(worker).is_open() {
+            let Some(id) = self.next_for(worker) else {
+                return;
+            };
+            self.start(id, worker);
+        }
+    }
+
+    fn next_for(&mut self, worker: usize) -> Option<request::Id> {
+        match self.setup.policy {
+            Policy::Fair => self.next_fair(worker),
+            Policy::FirstFit | Policy::RandomTwo => self.next_come(worker),
+        }
+    }
+
+    fn next_fair(&mut self, worker: usize) -> Option<request::Id> {
+        let known = self.room.get(worker);
+        let (rack, free) = (known.rack, known.free());
+        for class in Class::iter() {
+            for team in self.teams.order() {
+                if !self.queue.has(class, team) {
+                    continue;
+                }
+                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
+                if let Some((_, id)) = self.queue.first(class, team, &room) {
+                    return Some(id);
+                }
+                if self.queue.first(class, team, &free).is_some() {
+                    self.ledger.pass(rack, team);
+                }
+            }
+        }
+        None
+    }
+
+    fn next_come(&mut self, worker: usize) -> Option<request::Id> {
+        let known = self.room.get(worker);
+        let (rack, free) = (known.rack, known.free());
+        let mut best = None;
+        for class in Class::iter() {
+            for team in 0..self.teams.len() {
+                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
+                if let Some(head) = self.queue.first(class, team, &room) {
+                    best = best.map_or(Some(head), |best| Some(head.min(best)));
+                }
+                self.ledger.pass(rack, team);
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// Starts the next attempt of a waiting request.
+    pub(super) fn start(&mut self, id: request::Id, worker: usize) {
+        let Some(item) = self.queue.remove(id) else {
+            return;
+        };
+        let epoch = self.epoch_of(worker);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.number += 1;
+        let attempt = Attempt {
+            request: id,
+            number: job.number,
+        };
+        job.phase = Phase::Placed(attempt);
+        let booking = Booking {
+            worker,
+            team: item.team,
+            size: item.size,
+            kind: job.request.kind.clone(),
+            class: item.class,
+            gang: job.request.gang,
+            idempotent: job.request.idempotent,
+            state: State::Sent,
+            epoch,
+            doubted: Time::MAX,
+            sends: 0,
+            since: self.now,
+            interrupt: None,
+        };
+        self.book(attempt, booking);
+        self.send(attempt);
+    }
+
+    /// Sends the start of a booked attempt.
+    pub(super) fn send(&mut self, attempt: Attempt) {
+        let Some(booking) = self.bookings.get_mut(&attempt) else {
+            return;
+        };
+        booking.sends += 1;
+        booking.state = State::Sent;
+        booking.interrupt = None;
+        let worker = self.room.get(booking.worker);
+        self.out.push(Action::Start {
+            attempt,
+            worker: worker.spec.name.clone(),
+            epoch: self.ledger.rack(worker.rack).epoch,
+            size: booking.size,
+        });
+    }
+
+    /// Books an attempt's room and allotment.
+    pub(super) fn book(&mut self, attempt: Attempt, booking: Booking) {
+        let rack = self.room.get(booking.worker).rack;
+        self.room.book(booking.worker, attempt, &booking.size);
+        self.ledger
+            .book(rack, booking.team, &booking.size, self.now);
+        self.teams.add(booking.team, &booking.size);
+        self.bookings.insert(attempt, booking);
+    }
+
+    /// Gives an attempt's room and allotment back.
+    pub(super) fn unbook(&mut self, attempt: Attempt) -> Option<Booking> {
+        let booking = self.bookings.remove(&attempt)?;
+        let rack = self.room.get(booking.worker).rack;
+        self.room.free(booking.worker, attempt, &booking.size);
+        let now = self.now;
+        if self.ledger.free(rack, booking.team, &booking.size, now) {
+            self.dirty.extend(self.room.rack(rack));
+        }
+        self.teams.remove(booking.team, &booking.size);
+        self.dirty.insert(booking.worker);
+        Some(booking)
+    }
+
+    /// Returns what is free on the open workers of a rack.
+    pub(super) fn rack_free(&self, rack: usize) -> Size {
+        let workers = self.room.rack(rack).iter();
+        workers
+            .map(|&worker| self.room.get(worker))
+            .filter(|worker| worker.is_open())
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/fair.rs
@@ -0,0 +1,168 @@
+//! Weighted dominant-resource fairness between teams.
+//!
+//! After Ghodsi et al., "Dominant Resource Fairness: Fair Allocation of Multiple Resource Types"
+//! (NSDI 2011): the team whose dominant share, divided by its weight, is smallest goes first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::name::{Map, Name};
+use crate::resource;
+use crate::share::Summary;
+use crate::size::Size;
+
+/// A team's standing.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Its name.
+    pub name: Name,
+    /// Its weight.
+    pub share: u32,
+    /// Its upper limit over the whole fleet, where configured.
+    pub limit: Option<Size>,
+    /// What it runs here.
+    pub running: Size,
+    /// What it runs at other owners, by their last summaries.
+    elsewhere: Size,
+    /// Its rank in the order.
+    rank: u64,
+}
+
+/// All teams, in the order in which they are served.
+#[derive(Debug, Default)]
+pub struct Teams {
+    teams: Vec<Team>,
+    names: Map<Name, usize>,
+    order: BTreeSet<(u64, usize)>,
+    own: Size,
+    peers: BTreeMap<Name, Summary>,
+}
+
+impl Teams {
+    /// Returns the index of a team, making it known.
+    pub fn index(&mut self, name: &Name) -> usize {
+        if let Some(&team) = self.names.get(name) {
+            return team;
+        }
+        let team = self.teams.len();
+        self.names.insert(name.clone(), team);
+        self.teams.push(Team {
+            name: name.clone(),
+            share: 1,
+            limit: None,
+            running: Size::ZERO,
+            elsewhere: Size::ZERO,
+            rank: 0,
+        });
+        self.order.insert((0, team));
+        team
+    }
+
+    /// Returns a team.
+    pub fn get(&self, team: usize) -> &Team {
+        &self.teams[team]
+    }
+
+    /// Returns how many teams are known.
+    pub fn len(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Tells whether no team is known.
+    pub fn is_empty(&self) -> bool {
+        self.teams.is_empty()
+    }
+
+    /// Returns the teams in the order in which they are served.
+    pub fn order(&self) -> impl Iterator<Item = usize> + '_ {
+        self.order.iter().map(|&(_, team)| team)
+    }
+
+    /// Returns the last summaries of other owners.
+    pub fn peers(&self) -> &BTreeMap<Name, Summary> {
+        &self.peers
+    }
+
+    /// Takes the teams in force.
+    pub fn configure(&mut self, teams: &[resource::Team]) {
+        for team in &mut self.teams {
+            team.limit = None;
+        }
+        for team in teams {
+            let index = self.index(&team.name);
+            self.teams[index].share = team.share.max(1);
+            self.teams[index].limit = Some(team.limit);
+        }
+        self.rank_all();
+    }
+
+    /// Takes the capacity of the own workers.
+    pub fn resize(&mut self, own: Size) {
+        if self.own != own {
+            self.own = own;
+            self.rank_all();
+        }
+    }
+
+    /// Takes another owner's summary, unless a newer one is known.
+    pub fn hear(&mut self, summary: Summary) {
+        let known = self.peers.get(&summary.server);
+        if known.is_some_and(|known| known.sequence >= summary.sequence) {
+            return;
+        }
+        self.peers.insert(summary.server.clone(), summary);
+        self.add_peers();
+        self.rank_all();
+    }
+
+    /// Adds to what a team runs here.
+    pub fn add(&mut self, team: usize, size: &Size) {
+        self.teams[team].running = self.teams[team].running.plus(size);
+        self.rank(team);
+    }
+
+    /// Takes from what a team runs here.
+    pub fn remove(&mut self, team: usize, size: &Size) {
+        self.teams[team].running = self.teams[team].running.minus(size);
+        self.rank(team);
+    }
+
+    /// Returns a team's dominant share of the whole fleet, divided by its weight.
+    pub fn weighted(&self, team: usize) -> f64 {
+        let total = self.total();
+        let team = &self.teams[team];
+        team.running.plus(&team.elsewhere).dominant(&total) / f64::from(team.share)
+    }
+
+    /// Returns the capacity of the whole fleet as far as it is known.
+    pub fn total(&self) -> Size {
+        let peers = self.peers.values().map(|summary| summary.capacity);
+        peers.fold(self.own, |sum, capacity| sum.plus(&capacity))
+    }
+
+    fn add_peers(&mut self) {
+        for team in &mut self.teams {
+            team.elsewhere = Size::ZERO;
+        }
+        let peers: Vec<_> = self.peers.values().cloned().collect();
+        for (name, tally) in peers.iter().flat_map(|summary| &summary.teams) {
+            let team = self.index(name);
+            self.teams[team].elsewhere = self.teams[team].elsewhere.plus(&tally.running);
+        }
+    }
+
+    fn rank_all(&mut self) {
+        for team in 0..self.teams.len() {
+            self.rank(team);
+        }
+    }
+
+    fn rank(&mut self, team: usize) {
+        // The bits of floats that are not negative order as the floats do.
+        let rank = self.weighted(team).to_bits();
+        let old = std::mem::replace(&mut self.teams[team].rank, rank);
+        if old != rank {
+            self.order.remove(&(old, team));
+            self.order.insert((rank, team));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/queue.rs
@@ -0,0 +1,192 @@
+//! Requests that wait for room.
+//!
+//! Requests of one class and team wait in lanes by size. Where the first of a lane fits nowhere,
+//! neither do those behind it, so a lane costs a decision no more than its first request.
+
+use std::collections::BTreeMap;
+
+use crate::class::Class;
+use crate::name::Map;
+use crate::request;
+use crate::size::Size;
+use crate::time::Time;
+
+/// How many sizes of one class and team have a lane of their own.
+const EXACT_LANES: usize = 32;
+
+/// The order within a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    /// The end of the caller's patience, or zero where arrival alone counts.
+    pub deadline: Time,
+    /// Counts arrivals.
+    pub arrival: u64,
+}
+
+/// A waiting request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Item {
+    /// The request.
+    pub id: request::Id,
+    /// Its class.
+    pub class: Class,
+    /// Its team, by index.
+    pub team: usize,
+    /// What would be booked for it.
+    pub size: Size,
+    /// Its order.
+    pub key: Key,
+}
+
+/// Requests of about one size.
+#[derive(Debug, Default)]
+struct Lane {
+    waiting: BTreeMap<Key, (request::Id, Size)>,
+}
+
+impl Lane {
+    fn head(&self) -> Option<(Key, request::Id, Size)> {
+        let (key, (id, size)) = self.waiting.first_key_value()?;
+        Some((*key, *id, *size))
+    }
+}
+
+/// All lanes of one class and team.
+#[derive(Debug, Default)]
+struct Line {
+    lanes: BTreeMap<Size, Lane>,
+}
+
+impl Line {
+    fn lane(&self, size: &Size) -> Size {
+        let exact = self.lanes.contains_key(size) || self.lanes.len() < EXACT_LANES;
+        if exact { *size } else { coarse(size) }
+    }
+
+    /// Returns the first request in order whose size fits into `room`.
+    fn first(&self, room: &Size) -> Option<(Key, request::Id)> {
+        self.lanes
+            .values()
+            .filter_map(Lane::head)
+            .filter(|(_, _, size)| size.fits(room))
+            .map(|(key, id, _)| (key, id))
+            .min()
+    }
+}
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug)]
+struct Spot {
+    item: Item,
+    lane: Size,
+}
+
+/// The queue.
+#[derive(Debug, Default)]
+pub struct Queue {
+    lines: [Vec<Line>; 3],
+    spots: Map<request::Id, Spot>,
+    waiting: Vec<Size>,
+}
+
+impl Queue {
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.spots.len()
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.spots.is_empty()
+    }
+
+    /// Returns a waiting request.
+    pub fn get(&self, id: request::Id) -> Option<&Item> {
+        self.spots.get(&id).map(|spot| &spot.item)
+    }
+
+    /// Returns the sum of what waits for a team.
+    pub fn waiting(&self, team: usize) -> Size {
+        self.waiting.get(team).copied().unwrap_or_default()
+    }
+
+    /// Adds a request, and tells whether it should be tried at once.
+    ///
+    /// It need not where one of its size waits already, since that one fits nowhere.
+    pub fn push(&mut self, item: Item) -> bool {
+        let lines = &mut self.lines[item.class as usize];
+        grow(lines, item.team);
+        grow(&mut self.waiting, item.team);
+        let line = &mut lines[item.team];
+        let size = line.lane(&item.size);
+        let lane = line.lanes.entry(size).or_default();
+        let fresh = lane.waiting.is_empty() || size != item.size;
+        lane.waiting.insert(item.key, (item.id, item.size));
+        let sum = &mut self.waiting[item.team];
+        *sum = sum.plus(&item.size);
+        self.spots.insert(item.id, Spot { item, lane: size });
+        fresh
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, id: request::Id) -> Option<Item> {
+        let Spot { item, lane: size } = self.spots.remove(&id)?;
+        let line = &mut self.lines[item.class as usize][item.team];
+        if let Some(lane) = line.lanes.get_mut(&size) {
+            lane.waiting.remove(&item.key);
+            if lane.waiting.is_empty() {
+                line.lanes.remove(&size);
+            }
+        }
+        let sum = &mut self.waiting[item.team];
+        *sum = sum.minus(&item.size);
+        Some(item)
+    }
+
+    /// Tells whether requests of a class and team wait.
+    pub fn has(&self, class: Class, team: usize) -> bool {
+        let line = self.lines[class as usize].get(team);
+        line.is_some_and(|line| !line.lanes.is_empty())
+    }
+
+    /// Returns the first request of a class and team, in their order, that fits into `room`.
+    pub fn first(&self, class: Class, team: usize, room: &Size) -> Option<(Key, request::Id)> {
+        self.lines[class as usize].get(team)?.first(room)
+    }
+
+    /// Returns the sizes of a class and team for which requests wait, each with its first request.
+    pub fn heads(
+        &self,
+        class: Class,
+        team: usize,
+    ) -> impl Iterator<Item = (Key, request::Id, Size)> + '_ {
+        let line = self.lines[class as usize].get(team);
+        line.into_iter()
+            .flat_map(|line| line.lanes.values())
+            .filter_map(Lane::head)
+    }
+
+    /// Returns all waiting requests in the order of their ids.
+    pub fn ids(&self) -> Vec<request::Id> {
+        let mut ids: Vec<_> = self.spots.keys().copied().collect();
+        ids.sort_unstable();
+        ids
+    }
+}
+
+fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
+    if list.len() <= index {
+        list.resize_with(index + 1, T::default);
+    }
+}
+
+/// Rounds up to powers of two, so that a line has few lanes whatever the sizes are.
+fn coarse(size: &Size) -> Size {
+    let up = |amount: u64| amount.checked_next_power_of_two().unwrap_or(u64::MAX);
+    Size {
+        millicores: up(size.millicores),
+        memory_mib: up(size.memory_mib),
+        accelerators: up(size.accelerators),
+        slots: up(size.slots),
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/epochs.rs
@@ -0,0 +1,132 @@
+//! Workers obey one owner at a time.
+
+mod support;
+
+use azurepath_decide::attempt::{Outcome, Refusal};
+use azurepath_decide::event::Event;
+use azurepath_decide::policy::Policy;
+use azurepath_decide::request::Id;
+use azurepath_decide::verdict::Reason;
+use support::*;
+
+#[test]
+fn unclaimed_worker_idle() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    bench.gain("r1", 3, PLENTY);
+    let joined = bench.join("w0", "r1", machine());
+    assert_eq!(claims(&joined), [("w0".to_owned(), 3)]);
+    assert!(starts(&bench.submit(request(1, "a", cores(1)))).is_empty());
+    assert!(starts(&bench.claimed("w0", 2)).is_empty());
+    let claimed = bench.claimed("w0", 3);
+    assert_eq!(starts(&claimed), [(attempt(1, 1), "w0".to_owned())]);
+}
+
+#[test]
+fn lost_rack_idle() {
+    let mut bench = Bench::ready(1, machine());
+    bench.submit(request(1, "a", cores(20)));
+    bench.submit(request(2, "a", cores(20)));
+    let lost = bench.send(Event::Lose { rack: "r1".into() });
+    assert_eq!(answers(&lost), [(2, not_run(Reason::Leaving))]);
+    let ended = bench.ended(attempt(1, 1), "w0", Outcome::Done);
+    assert_eq!(
+        answers(&ended),
+        [(1, ran(attempt(1, 1), "w0", Outcome::Done))]
+    );
+    let late = bench.submit(request(3, "a", cores(1)));
+    assert_eq!(answers(&late), [(3, not_run(Reason::NoOwner))]);
+}
+
+#[test]
+fn stale_owner_stops() {
+    let mut bench = Bench::ready(2, machine());
+    let sent = starts(&bench.submit(request(1, "a", cores(1))));
+    let refused = bench.refused(sent[0].0, &sent[0].1, Refusal::StaleEpoch);
+    assert_eq!(answers(&refused), [(1, not_run(Reason::Leaving))]);
+    assert!(starts(&bench.submit(request(2, "a", cores(1)))).is_empty());
+}
+
+#[test]
+fn old_refusal_harmless() {
+    let mut bench = Bench::ready(1, machine());
+    bench.submit(request(1, "a", cores(1)));
+    bench.gain("r1", 2, PLENTY);
+    bench.claimed("w0", 2);
+    bench.refused(attempt(1, 1), "w0", Refusal::StaleEpoch);
+    let again = bench.wait(100);
+    assert_eq!(starts(&again), [(attempt(1, 2), "w0".to_owned())]);
+}
+
+#[test]
+fn adopted_work_booked() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    bench.gain("r1", 2, cores(8));
+    bench.join("w0", "r1", machine());
+    let mut found = inventory("w0", 2);
+    found.running.push(running(&request(9, "a", cores(30)), 1));
+    let claimed = bench.send(Event::Claimed(found));
+    assert_eq!(attached(&claimed), [attempt(9, 1)]);
+    assert!(starts(&bench.submit(request(1, "a", cores(1)))).is_empty());
+    assert!(starts(&bench.submit(request(2, "b", cores(4)))).is_empty());
+    let ended = bench.ended(attempt(9, 1), "w0", Outcome::Done);
+    assert_eq!(starts(&ended).len(), 2);
+}
+
+#[test]
+fn resume_attaches() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    bench.gain("r1", 2, PLENTY);
+    bench.join("w0", "r1", machine());
+    bench.join("w1", "r1", machine());
+    assert!(
+        bench
+            .send(Event::Resume(request(9, "a", cores(1))))
+            .is_empty()
+    );
+    assert!(
+        bench
+            .send(Event::Resume(request(8, "a", cores(1))))
+            .is_empty()
+    );
+    let mut found = inventory("w0", 2);
+    found.running.push(running(&request(9, "a", cores(1)), 1));
+    let claimed = bench.send(Event::Claimed(found));
+    assert_eq!(attached(&claimed), [attempt(9, 1)]);
+    assert!(answers(&claimed).is_empty());
+    let all = bench.claimed("w1", 2);
+    assert_eq!(answers(&all), [(8, not_run(Reason::NoOwner))]);
+    let ended = bench.ended(attempt(9, 1), "w0", Outcome::Done);
+    assert_eq!(answers(&ended).len(), 1);
+}
+
+#[test]
+fn resume_finds_ended() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.gain("r1", 2, PLENTY);
+    bench.join("w0", "r1", machine());
+    let mut found = inventory("w0", 2);
+    found.ended.push(attempt(9, 2));
+    bench.send(Event::Claimed(found));
+    let resumed = bench.send(Event::Resume(request(9, "a", cores(1))));
+    assert_eq!(attached(&resumed), [attempt(9, 2)]);
+    let ended = bench.ended(attempt(9, 2), "w0", Outcome::Failed);
+    assert_eq!(
+        answers(&ended),
+        [(9, ran(attempt(9, 2), "w0", Outcome::Failed))]
+    );
+}
+
+#[test]
+fn silent_worker_reclaimed() {
+    let mut bench = Bench::ready(1, machine());
+    bench.send(Event::Unreachable {
+        worker: "w0".into(),
+    });
+    assert!(starts(&bench.submit(request(1, "a", cores(1)))).is_empty());
+    assert_eq!(claims(&bench.wait(600)).len(), 1);
+    assert_eq!(starts(&bench.claimed("w0", 1)).len(), 1);
+    assert_eq!(Id(1).to_string().len(), 32);
+}
--- /dev/null
+++ b/crates/decide/tests/support/mod.rs
@@ -0,0 +1,275 @@
+//! A machine under test with its clock and what it wants done.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use std::time::Duration;
+
+use azurepath_decide::action::Action;
+use azurepath_decide::attempt::{Attempt, Outcome, Refusal, Running};
+use azurepath_decide::cell::{Cell, Setup};
+use azurepath_decide::class::Class;
+use azurepath_decide::event::Event;
+use azurepath_decide::name::Name;
+use azurepath_decide::policy::Policy;
+use azurepath_decide::rack::{Allotments, Grant};
+use azurepath_decide::request::{Id, Request};
+use azurepath_decide::resource::Team;
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+use azurepath_decide::verdict::{Reason, Verdict};
+use azurepath_decide::worker::{Inventory, Spec};
+
+pub const PLENTY: Size = Size {
+    millicores: 1_000_000,
+    memory_mib: 10_000_000,
+    accelerators: 1_000,
+    slots: 100_000,
+};
+
+pub fn cores(count: u64) -> Size {
+    Size {
+        millicores: count * 1_000,
+        memory_mib: count * 1_024,
+        accelerators: 0,
+        slots: 1,
+    }
+}
+
+/// 32 cores, 64 GiB and 8 slots.
+pub fn machine() -> Size {
+    Size {
+        millicores: 32_000,
+        memory_mib: 65_536,
+        accelerators: 0,
+        slots: 8,
+    }
+}
+
+pub fn request(id: u128, team: &str, size: Size) -> Request {
+    Request {
+        id: Id(id),
+        team: team.into(),
+        kind: "audit".into(),
+        class: Class::Batch,
+        size,
+        estimate: Duration::from_secs(10),
+        deadline: Time::MAX,
+        idempotent: true,
+        gang: None,
+    }
+}
+
+pub fn attempt(id: u128, number: u32) -> Attempt {
+    Attempt {
+        request: Id(id),
+        number,
+    }
+}
+
+pub fn spec(name: &str, rack: &str, capacity: Size) -> Spec {
+    Spec {
+        name: name.into(),
+        rack: rack.into(),
+        failure_domain: "zrh-a".into(),
+        region: "ch-north".into(),
+        capacity,
+    }
+}
+
+pub fn team(name: &str, share: u32) -> Team {
+    Team {
+        name: name.into(),
+        account: "lumen".into(),
+        share,
+        limit: PLENTY,
+    }
+}
+
+pub fn inventory(worker: &str, epoch: u64) -> Inventory {
+    Inventory {
+        worker: worker.into(),
+        epoch,
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+pub fn running(request: &Request, number: u32) -> Running {
+    Running {
+        attempt: Attempt {
+            request: request.id,
+            number,
+        },
+        team: request.team.clone(),
+        kind: request.kind.clone(),
+        class: request.class,
+        size: request.size,
+        gang: request.gang,
+        idempotent: request.idempotent,
+    }
+}
+
+pub struct Bench {
+    pub cell: Cell,
+    pub now: Time,
+}
+
+impl Bench {
+    pub fn new(policy: Policy) -> Bench {
+        let setup = Setup {
+            server: "entry-1".into(),
+            seed: 7,
+            policy,
+        };
+        Bench {
+            cell: Cell::new(setup),
+            now: Time::from_millis(1_000),
+        }
+    }
+
+    /// A machine that owns rack `r1` with `count` claimed workers `w0`, `w1`, ...
+    pub fn ready(count: usize, capacity: Size) -> Bench {
+        let mut bench = Bench::new(Policy::Fair);
+        bench.teams(&[team("a", 1), team("b", 1)]);
+        bench.gain("r1", 1, PLENTY);
+        for index in 0..count {
+            bench.add(&format!("w{index}"), "r1", capacity);
+        }
+        bench
+    }
+
+    pub fn send(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.cell.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn wait(&mut self, millis: u64) -> Vec<Action> {
+        self.now = self.now.after(Duration::from_millis(millis));
+        self.send(Event::Tick)
+    }
+
+    pub fn teams(&mut self, teams: &[Team]) -> Vec<Action> {
+        let teams = teams.to_vec();
+        self.send(Event::Configure { revision: 1, teams })
+    }
+
+    /// Gains a rack that holds `each` for the teams `a`, `b` and `c`.
+    pub fn gain(&mut self, rack: &str, epoch: u64, each: Size) -> Vec<Action> {
+        let allotments: Allotments = ["a", "b", "c"]
+            .into_iter()
+            .map(|team| (Name::from(team), each))
+            .collect();
+        self.send(Event::Gain(Grant {
+            rack: rack.into(),
+            epoch,
+            allotments,
+        }))
+    }
+
+    pub fn join(&mut self, name: &str, rack: &str, capacity: Size) -> Vec<Action> {
+        self.send(Event::Join(spec(name, rack, capacity)))
+    }
+
+    /// Joins a worker and lets it answer its claim with nothing running.
+    pub fn add(&mut self, name: &str, rack: &str, capacity: Size) -> Vec<Action> {
+        let mut actions = self.join(name, rack, capacity);
+        actions.extend(self.claimed(name, 1));
+        actions
+    }
+
+    pub fn claimed(&mut self, name: &str, epoch: u64) -> Vec<Action> {
+        self.send(Event::Claimed(inventory(name, epoch)))
+    }
+
+    pub fn submit(&mut self, request: Request) -> Vec<Action> {
+        self.send(Event::Submit(request))
+    }
+
+    pub fn started(&mut self, attempt: Attempt, worker: &str) -> Vec<Action> {
+        let worker = worker.into();
+        self.send(Event::Started { attempt, worker })
+    }
+
+    pub fn ended(&mut self, attempt: Attempt, worker: &str, outcome: Outcome) -> Vec<Action> {
+        self.send(Event::Ended {
+            attempt,
+            worker: worker.into(),
+            outcome,
+        })
+    }
+
+    pub fn lost(&mut self, attempt: Attempt, worker: &str) -> Vec<Action> {
+        let worker = worker.into();
+        self.send(Event::Lost { attempt, worker })
+    }
+
+    pub fn refused(&mut self, attempt: Attempt, worker: &str, refusal: Refusal) -> Vec<Action> {
+        self.send(Event::Refused {
+            attempt,
+            worker: worker.into(),
+            refusal,
+        })
+    }
+}
+
+/// The attempts started, each with its worker.
+pub fn starts(actions: &[Action]) -> Vec<(Attempt, String)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start {
+                attempt, worker, ..
+            } => Some((*attempt, worker.to_string())),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The verdicts said, each with its request.
+pub fn answers(actions: &[Action]) -> Vec<(u128, Verdict)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Answer { request, verdict } => Some((request.0, verdict.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The workers claimed, each with the epoch.
+pub fn claims(actions: &[Action]) -> Vec<(String, u64)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Claim { worker, epoch } => Some((worker.to_string(), *epoch)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The attempts attached to.
+pub fn attached(actions: &[Action]) -> Vec<Attempt> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Attach { attempt, .. } => Some(*attempt),
+            _ => None,
+        })
+        .collect()
+}
+
+pub fn not_run(reason: Reason) -> Verdict {
+    Verdict::NotRun {
+        reason,
+        retry_after: None,
+    }
+}
+
+pub fn ran(attempt: Attempt, worker: &str, outcome: Outcome) -> Verdict {
+    Verdict::Ran {
+        attempt,
+        worker: worker.into(),
+        outcome,
+    }
+}
