--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -386,5 +386,6 @@
         deadline: Time::MAX,
         idempotent: running.idempotent,
         gang: running.gang,
+        target: None,
     }
 }
--- a/crates/server/src/process/instances.rs
+++ b/crates/server/src/process/instances.rs
@@ -56,19 +56,20 @@
             };
             match read {
                 Ok(instances) => {
+                    // The engine needs the addresses of those that it is told of.
+                    self.publish(&instances);
                     self.compare(&mut seen, &instances);
-                    self.publish(instances);
                 }
                 Err(error) => warn!(self.log, "instance list unread"; "error" => %error),
             }
         }
     }
 
-    fn publish(&self, instances: Vec<Instance>) {
+    fn publish(&self, instances: &[Instance]) {
         self.sender.send_if_modified(|last| {
-            let changed = **last != instances;
+            let changed = last.as_slice() != instances;
             if changed {
-                *last = Arc::new(instances);
+                *last = Arc::new(instances.to_vec());
             }
             changed
         });
--- a/crates/server/src/process/membership.rs
+++ b/crates/server/src/process/membership.rs
@@ -30,22 +30,23 @@
 pub async fn run(process: Process, outputs: Outputs, halt: CancellationToken) {
     outputs.handed_over.send_replace(true);
     let mut instances = process.instances.clone();
-    let mut owned = BTreeSet::new();
+    let mut snapshot = process.snapshot.clone();
     loop {
+        snapshot.borrow_and_update();
         let racks: BTreeSet<Name> = instances
             .borrow_and_update()
             .iter()
             .filter_map(|instance| instance.worker())
             .map(|worker| worker.rack)
             .collect();
-        for rack in racks.difference(&owned) {
+        for rack in &racks {
             process.engine.event(Event::Gain(grant(&process, rack)));
         }
         outputs.view.send_replace(Arc::new(view(&process, &racks)));
-        owned = racks;
         tokio::select! {
             () = halt.cancelled() => return,
             changed = instances.changed() => if changed.is_err() { return },
+            changed = snapshot.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -229,7 +229,11 @@
         };
         tasks.spawn(pool.run(self.peers.1, halt.clone()));
         let engine = Engine {
-            setup: cell::Setup { server: name, seed },
+            setup: cell::Setup {
+                server: name,
+                seed,
+                policy: Default::default(),
+            },
             clock: process.clock,
             timing,
             workers: process.platform.workers.clone(),
--- /dev/null
+++ b/crates/server/tests/support/mod.rs
@@ -0,0 +1,391 @@
+//! A fleet of stand-ins with servers as processes of their own.
+
+#![allow(dead_code, clippy::missing_panics_doc, clippy::missing_errors_doc)]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow};
+use azurepath_decide::class::Class;
+use azurepath_decide::resource::{Key, Queue, Resource, Team};
+use azurepath_decide::size::Size;
+use azurepath_platform::table::{Client as Table, Table as _, Transaction, Write};
+use azurepath_standin::fleet::{Fleet, Rack};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use volo_http::client::ClientBuilder;
+
+/// The token of the team `audit`.
+pub const AUDIT: &str = "audit-1.abcdefghijklmnop";
+
+/// The token of the team `ice`.
+pub const ICE: &str = "ice-1.qrstuvwxyzabcdef";
+
+/// The pause between two looks at something that is waited for.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Stand-ins and server processes.
+pub struct TestEnv {
+    /// The platform and the workers.
+    pub fleet: Fleet,
+    directory: PathBuf,
+}
+
+/// A server as a process of its own.
+pub struct Process {
+    child: Child,
+    log: Arc<Mutex<Vec<Value>>>,
+    reader: Option<JoinHandle<()>>,
+    /// Where callers are listened to.
+    pub http: SocketAddr,
+    /// Where peers are listened to.
+    pub peers: SocketAddr,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+impl TestEnv {
+    /// Starts the stand-ins of both owners and writes teams, keys and queues.
+    pub async fn start() -> Result<TestEnv> {
+        TestEnv::with_racks(&Rack::both_owners()).await
+    }
+
+    /// Starts stand-ins of some racks.
+    pub async fn with_racks(racks: &[Rack]) -> Result<TestEnv> {
+        let fleet = Fleet::start(racks)?;
+        let name = format!(
+            "azurepath-test-{}-{}",
+            std::process::id(),
+            fleet.address().port()
+        );
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)?;
+        let env = TestEnv { fleet, directory };
+        env.write(&resources()).await?;
+        Ok(env)
+    }
+
+    /// Writes resources straight into the table.
+    pub async fn write(&self, resources: &[Resource]) -> Result<()> {
+        let table = Table::new(self.fleet.address());
+        let mut transaction = Transaction::default();
+        for resource in resources {
+            transaction.writes.push(Write {
+                key: format!("resource/{}/{}", resource.kind(), resource.name()),
+                value: Some(serde_json::to_value(resource)?),
+            });
+        }
+        table.transact(transaction).await?;
+        Ok(())
+    }
+
+    /// Returns the settings of a server; `more` is appended.
+    pub fn settings(&self, name: &str, domain: &str, region: &str, more: &str) -> String {
+        let platform = self.fleet.address();
+        format!(
+            "[server]\nname = {name}\nregion = {region}\nfailure_domain = {domain}\n\
+             http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\n\
+             [platform]\ntable = {platform}\nobjects = {platform}\ninstances = {platform}\n\n{more}"
+        )
+    }
+
+    /// Starts a server process in a failure domain and waits until it listens.
+    pub async fn server(&self, name: &str, domain: &str, region: &str) -> Result<Process> {
+        self.server_with(
+            name,
+            domain,
+            region,
+            "[timing]\nlinger = 100ms\ninstances = 100ms\n",
+        )
+        .await
+    }
+
+    /// Starts a server process with more settings.
+    pub async fn server_with(
+        &self,
+        name: &str,
+        domain: &str,
+        region: &str,
+        more: &str,
+    ) -> Result<Process> {
+        let path = self.directory.join(format!("{name}.ini"));
+        std::fs::write(&path, self.settings(name, domain, region, more))?;
+        Process::start(&path).await
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        // A directory that stays behind harms no later test.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl Process {
+    async fn start(settings: &std::path::Path) -> Result<Process> {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_azurepath"))
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let stderr = child.stderr.take().context("no standard error stream")?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = log.clone();
+        let reader = std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let event = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                lines.lock().expect("no panic under the lock").push(event);
+            }
+        });
+        let mut process = Process {
+            child,
+            log,
+            reader: Some(reader),
+            http: SocketAddr::from(([127, 0, 0, 1], 0)),
+            peers: SocketAddr::from(([127, 0, 0, 1], 0)),
+        };
+        let event = loop {
+            if let Some(event) = process.logged("listening") {
+                break event;
+            }
+            if let Some(status) = process.child.try_wait()? {
+                return Err(anyhow!(
+                    "the server ended with {status}: {:?}",
+                    process.log()
+                ));
+            }
+            tokio::time::sleep(LOOK).await;
+        };
+        let address = |key: &str| event[key].as_str().unwrap_or_default().parse();
+        process.http = address("http")?;
+        process.peers = address("peers")?;
+        Ok(process)
+    }
+
+    /// Returns all log lines so far.
+    pub fn log(&self) -> Vec<Value> {
+        self.log.lock().expect("no panic under the lock").clone()
+    }
+
+    /// Returns the first log line with a message.
+    pub fn logged(&self, message: &str) -> Option<Value> {
+        self.log().into_iter().find(|event| event["msg"] == message)
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.id().to_string())
+            .status()?;
+        status.success().then_some(()).context("the signal failed")
+    }
+
+    /// Waits for the end of the process.
+    pub async fn wait(&mut self) -> Result<ExitStatus> {
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Asks the process to stop and waits for its end.
+    pub async fn stop(&mut self) -> Result<ExitStatus> {
+        self.signal("TERM")?;
+        self.wait().await
+    }
+
+    /// Returns the dump of the process.
+    pub async fn dump(&self) -> Result<Value> {
+        Ok(get(self.http, "/dump").await?.json())
+    }
+
+    /// Waits until the server knows a revision and takes part in placing.
+    pub async fn ready(&self) -> Result<()> {
+        loop {
+            let dump = self.dump().await?;
+            let knows = dump["revision"].as_u64() > Some(0);
+            let owned = dump["view"]["racks"]
+                .as_object()
+                .is_some_and(|racks| !racks.is_empty());
+            if knows && owned {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Submits to a queue.
+    pub async fn submit(
+        &self,
+        queue: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer> {
+        post(
+            self.http,
+            &format!("/v1/queues/{queue}/requests"),
+            body,
+            headers,
+        )
+        .await
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+}
+
+/// Sends a GET over a connection of its own.
+pub async fn get(address: SocketAddr, path: &str) -> Result<Answer> {
+    call(address, http::Method::GET, path, "", &[]).await
+}
+
+/// Sends a POST over a connection of its own.
+pub async fn post(
+    address: SocketAddr,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> Result<Answer> {
+    call(address, http::Method::POST, path, body, headers).await
+}
+
+async fn call(
+    address: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> Result<Answer> {
+    let client = ClientBuilder::new().build()?;
+    let uri = format!("http://{address}{path}");
+    let mut request = client.request(method, uri).data(body.to_owned());
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let response = request.send().await?;
+    let (parts, body) = response.into_parts();
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body
+            .collect()
+            .await
+            .map_err(|error| anyhow!("{error}"))?
+            .to_bytes(),
+    })
+}
+
+/// Waits until a condition holds.
+pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    while !holds().await {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn key(token: &str, team: &str) -> Resource {
+    let name = token.split('.').next().unwrap_or_default();
+    let digest = Sha256::digest(token.as_bytes());
+    Resource::Key(Key {
+        name: name.into(),
+        team: Some(team.into()),
+        hash: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        withdrawn: false,
+    })
+}
+
+fn queue(name: &str, class: Class, idempotent: bool, open_to: Option<&str>) -> Resource {
+    Resource::Queue(Queue {
+        name: name.into(),
+        open_to: open_to.map(Into::into),
+        class,
+        size: Size {
+            millicores: 1_000,
+            memory_mib: 256,
+            accelerators: 0,
+            slots: 1,
+        },
+        estimate_ms: 20,
+        idempotent,
+    })
+}
+
+/// Two teams, their keys, and the queues `pairing` (urgent), `sweep` and `order` (non-idempotent).
+pub fn resources() -> Vec<Resource> {
+    let limit = Size {
+        millicores: 200_000,
+        memory_mib: 400_000,
+        accelerators: 16,
+        slots: 64,
+    };
+    let team = |name: &str, account: &str| {
+        Resource::Team(Team {
+            name: name.into(),
+            account: account.into(),
+            share: 1,
+            limit,
+        })
+    };
+    vec![
+        team("audit", "lumenbruecke"),
+        team("ice", "barafu-pwani"),
+        key(AUDIT, "audit"),
+        key(ICE, "ice"),
+        queue("pairing", Class::Urgent, true, None),
+        queue("audits", Class::Batch, true, None),
+        queue("sweep", Class::Batch, false, None),
+        queue("order", Class::Urgent, false, None),
+        queue("open", Class::Urgent, true, Some("audit")),
+    ]
+}
