--- a/crates/server/src/process/engine/calls.rs
+++ b/crates/server/src/process/engine/calls.rs
@@ -121,11 +121,18 @@
         });
     }
 
-    pub(super) fn interrupt(&mut self, place: Place, epoch: u64, attempt: Attempt, how: Interrupt) {
+    pub(super) fn interrupt(
+        &mut self,
+        place: &Place,
+        epoch: u64,
+        attempt: Attempt,
+        how: Interrupt,
+    ) {
         let workers = self.workers.clone();
+        let address = place.address;
         self.running.spawn(async move {
             // A lost interruption shows as an attempt that runs on, which the machine sees.
-            let _ = workers.interrupt(place.address, epoch, attempt, how).await;
+            let _ = workers.interrupt(address, epoch, attempt, how).await;
             Returned::Interrupted
         });
     }
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -67,6 +67,13 @@
     halt: CancellationToken,
 }
 
+/// Where a listed worker is.
+#[derive(Clone, Debug)]
+struct Contact {
+    address: SocketAddr,
+    rack: Name,
+}
+
 /// The task that owns the machine.
 pub struct Engine {
     /// The server's name and the seed of the machine.
@@ -103,6 +110,7 @@
             answers: Map::default(),
             holds: BTreeMap::new(),
             leases: BTreeMap::new(),
+            contacts: Map::default(),
             renewals: JoinSet::new(),
         };
         state.serve(messages, halt).await;
@@ -122,6 +130,7 @@
     answers: Map<Attempt, Bytes>,
     holds: BTreeMap<Id, oneshot::Sender<Hold>>,
     leases: BTreeMap<Name, Lease>,
+    contacts: Map<Name, Contact>,
     renewals: JoinSet<()>,
 }
 
@@ -134,6 +143,7 @@
         let mut ticks = tokio::time::interval(self.engine.timing.tick);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(BATCH);
+        self.read_contacts();
         loop {
             tokio::select! {
                 () = halt.cancelled() => return,
@@ -141,12 +151,17 @@
                     if taken == 0 {
                         return;
                     }
+                    // A message may name a worker that has just been listed.
+                    if self.engine.instances.has_changed().unwrap_or(false) {
+                        self.read_contacts();
+                    }
                     batch.drain(..).for_each(|message| self.take(message));
                 }
                 Some(returned) = self.calls.next(), if self.calls.count() > 0 => {
                     self.returned(returned);
                 }
                 Some(_) = self.renewals.join_next(), if !self.renewals.is_empty() => {}
+                Ok(()) = self.engine.instances.changed() => self.read_contacts(),
                 _ = ticks.tick() => self.tell(Event::Tick),
             }
         }
@@ -239,7 +254,7 @@
                 how,
             } => {
                 if let Some((place, epoch)) = self.leased(&worker) {
-                    self.calls.interrupt(place, epoch, attempt, how);
+                    self.calls.interrupt(&place, epoch, attempt, how);
                 }
             }
             Action::Probe { worker } => match self.leased(&worker) {
@@ -434,15 +449,12 @@
 
     /// Begins to renew a worker under a new epoch.
     fn renew(&mut self, worker: Name, epoch: u64) {
-        let Some(instance) = self.instance(&worker) else {
-            return;
-        };
-        let Some(spec) = instance.worker() else {
+        let Some(contact) = self.contacts.get(&worker).cloned() else {
             return;
         };
         let renewer = Renewer {
             worker: worker.clone(),
-            address: instance.address,
+            address: contact.address,
             claim: self.claim_terms(epoch),
             interval: self.engine.timing.renewal,
             calls: self.engine.workers.clone(),
@@ -453,7 +465,7 @@
         self.renewals.spawn(renewer.run(halt.clone()));
         let lease = Lease {
             epoch,
-            rack: spec.rack,
+            rack: contact.rack,
             halt,
         };
         if let Some(old) = self.leases.insert(worker, lease) {
@@ -480,20 +492,22 @@
         Some((place, epoch))
     }
 
-    fn instance(&self, worker: &Name) -> Option<Instance> {
-        let instances = self.engine.instances.borrow();
-        instances
-            .iter()
-            .find(|instance| instance.name == *worker)
-            .cloned()
+    fn address(&self, worker: &Name) -> Option<SocketAddr> {
+        self.contacts.get(worker).map(|contact| contact.address)
     }
 
-    fn address(&self, worker: &Name) -> Option<SocketAddr> {
-        let instances = self.engine.instances.borrow();
-        instances
-            .iter()
-            .find(|instance| instance.name == *worker)
-            .map(|instance| instance.address)
+    fn read_contacts(&mut self) {
+        let instances = self.engine.instances.borrow_and_update().clone();
+        for instance in instances.iter() {
+            let Some(spec) = instance.worker() else {
+                continue;
+            };
+            let contact = Contact {
+                address: instance.address,
+                rack: spec.rack,
+            };
+            self.contacts.insert(spec.name, contact);
+        }
     }
 
     fn dump(&self) -> Value {
--- a/crates/server/src/process/router.rs
+++ b/crates/server/src/process/router.rs
@@ -269,7 +269,7 @@
                 server,
                 resume,
             } => self.send(call, request, &server, resume),
-            Action::Cancel { call, server } => self.send_cancel(call, server),
+            Action::Cancel { call, server } => self.send_cancel(call, &server),
             Action::Answer { request, verdict } => self.answer(request, verdict),
         }
     }
@@ -303,12 +303,12 @@
         });
     }
 
-    fn send_cancel(&mut self, call: Call, server: Name) {
-        if server == self.task.setup.server {
+    fn send_cancel(&mut self, call: Call, server: &Name) {
+        if *server == self.task.setup.server {
             self.task.engine.cancel(call.request);
             return;
         }
-        let peer = self.task.view.borrow().servers.get(&server).cloned();
+        let peer = self.task.view.borrow().servers.get(server).cloned();
         if let Some(peer) = peer {
             self.task.peers.cancel(peer, call.request);
         }
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -93,7 +93,7 @@
             faults: vec![Fault {
                 line: error.line,
                 key: "syntax".to_owned(),
-                problem: error.msg.to_string(),
+                problem: format!("the line can't be read (column {})", error.col),
                 remedy: "write `[section]` and `key = value` lines".to_owned(),
             }],
         })?;
--- a/crates/server/tests/request_path.rs
+++ b/crates/server/tests/request_path.rs
@@ -28,6 +28,9 @@
     Ok(())
 }
 
+/// A queue, the headers, the status and the kind of the refusal.
+type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], u16, &'a str);
+
 #[tokio::test]
 async fn typed_refusals() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
@@ -35,7 +38,7 @@
     server.ready().await?;
     let key = bearer(ICE);
     let wrong = bearer("ice-1.wrong");
-    let cases: [(&str, &[(&str, &str)], u16, &str); 6] = [
+    let cases: [Case<'_>; 6] = [
         ("pairing", &[], 401, "key_missing"),
         ("pairing", &[("authorization", &wrong)], 401, "key_invalid"),
         ("nowhere", &[("authorization", &key)], 404, "queue"),
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A fleet of stand-ins with servers as processes of their own.
 
-#![allow(dead_code, clippy::missing_panics_doc, clippy::missing_errors_doc)]
+#![allow(dead_code, unreachable_pub, missing_docs)]
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -66,7 +66,8 @@
 ///
 /// Returns [`Error::Length`] where the frame is longer than [`BODY_LIMIT`].
 pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
-    let body = bincode::serde::encode_to_vec(frame, config::standard()).map_err(unreadable)?;
+    let body = bincode::serde::encode_to_vec(frame, config::standard())
+        .map_err(|error| unreadable(&error))?;
     if body.len() > BODY_LIMIT {
         return Err(Error::Length { length: body.len() });
     }
@@ -184,14 +185,15 @@
 
 fn decode(body: &[u8]) -> Result<Frame, Error> {
     let config = config::standard().with_limit::<BODY_LIMIT>();
-    let (frame, read) = bincode::serde::decode_from_slice(body, config).map_err(unreadable)?;
+    let (frame, read) =
+        bincode::serde::decode_from_slice(body, config).map_err(|error| unreadable(&error))?;
     if read != body.len() {
-        return Err(unreadable("bytes are left over"));
+        return Err(unreadable(&"bytes are left over"));
     }
     Ok(frame)
 }
 
-fn unreadable(detail: impl ToString) -> Error {
+fn unreadable(detail: &impl ToString) -> Error {
     Error::Body {
         detail: detail.to_string(),
     }
--- /dev/null
+++ b/crates/wire/tests/frame_codec.rs
@@ -0,0 +1,230 @@
+//! The codec of frames: round trips, and bytes that are no frames.
+
+use azurepath_decide::size::Size;
+use azurepath_decide::verdict::Reason;
+use azurepath_wire::VERSION;
+use azurepath_wire::codec::{self, BODY_LIMIT, Decoder, Error, HEAD_LENGTH};
+use azurepath_wire::frame::{Beat, Chunk, Document, End, Fate, Frame, Target, Task, Verdict};
+use bytes::Bytes;
+use proptest::prelude::*;
+
+/// The seed and number of cases are fixed, so that each run has the same verdict.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+fn size() -> impl Strategy<Value = Size> {
+    any::<[u64; 4]>().prop_map(|[millicores, memory_mib, accelerators, slots]| Size {
+        millicores,
+        memory_mib,
+        accelerators,
+        slots,
+    })
+}
+
+prop_compose! {
+    fn task()(
+        rack in ".{0,20}",
+        team in ".{0,20}",
+        numbers in any::<(u64, u128, u8, u64, u64, bool)>(),
+        gang in any::<Option<u128>>(),
+        size in size(),
+    ) -> Task {
+        let (epoch, id, class, estimate_us, patience_us, idempotent) = numbers;
+        Task {
+            rack, epoch, id, team: team.clone(), kind: team, class, size,
+            estimate_us, patience_us, idempotent, gang,
+        }
+    }
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        any::<Option<u64>>().prop_map(|retry_after_us| Fate::NotRun {
+            reason: Reason::Overload,
+            retry_after_us,
+        }),
+        any::<u32>().prop_map(|attempt| Fate::Unknown { attempt }),
+        (any::<u32>(), ".{0,12}", ".{0,12}").prop_map(|(attempt, worker, outcome)| Fate::Ran {
+            attempt,
+            worker,
+            outcome,
+        }),
+    ]
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    prop_oneof![
+        task().prop_map(Frame::Submit),
+        task().prop_map(Frame::Resume),
+        any::<u128>().prop_map(|id| Frame::Cancel(Target { id })),
+        (any::<u128>(), any::<u32>(), any::<Vec<u8>>()).prop_map(|(id, attempt, data)| {
+            let data = Bytes::from(data);
+            Frame::Chunk(Chunk { id, attempt, data })
+        }),
+        (any::<u128>(), any::<u32>(), any::<u64>(), any::<u32>()).prop_map(
+            |(id, attempt, length, checksum)| Frame::End(End {
+                id,
+                attempt,
+                length,
+                checksum,
+            })
+        ),
+        (any::<u128>(), fate()).prop_map(|(id, fate)| Frame::Verdict(Verdict { id, fate })),
+        ".{0,200}".prop_map(|json| Frame::Summary(Document { json })),
+        (".{0,20}", any::<u64>(), any::<u64>()).prop_map(|(server, incarnation, revision)| {
+            Frame::Beat(Beat {
+                server,
+                incarnation,
+                revision,
+            })
+        }),
+        Just(Frame::Done),
+    ]
+}
+
+/// Gives all frames of a decoder up to the first error.
+fn drain(decoder: &mut Decoder) -> (Vec<Frame>, Option<Error>) {
+    let mut frames = Vec::new();
+    loop {
+        match decoder.frame() {
+            Ok(Some(frame)) => frames.push(frame),
+            Ok(None) => return (frames, None),
+            Err(error) => return (frames, Some(error)),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn round_trip(frames in proptest::collection::vec(frame(), 0..8), piece in 1_usize..64) {
+        let mut decoder = Decoder::new();
+        let mut bytes = Vec::new();
+        for frame in &frames {
+            bytes.extend_from_slice(&codec::encode(frame)?);
+        }
+        let mut read = Vec::new();
+        for part in bytes.chunks(piece) {
+            decoder.push(part);
+            let (more, error) = drain(&mut decoder);
+            prop_assert_eq!(error, None);
+            read.extend(more);
+        }
+        prop_assert_eq!(read, frames);
+        prop_assert_eq!(decoder.finish(), Ok(()));
+    }
+
+    #[test]
+    fn arbitrary_bytes(bytes in any::<Vec<u8>>(), piece in 1_usize..64) {
+        let mut decoder = Decoder::new();
+        for part in bytes.chunks(piece) {
+            decoder.push(part);
+            // Whatever comes of it, it is no panic.
+            let _ = drain(&mut decoder);
+        }
+    }
+
+    #[test]
+    fn arbitrary_body(body in any::<Vec<u8>>()) {
+        let mut bytes = b"AZPT".to_vec();
+        bytes.extend_from_slice(&VERSION.to_be_bytes());
+        bytes.extend_from_slice(&u32::try_from(body.len())?.to_be_bytes());
+        bytes.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+        bytes.extend_from_slice(&body);
+        let mut decoder = Decoder::new();
+        decoder.push(&bytes);
+        let (frames, error) = drain(&mut decoder);
+        prop_assert!(frames.len() <= 1);
+        prop_assert!(frames.len() == 1 || error.is_some());
+    }
+
+    #[test]
+    fn changed_byte(frame in frame(), place in any::<prop::sample::Index>(), bit in 0_u8..8) {
+        let mut bytes = codec::encode(&frame)?.to_vec();
+        let place = place.index(bytes.len());
+        bytes[place] ^= 1 << bit;
+        let mut decoder = Decoder::new();
+        decoder.push(&bytes);
+        let (frames, error) = drain(&mut decoder);
+        // A length that grew waits for more; nothing else may come out of changed bytes.
+        prop_assert!(frames.is_empty());
+        prop_assert!(error.is_some() || decoder.finish() == Err(Error::Cut));
+    }
+
+    #[test]
+    fn cut_anywhere(frame in frame(), end in any::<prop::sample::Index>()) {
+        let bytes = codec::encode(&frame)?;
+        let end = end.index(bytes.len());
+        let mut decoder = Decoder::new();
+        decoder.push(&bytes[..end]);
+        prop_assert_eq!(decoder.frame(), Ok(None));
+        let expected = if end == 0 { Ok(()) } else { Err(Error::Cut) };
+        prop_assert_eq!(decoder.finish(), expected);
+    }
+}
+
+/// The bytes of a harmless frame with its head changed.
+fn with_head(change: impl FnOnce(&mut [u8])) -> Decoder {
+    let mut bytes = codec::encode(&Frame::Done).expect("it is short").to_vec();
+    change(&mut bytes[..HEAD_LENGTH]);
+    let mut decoder = Decoder::new();
+    decoder.push(&bytes);
+    decoder
+}
+
+#[test]
+fn wrong_version() {
+    let mut decoder = with_head(|head| head[4..6].copy_from_slice(&9_u16.to_be_bytes()));
+    assert_eq!(decoder.frame(), Err(Error::Version { version: 9 }));
+    assert_eq!(decoder.frame(), Err(Error::Version { version: 9 }));
+}
+
+#[test]
+fn wrong_magic() {
+    let mut decoder = with_head(|head| head[0] = b'G');
+    assert_eq!(decoder.frame(), Err(Error::Magic));
+}
+
+#[test]
+fn lying_length() {
+    let length = BODY_LIMIT + 1;
+    let mut decoder = with_head(|head| {
+        let lie = u32::try_from(length).expect("it fits");
+        head[6..10].copy_from_slice(&lie.to_be_bytes());
+    });
+    assert_eq!(decoder.frame(), Err(Error::Length { length }));
+}
+
+/// A chunk inside a frame whose own length claims more than the frame holds.
+#[test]
+fn lying_inner_length() {
+    let chunk = Frame::Chunk(Chunk {
+        id: 1,
+        attempt: 1,
+        data: Bytes::from_static(b"abc"),
+    });
+    let bytes = codec::encode(&chunk).expect("it is short");
+    let mut body = bytes[HEAD_LENGTH..].to_vec();
+    let place = body.len() - 4;
+    assert_eq!(body[place], 3);
+    // bincode writes lengths up to 250 as one byte and marks an eight-byte length with 253.
+    body.splice(
+        place..=place,
+        [253].into_iter().chain(u64::MAX.to_le_bytes()),
+    );
+    let mut lie = b"AZPT".to_vec();
+    lie.extend_from_slice(&VERSION.to_be_bytes());
+    lie.extend_from_slice(&u32::try_from(body.len()).expect("it fits").to_be_bytes());
+    lie.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+    lie.extend_from_slice(&body);
+    let mut decoder = Decoder::new();
+    decoder.push(&lie);
+    assert!(matches!(decoder.frame(), Err(Error::Body { .. })));
+}
