Rack ownership as a pure machine

Heartbeats of one row per server, rack rows changed by compare-and-set with an epoch that only grows, death judged by the member's own row moving in the table while the other's stands still, rendezvous hashing with the rack's failure domain first, and handover to a named successor.

Each test was seen failing with its rule taken out: misses counted by reads alone (outage_moves_nothing and 7 others), an epoch that does not grow (paused_owner), a stop that does not wait for the successor (planned_stop), an owner that does not drop what its rows no longer give it (paused_owner, cut_off), a claim from a live owner (paused_owner), the failure domain left out (domain_first).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod name;
+pub mod ownership;
 pub mod rack;
 pub mod request;
 pub mod resource;
--- /dev/null
+++ b/crates/decide/src/ownership/peer.rs
@@ -0,0 +1,110 @@
+//! What a member has seen of the other servers.
+
+use std::collections::BTreeMap;
+
+use super::row::{Heartbeat, Stored};
+use crate::fleet::{Owner, Server};
+use crate::name::Name;
+
+/// One other server as seen by a member.
+#[derive(Debug)]
+struct Peer {
+    stored: Stored<Heartbeat>,
+    /// The member's own heartbeats seen since the row last moved.
+    missed: u32,
+    /// The member's own heartbeats seen since the process appeared.
+    age: u32,
+}
+
+/// All other servers as seen by a member.
+#[derive(Debug)]
+pub(super) struct Peers {
+    misses: u32,
+    peers: BTreeMap<Name, Peer>,
+}
+
+impl Peers {
+    /// Makes an empty set; a server is dead after `misses` missed heartbeats.
+    pub(super) fn new(misses: u32) -> Peers {
+        Peers {
+            misses,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the rows of all other servers; `advanced` tells whether the member's own row has
+    /// moved since the last time.
+    pub(super) fn observe(&mut self, rows: BTreeMap<Name, Stored<Heartbeat>>, advanced: bool) {
+        self.peers.retain(|name, _| rows.contains_key(name));
+        for (name, stored) in rows {
+            match self.peers.get_mut(&name) {
+                Some(peer) => peer.observe(stored, advanced),
+                None => {
+                    let peer = Peer {
+                        stored,
+                        missed: 0,
+                        age: 0,
+                    };
+                    self.peers.insert(name, peer);
+                }
+            }
+        }
+    }
+
+    /// Returns the live servers.
+    pub(super) fn live(&self) -> impl Iterator<Item = &Server> {
+        self.peers
+            .values()
+            .filter(|peer| peer.missed < self.misses)
+            .map(|peer| &peer.stored.row.server)
+    }
+
+    /// Tells whether the process that owns a rack is live.
+    pub(super) fn owns(&self, owner: &Owner) -> bool {
+        self.live()
+            .any(|server| server.name == owner.server && server.incarnation == owner.incarnation)
+    }
+
+    /// Tells whether a server is live and about to stay.
+    pub(super) fn stays(&self, name: &Name) -> bool {
+        self.live()
+            .any(|server| server.name == *name && !server.leaving)
+    }
+
+    /// Tells whether a server has been live for at least `beats` of the member's heartbeats.
+    pub(super) fn is_steady(&self, name: &Name, beats: u32) -> bool {
+        self.peers
+            .get(name)
+            .is_some_and(|peer| peer.missed < self.misses && peer.age >= beats)
+    }
+
+    /// Returns rows of servers that have been dead for `beats` more of the member's heartbeats.
+    pub(super) fn long_dead(&self, beats: u32) -> Vec<(Name, u64)> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.missed >= self.misses + beats)
+            .map(|(name, peer)| (name.clone(), peer.stored.revision))
+            .collect()
+    }
+}
+
+impl Peer {
+    fn observe(&mut self, stored: Stored<Heartbeat>, advanced: bool) {
+        if stored.revision < self.stored.revision {
+            return;
+        }
+        let moved = stored.revision > self.stored.revision;
+        if stored.row.server.incarnation != self.stored.row.server.incarnation {
+            self.age = 0;
+        }
+        self.stored = stored;
+        if moved {
+            self.missed = 0;
+        } else if advanced {
+            self.missed = self.missed.saturating_add(1);
+        }
+        if advanced {
+            self.age = self.age.saturating_add(1);
+        }
+    }
+}
