--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -31,6 +31,9 @@
     },
     /// The table has taken new allotments of an owned rack.
     Allot(rack::Allotted),
+    /// A limit was lowered: the rack is to hold no more than this, or as little as what runs there
+    /// allows; answered by a demand.
+    Reclaim(rack::Demand),
     /// The instance list names a live worker.
     Join(worker::Spec),
     /// A worker is leaving, by the instance list or its own word.
--- a/crates/decide/src/rack.rs
+++ b/crates/decide/src/rack.rs
@@ -35,6 +35,9 @@
 }
 
 /// A wish to change what a rack holds of a team's limit.
+///
+/// From the moment that a smaller amount is wanted the rack uses no more than that, since the change
+/// may take effect though its answer is lost.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// The rack.
