--- /dev/null
+++ b/crates/decide/src/allotment/escrow.rs
@@ -0,0 +1,240 @@
+//! The machine that turns the demands of one server's racks into transactions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{Limit, Plan, plan};
+use crate::name::Name;
+use crate::ownership::{Outcome, Rack, Stored};
+use crate::rack::Demand;
+use crate::size::Size;
+use crate::time::Time;
+
+/// What an escrow is made with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Setup {
+    /// The least time between two transactions.
+    pub interval: Duration,
+    /// The time after which a demand that found no room is tried again.
+    pub retry: Duration,
+    /// The time between two looks at the limits of teams that the racks hold parts of.
+    pub review: Duration,
+}
+
+/// One input of an escrow.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The owner's machine wants racks to hold other parts.
+    Demand(Vec<Demand>),
+    /// The answer to [`Action::Read`]; none where the table could not be read.
+    Read(Option<BTreeMap<Name, Stored<Limit>>>),
+    /// The answer to [`Action::Write`].
+    Wrote(Outcome),
+    /// Limits have changed.
+    Changed,
+    /// Time has passed.
+    Tick,
+}
+
+/// One output of an escrow.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read the rows of limits; answered by one [`Event::Read`].
+    Read {
+        /// The teams.
+        teams: BTreeSet<Name>,
+    },
+    /// Write rows; answered by one [`Event::Wrote`].
+    Write(Plan),
+    /// A limit was lowered: a rack is to hold no more than its part of the new one.
+    Reclaim(Demand),
+}
+
+/// What the escrow waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Idle,
+    Reading,
+    Writing,
+}
+
+/// The machine.
+#[derive(Debug)]
+pub struct Escrow {
+    setup: Setup,
+    stage: Stage,
+    wants: BTreeMap<(Name, Name), Size>,
+    /// Whether a demand came since the last round.
+    fresh: bool,
+    /// When the last round ended.
+    ended: Option<Time>,
+    review: Time,
+}
+
+impl Escrow {
+    /// Makes an escrow without demands.
+    pub fn new(setup: Setup) -> Escrow {
+        Escrow {
+            setup,
+            stage: Stage::Idle,
+            wants: BTreeMap::new(),
+            fresh: false,
+            ended: None,
+            review: Time(0),
+        }
+    }
+
+    /// Takes one event and appends what is to be done; `racks` are the rows of the racks that this
+    /// process owns, as last read or written.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        event: Event,
+        racks: &BTreeMap<Name, Stored<Rack>>,
+        actions: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::Demand(demands) => self.demand(demands),
+            Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
+            Event::Wrote(outcome) => self.wrote(now, outcome),
+            Event::Changed => {
+                self.review = now;
+                self.fresh = true;
+            }
+            Event::Tick => {}
+        }
+        self.begin(now, racks, actions);
+    }
+
+    fn demand(&mut self, demands: Vec<Demand>) {
+        for demand in demands {
+            let earlier = self.wants.insert((demand.rack, demand.team), demand.want);
+            self.fresh |= earlier != Some(demand.want);
+        }
+    }
+
+    /// Begins a round by reading the limits that it needs.
+    fn begin(
+        &mut self,
+        now: Time,
+        racks: &BTreeMap<Name, Stored<Rack>>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.stage != Stage::Idle || now < self.due() {
+            return;
+        }
+        self.drop_met(racks);
+        let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        if now >= self.review {
+            let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
+            teams.extend(held.cloned());
+        }
+        if teams.is_empty() {
+            return;
+        }
+        self.stage = Stage::Reading;
+        self.fresh = false;
+        actions.push(Action::Read { teams });
+    }
+
+    /// Returns when the next round may begin.
+    fn due(&self) -> Time {
+        let wait = if self.fresh {
+            self.setup.interval
+        } else {
+            self.setup.retry
+        };
+        self.ended.map_or(Time(0), |ended| ended.after(wait))
+    }
+
+    /// Forgets demands that are met, and those of racks owned no more.
+    fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
+        self.wants.retain(|(rack, team), want| {
+            racks.get(rack).is_some_and(|stored| {
+                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
+                have != *want
+            })
+        });
+    }
+
+    fn read(
+        &mut self,
+        now: Time,
+        limits: Option<&BTreeMap<Name, Stored<Limit>>>,
+        racks: &BTreeMap<Name, Stored<Rack>>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.stage = Stage::Idle;
+        self.ended = Some(now);
+        let Some(limits) = limits else {
+            return;
+        };
+        if now >= self.review {
+            self.review = now.after(self.setup.review);
+            self.reclaim(limits, racks, actions);
+        }
+        let demands: Vec<Demand> = self
+            .wants
+            .iter()
+            .map(|((rack, team), want)| Demand {
+                rack: rack.clone(),
+                team: team.clone(),
+                want: *want,
+            })
+            .collect();
+        let plan = plan(&demands, limits, racks);
+        if !plan.is_empty() {
+            self.stage = Stage::Writing;
+            actions.push(Action::Write(plan));
+        }
+    }
+
+    /// Asks racks for their part of what is held above a lowered limit.
+    fn reclaim(
+        &self,
+        limits: &BTreeMap<Name, Stored<Limit>>,
+        racks: &BTreeMap<Name, Stored<Rack>>,
+        actions: &mut Vec<Action>,
+    ) {
+        for (team, limit) in limits.iter().filter(|(_, limit)| !limit.row.is_in_force()) {
+            for (rack, stored) in racks {
+                let Some(have) = stored.row.allotments.get(team) else {
+                    continue;
+                };
+                let want = lowered(have, &limit.row);
+                if want != *have {
+                    actions.push(Action::Reclaim(Demand {
+                        rack: rack.clone(),
+                        team: team.clone(),
+                        want,
+                    }));
+                }
+            }
+        }
+    }
+
+    fn wrote(&mut self, now: Time, outcome: Outcome) {
+        self.stage = Stage::Idle;
+        self.ended = Some(now);
+        // After any other outcome the rows are read again before the next plan.
+        self.fresh |= matches!(outcome, Outcome::Done { .. } | Outcome::Conflict);
+    }
+}
+
+/// Returns a rack's part of a lowered limit, in proportion to what it holds of the former one.
+fn lowered(have: &Size, limit: &Limit) -> Size {
+    let scale = |have: u64, limit: u64, held: u64| {
+        if held <= limit {
+            return have;
+        }
+        let part = u128::from(have) * u128::from(limit) / u128::from(held);
+        u64::try_from(part).unwrap_or(u64::MAX)
+    };
+    let Limit { limit, held } = limit;
+    Size {
+        millicores: scale(have.millicores, limit.millicores, held.millicores),
+        memory_mib: scale(have.memory_mib, limit.memory_mib, held.memory_mib),
+        accelerators: scale(have.accelerators, limit.accelerators, held.accelerators),
+        slots: scale(have.slots, limit.slots, held.slots),
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! and get the same result.
 
 pub mod action;
+pub mod allotment;
 pub mod attempt;
 pub mod cell;
 pub mod class;
--- a/crates/decide/tests/ownership.rs
+++ b/crates/decide/tests/ownership.rs
@@ -176,13 +176,8 @@
                     .expect("it is known");
             }
             Action::Notify { server, .. } => queue.push((server.to_string(), Event::Hint)),
-            Action::Stopped => self.processes.get_mut(name).expect("it is known").stopped = true,
-            Action::Superseded => {
-                self.processes
-                    .get_mut(name)
-                    .expect("it is known")
-                    .superseded = true
-            }
+            Action::Stopped => self.process(name).stopped = true,
+            Action::Superseded => self.process(name).superseded = true,
             Action::View(_) | Action::Allot(_) => {}
         }
     }
