--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod action;
 pub mod allotment;
 pub mod attempt;
+pub mod candidate;
 pub mod cell;
 pub mod class;
 pub mod config;
@@ -18,6 +19,8 @@
 pub mod rack;
 pub mod request;
 pub mod resource;
+pub mod retry;
+pub mod route;
 pub mod share;
 pub mod size;
 pub mod time;
