--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! and get the same result.
 
 pub mod action;
+pub mod allotment;
 pub mod attempt;
 pub mod candidate;
 pub mod cell;
@@ -16,6 +17,7 @@
 pub mod gang;
 pub mod ledger;
 pub mod name;
+pub mod ownership;
 pub mod policy;
 pub mod queue;
 pub mod rack;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -191,7 +191,7 @@
     Ok(frame)
 }
 
-fn unreadable(detail: impl ToString) -> Error {
+fn unreadable(detail: impl std::fmt::Display) -> Error {
     Error::Body {
         detail: detail.to_string(),
     }
