--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -145,7 +145,8 @@
             } => self.ended(attempt, &worker, outcome),
             Event::Lost { attempt, worker } => self.lost(attempt, &worker),
             Event::Peer(summary) => self.teams.hear(summary),
-            Event::Report(_)
+            Event::Reclaim(_)
+            | Event::Report(_)
             | Event::Probed { .. }
             | Event::Reserve(_)
             | Event::Commit { .. }
--- /dev/null
+++ b/crates/server/tests/graceful_stop.rs
@@ -0,0 +1,100 @@
+//! The graceful stop.
+
+mod support;
+
+use std::time::Duration;
+
+use azurepath_server::process::stop::{Inflight, Phase, drain};
+use support::{AUDIT, TestEnv, get, until};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Longer than the some 30 s after which the HTTP library's own stop gives up.
+const LONG: Duration = Duration::from_secs(3_600);
+
+#[tokio::test(start_paused = true)]
+async fn long_request() {
+    let phase = watch::Sender::new(Phase::Serving);
+    let (_membership, mut handed_over) = watch::channel(true);
+    let inflight = Inflight::default();
+    let guard = inflight.enter();
+    let begun = Instant::now();
+    let request = tokio::spawn(async move {
+        tokio::time::sleep(LONG).await;
+        drop(guard);
+    });
+    drain(&phase, &mut handed_over, &inflight, LINGER).await;
+    assert_eq!(begun.elapsed(), LONG);
+    assert_eq!(*phase.borrow(), Phase::Closing);
+    request.await.expect("the request ends");
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_handover() {
+    let phase = watch::Sender::new(Phase::Serving);
+    let mut seen = phase.subscribe();
+    let (membership, mut handed_over) = watch::channel(false);
+    let inflight = Inflight::default();
+    let begun = Instant::now();
+    let handover = tokio::spawn(async move {
+        tokio::time::sleep(LONG).await;
+        let before = *seen.borrow_and_update();
+        membership.send_replace(true);
+        before
+    });
+    drain(&phase, &mut handed_over, &inflight, LINGER).await;
+    assert_eq!(begun.elapsed(), LONG);
+    assert_eq!(handover.await.expect("it ends"), Phase::Leaving);
+}
+
+#[tokio::test]
+async fn answer_before_exit() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut server = env.server("s1", "zrh-a", "ch-north").await?;
+    server.ready().await?;
+    assert_eq!(get(server.http, "/readyz").await?.status, 200);
+
+    let key = format!("Bearer {AUDIT}");
+    let headers = [("authorization", key.as_str())];
+    let body = r#"{"run_ms": 1500, "answer": "late but whole"}"#;
+    let request = server.submit("audits", body, &headers);
+    let stop = async {
+        until(async || {
+            env.fleet
+                .records()
+                .iter()
+                .any(|(_, record)| !record.begun.is_empty())
+        })
+        .await;
+        server.signal("TERM")?;
+        until(async || server.logged("stopping").is_some()).await;
+        get(server.http, "/readyz").await
+    };
+    let (answer, ready) = tokio::join!(request, stop);
+
+    assert_eq!(ready?.status, 503);
+    let answer = answer?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(answer.text(), "late but whole");
+    assert!(server.wait().await?.success());
+    assert!(server.logged("stopped").is_some());
+    Ok(())
+}
+
+#[tokio::test]
+async fn hangup_ignored() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut server = env.server("s1", "zrh-a", "ch-north").await?;
+    server.ready().await?;
+    let key = format!("Bearer {AUDIT}");
+    let headers = [("authorization", key.as_str())];
+    server.signal("HUP")?;
+    for _ in 0..20 {
+        let answer = server.submit("pairing", "still here", &headers).await?;
+        assert_eq!(answer.text(), "still here");
+    }
+    assert!(server.stop().await?.success());
+    Ok(())
+}
