--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -239,7 +239,7 @@
                 how,
             } => {
                 if let Some((place, epoch)) = self.leased(&worker) {
-                    self.calls.interrupt(place, epoch, attempt, how);
+                    self.calls.interrupt(place.address, epoch, attempt, how);
                 }
             }
             Action::Probe { worker } => match self.leased(&worker) {
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -232,7 +232,7 @@
             setup: cell::Setup {
                 server: name,
                 seed,
-                policy: azurepath_decide::policy::Policy::Fair,
+                policy: Default::default(),
             },
             clock: process.clock,
             timing,
