--- a/crates/server/src/process/engine/calls.rs
+++ b/crates/server/src/process/engine/calls.rs
@@ -123,12 +123,13 @@
 
     pub(super) fn interrupt(
         &mut self,
-        address: SocketAddr,
+        place: &Place,
         epoch: u64,
         attempt: Attempt,
         how: Interrupt,
     ) {
         let workers = self.workers.clone();
+        let address = place.address;
         self.running.spawn(async move {
             // A lost interruption shows as an attempt that runs on, which the machine sees.
             let _ = workers.interrupt(address, epoch, attempt, how).await;
