--- a/crates/decide/src/resource.rs
+++ b/crates/decide/src/resource.rs
@@ -125,6 +125,9 @@
     pub replicas: u32,
     /// The size of each task.
     pub size: Size,
+    /// What each task is given; empty for a document that lets it run until it is stopped.
+    #[serde(default)]
+    pub payload: String,
 }
 
 /// A job: tasks that each run once to their end.
@@ -150,6 +153,9 @@
     /// Whether its tasks may be attempted again after an unknown fate.
     #[serde(default = "yes")]
     pub idempotent: bool,
+    /// What each task is given; empty for a document that names the declared run time.
+    #[serde(default)]
+    pub payload: String,
 }
 
 fn yes() -> bool {
