--- /dev/null
+++ b/crates/decide/src/job/gang.rs
@@ -0,0 +1,366 @@
+//! Gangs: places are collected rack by rack in a fixed order, and all members start or none.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::home::{Call, Home};
+use super::{Action, Work};
+use crate::attempt::Outcome;
+use crate::gang::Ask;
+use crate::name::Name;
+use crate::request::{self, Request};
+use crate::time::Time;
+use crate::verdict::Verdict;
+
+/// How long places are held for a gang.
+const HOLD: Duration = Duration::from_secs(5);
+
+/// How long before the end of a hold a start is no longer worth the risk.
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// The bounds of the pause after a round that found too few places or was undone.
+const ROUND_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
+
+/// The members of a gang that one rack is asked for or holds.
+#[derive(Clone, Debug)]
+struct Part {
+    gang: request::Id,
+    rack: Name,
+    server: Name,
+    members: Vec<u32>,
+}
+
+/// The places that a gang is collecting.
+#[derive(Clone, Debug)]
+pub(super) struct Reserving {
+    /// Racks that are not asked yet, in the order that all gangs keep to.
+    racks: VecDeque<Name>,
+    asked: Option<Part>,
+    held: Vec<Part>,
+    missing: Vec<u32>,
+    expires: Time,
+    /// Whether all places are held and their write is awaited.
+    complete: bool,
+}
+
+impl Home {
+    /// Does for a gang what can be done now.
+    pub(super) fn advance_gang(
+        &mut self,
+        now: Time,
+        job: &Name,
+        work: &Work,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(slot) = self.slots.get(job) else {
+            return;
+        };
+        if slot.state.finished {
+            return;
+        }
+        if slot.undoing || slot.state.failed > 0 {
+            return self.undo(now, job, actions);
+        }
+        if let Some(reserving) = &slot.reserving {
+            if !reserving.complete && reserving.expires <= now {
+                self.fall_short(now, job, actions);
+            }
+            return;
+        }
+        let ended = slot.state.done >= work.tasks();
+        let may_begin = slot.state.active.is_empty() && !ended && slot.round_after <= now;
+        if may_begin && self.starts.take(now, 1.0) {
+            self.begin_round(now, job, work, actions);
+        }
+    }
+
+    fn begin_round(&mut self, now: Time, job: &Name, work: &Work, actions: &mut Vec<Action>) {
+        // Every gang asks in the order of the racks' names, so no two wait for each other in a ring.
+        let racks = self.view.racks.keys().cloned().collect();
+        let salt = self.setup.incarnation;
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        slot.state.round += 1;
+        slot.state.salt = salt;
+        slot.state.done = 0;
+        slot.reserving = Some(Reserving {
+            racks,
+            asked: None,
+            held: Vec::new(),
+            missing: (0..work.tasks()).collect(),
+            expires: now.after(HOLD),
+            complete: false,
+        });
+        self.ask(now, job, work, actions);
+    }
+
+    /// Asks the next rack for the members that have no place yet.
+    fn ask(&mut self, now: Time, job: &Name, work: &Work, actions: &mut Vec<Action>) {
+        loop {
+            let Some(slot) = self.slots.get_mut(job) else {
+                return;
+            };
+            let Some(reserving) = &mut slot.reserving else {
+                return;
+            };
+            let Some(rack) = reserving.racks.pop_front() else {
+                return self.fall_short(now, job, actions);
+            };
+            let Some((target, server)) = self.field.owner(&rack) else {
+                continue;
+            };
+            if server.leaving {
+                continue;
+            }
+            let gang = slot.state.part_id(job, &rack);
+            let member = |index: &u32| Request {
+                gang: Some(gang),
+                target: Some(target.clone()),
+                ..work.request(slot.state.task_id(job, *index, slot.state.round))
+            };
+            let ask = Ask {
+                gang,
+                members: reserving.missing.iter().map(member).collect(),
+                expires: reserving.expires,
+            };
+            reserving.asked = Some(Part {
+                gang,
+                rack,
+                server: server.name.clone(),
+                members: reserving.missing.clone(),
+            });
+            self.asks.insert(gang, (job.clone(), server.name.clone()));
+            actions.push(Action::Reserve {
+                ask,
+                server: server.name.clone(),
+            });
+            return;
+        }
+    }
+
+    /// Takes the places that an owner holds.
+    pub(super) fn held(
+        &mut self,
+        now: Time,
+        gang: request::Id,
+        members: &[request::Id],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((job, server)) = self.asks.remove(&gang) else {
+            return;
+        };
+        let Some(mut part) = self.take_asked(&job, gang) else {
+            actions.push(Action::Release { gang, server });
+            return;
+        };
+        let Some((_, work)) = self.work.get(&job).cloned() else {
+            return;
+        };
+        let Some(slot) = self.slots.get_mut(&job) else {
+            return;
+        };
+        let round = slot.state.round;
+        let id = |index: &u32| slot.state.task_id(&job, *index, round);
+        part.members.retain(|index| members.contains(&id(index)));
+        let placed = part.members.clone();
+        let Some(reserving) = &mut slot.reserving else {
+            return;
+        };
+        reserving.missing.retain(|index| !placed.contains(index));
+        let complete = reserving.missing.is_empty();
+        if !placed.is_empty() {
+            reserving.held.push(part.clone());
+        }
+        self.expect(&job, &work, &part, actions);
+        if complete {
+            self.complete(&job);
+        } else {
+            self.ask(now, &job, &work, actions);
+        }
+    }
+
+    fn take_asked(&mut self, job: &Name, gang: request::Id) -> Option<Part> {
+        let reserving = self.slots.get_mut(job)?.reserving.as_mut()?;
+        let asked = reserving.asked.take_if(|part| part.gang == gang)?;
+        Some(asked)
+    }
+
+    /// Tells an owner the payloads of the members that it holds places for.
+    fn expect(&mut self, job: &Name, work: &Work, part: &Part, actions: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get(job) else {
+            return;
+        };
+        let target = self.field.owner(&part.rack).map(|(target, _)| target);
+        for index in &part.members {
+            let id = slot.state.task_id(job, *index, slot.state.round);
+            let request = Request {
+                gang: Some(part.gang),
+                target: target.clone(),
+                ..work.request(id)
+            };
+            let call = Call {
+                job: job.clone(),
+                index: *index,
+                server: part.server.clone(),
+            };
+            self.calls.insert(id, call);
+            actions.push(Action::Expect {
+                request,
+                payload: work.payload(),
+                server: part.server.clone(),
+            });
+        }
+    }
+
+    /// Writes the places of all members down; they start once that is written.
+    fn complete(&mut self, job: &Name) {
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        let Some(reserving) = &mut slot.reserving else {
+            return;
+        };
+        reserving.complete = true;
+        let held = reserving.held.clone();
+        let round = slot.state.round;
+        for part in held {
+            for index in part.members {
+                slot.place(index, round, 0, part.rack.clone());
+            }
+        }
+    }
+
+    /// Starts a gang whose places are written down, unless the holds are about to expire.
+    pub(super) fn commit(&mut self, now: Time, job: &Name, actions: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        let complete = slot.reserving.take_if(|reserving| reserving.complete);
+        let Some(reserving) = complete else {
+            return;
+        };
+        if now.after(MARGIN) > reserving.expires {
+            // No commit was sent, so no member runs.
+            for part in &reserving.held {
+                for index in &part.members {
+                    slot.remove(*index);
+                }
+            }
+            slot.reserving = Some(reserving);
+            return self.fall_short(now, job, actions);
+        }
+        slot.shortfalls = 0;
+        for part in reserving.held {
+            actions.push(Action::Commit {
+                gang: part.gang,
+                server: part.server,
+            });
+        }
+    }
+
+    /// Gives all places back and lets other gangs go first for a random while.
+    fn fall_short(&mut self, now: Time, job: &Name, actions: &mut Vec<Action>) {
+        self.give_back(job, actions);
+        let shortfalls = self.slots.get(job).map_or(0, |slot| slot.shortfalls) + 1;
+        let pause = self.pause(ROUND_PAUSE.0, ROUND_PAUSE.1, shortfalls);
+        if let Some(slot) = self.slots.get_mut(job) {
+            slot.shortfalls = shortfalls;
+            slot.round_after = now.after(pause);
+        }
+    }
+
+    /// Gives the places back that a gang was collecting.
+    pub(super) fn give_back(&mut self, job: &Name, actions: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        let Some(reserving) = slot.reserving.take() else {
+            return;
+        };
+        let round = slot.state.round;
+        for part in reserving.asked.into_iter().chain(reserving.held) {
+            self.asks.remove(&part.gang);
+            for index in part.members {
+                self.calls.remove(&slot.state.task_id(job, index, round));
+            }
+            actions.push(Action::Release {
+                gang: part.gang,
+                server: part.server,
+            });
+        }
+    }
+
+    /// Handles a reservation without an answer: what it may hold is given back.
+    pub(super) fn unheld(&mut self, now: Time, gang: request::Id, actions: &mut Vec<Action>) {
+        let Some((job, server)) = self.asks.remove(&gang) else {
+            return;
+        };
+        actions.push(Action::Release { gang, server });
+        if self.take_asked(&job, gang).is_none() {
+            return;
+        }
+        if let Some((_, work)) = self.work.get(&job).cloned() {
+            self.ask(now, &job, &work, actions);
+        }
+    }
+
+    /// Takes the verdict on a member; any but a good end undoes the whole gang.
+    pub(super) fn judge_member(
+        &mut self,
+        now: Time,
+        job: &Name,
+        index: u32,
+        work: &Work,
+        verdict: &Verdict,
+    ) {
+        if self.later(now, job, index, verdict) {
+            return;
+        }
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        slot.remove(index);
+        let state = &mut slot.state;
+        let first = !slot.undoing;
+        match verdict {
+            Verdict::Ran {
+                outcome: Outcome::Done,
+                ..
+            } => state.done += 1,
+            Verdict::Ran {
+                outcome: Outcome::Failed,
+                ..
+            } => {
+                slot.undoing = true;
+                state.failures += u32::from(first);
+                state.failed += u32::from(state.failures > work.retries());
+            }
+            Verdict::Unknown { .. } if !work.idempotent() => {
+                slot.undoing = true;
+                state.unknown += 1;
+                state.failed += 1;
+            }
+            Verdict::Ran { .. } | Verdict::NotRun { .. } | Verdict::Unknown { .. } => {
+                slot.undoing = true;
+            }
+        }
+    }
+
+    /// Stops the members that run, and lets the gang begin anew once none does.
+    fn undo(&mut self, now: Time, job: &Name, actions: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get_mut(job) else {
+            return;
+        };
+        if slot.state.active.is_empty() && slot.state.failed == 0 {
+            slot.undoing = false;
+            slot.state.done = 0;
+            slot.dirty = true;
+            return self.fall_short(now, job, actions);
+        }
+        let indexes: Vec<u32> = slot.state.active.keys().copied().collect();
+        for index in indexes {
+            self.cancel(job, index, actions);
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod fleet;
 pub mod gang;
+pub mod job;
 pub mod name;
 pub mod rack;
 pub mod request;
--- /dev/null
+++ b/crates/decide/tests/jobs/world.rs
@@ -0,0 +1,466 @@
+//! A table, racks and servers just large enough to drive homes of jobs.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use azurepath_decide::attempt::{Attempt, Outcome};
+use azurepath_decide::candidate::Site;
+use azurepath_decide::fleet::{Owner, Server, View};
+use azurepath_decide::job::{Action, Event, Fate, Home, Row, Setup, State, Work};
+use azurepath_decide::name::Name;
+use azurepath_decide::request::{Id, Request};
+use azurepath_decide::time::Time;
+use azurepath_decide::verdict::{Reason, Verdict};
+
+/// The step of time.
+const STEP: Duration = Duration::from_millis(50);
+
+/// What the next writes of the table meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The answer is lost after the write took effect.
+    LostAfter,
+    /// The write is lost.
+    LostBefore,
+    /// The write is surely not taken.
+    Down,
+}
+
+/// A rack with its owner.
+#[derive(Debug, Default)]
+pub(crate) struct Rack {
+    /// How many tasks it holds.
+    pub(crate) room: usize,
+    /// Running tasks with the servers that wait for their verdicts and their ends.
+    pub(crate) running: BTreeMap<Id, (Name, Time)>,
+    holds: BTreeMap<Id, (Vec<Id>, Time)>,
+    expected: BTreeMap<Id, Name>,
+    never: BTreeSet<Id>,
+    ended: BTreeSet<Id>,
+}
+
+impl Rack {
+    fn free(&self) -> usize {
+        let held: usize = self.holds.values().map(|(members, _)| members.len()).sum();
+        self.room - self.running.len() - held
+    }
+}
+
+/// The world.
+pub(crate) struct World {
+    /// The time.
+    pub(crate) now: Time,
+    /// The live servers.
+    pub(crate) homes: BTreeMap<Name, Home>,
+    /// The rows by job.
+    pub(crate) table: BTreeMap<Name, (u64, State)>,
+    /// The racks.
+    pub(crate) racks: BTreeMap<Name, Rack>,
+    /// Each start: when, which, and on which rack.
+    pub(crate) starts: Vec<(Time, Id, Name)>,
+    /// Tasks that ran at the same time on two racks.
+    pub(crate) twice: Vec<Id>,
+    /// When each write reached the table.
+    pub(crate) writes: Vec<Time>,
+    /// What the next writes meet.
+    pub(crate) faults: VecDeque<Fault>,
+    /// How long tasks run.
+    pub(crate) run: Duration,
+    /// How tasks end.
+    pub(crate) outcome: Outcome,
+    /// Members that the next commit fails to start.
+    pub(crate) stillborn: usize,
+    /// Whether the next server that writes dies before it hears of it.
+    pub(crate) die_on_write: bool,
+    view: View,
+    revision: u64,
+    work: Vec<(u64, Work)>,
+    events: VecDeque<(Name, Event)>,
+}
+
+impl World {
+    /// Makes servers s1 to s3 that own racks r1 to r3 with `room` tasks each.
+    pub(crate) fn new(room: usize) -> World {
+        let mut world = World {
+            now: Time::from_millis(1_000),
+            homes: BTreeMap::new(),
+            table: BTreeMap::new(),
+            racks: BTreeMap::new(),
+            starts: Vec::new(),
+            twice: Vec::new(),
+            writes: Vec::new(),
+            faults: VecDeque::new(),
+            run: Duration::from_secs(2),
+            outcome: Outcome::Done,
+            stillborn: 0,
+            die_on_write: false,
+            view: View::default(),
+            revision: 0,
+            work: Vec::new(),
+            events: VecDeque::new(),
+        };
+        for number in 1..=3_u64 {
+            world.add(number, room);
+        }
+        world
+    }
+
+    fn add(&mut self, number: u64, room: usize) {
+        let name: Name = format!("s{number}").into();
+        let rack: Name = format!("r{number}").into();
+        let server = Server {
+            name: name.clone(),
+            incarnation: number,
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: "zrh-a".into(),
+            region: "ch-north".into(),
+            leaving: false,
+        };
+        let owner = Owner {
+            server: name.clone(),
+            incarnation: number,
+            epoch: 1,
+        };
+        let setup = Setup {
+            server: name.clone(),
+            incarnation: number,
+            site: Site {
+                failure_domain: "zrh-a".into(),
+                region: "ch-north".into(),
+            },
+            seed: number,
+        };
+        self.view.servers.insert(name.clone(), server);
+        self.view.racks.insert(rack.clone(), owner);
+        let filled = Rack {
+            room,
+            ..Rack::default()
+        };
+        self.racks.insert(rack, filled);
+        self.homes.insert(name, Home::new(setup));
+    }
+
+    /// Puts documents in force.
+    pub(crate) fn configure(&mut self, work: Vec<Work>) {
+        self.revision += 1;
+        self.work = work.into_iter().map(|work| (self.revision, work)).collect();
+        self.tell_all();
+    }
+
+    fn tell_all(&mut self) {
+        for name in self.homes.keys() {
+            let configure = Event::Configure {
+                revision: self.revision,
+                work: self.work.clone(),
+            };
+            let view = Event::View(self.view.clone());
+            self.events.push_back((name.clone(), view));
+            self.events.push_back((name.clone(), configure));
+        }
+    }
+
+    /// Returns the server that is home to a job.
+    pub(crate) fn home_of(&self, job: &str) -> Name {
+        azurepath_decide::job::home(&self.view, job)
+            .expect("known to the world")
+            .clone()
+    }
+
+    /// Kills a server; another one owns its racks.
+    pub(crate) fn kill(&mut self, server: &Name) {
+        self.homes.remove(server);
+        self.view.servers.remove(server);
+        self.events.retain(|(to, _)| to != server);
+        let heir = self
+            .view
+            .servers
+            .values()
+            .next()
+            .expect("known to the world")
+            .clone();
+        for owner in self.view.racks.values_mut() {
+            if owner.server == *server {
+                owner.server = heir.name.clone();
+                owner.incarnation = heir.incarnation;
+                owner.epoch += 1;
+            }
+        }
+        self.tell_all();
+    }
+
+    /// Tells every home all rows, as a scan of the table does.
+    pub(crate) fn scan(&mut self) {
+        for name in self.homes.keys() {
+            for (job, (revision, state)) in &self.table {
+                let loaded = Event::Loaded {
+                    job: job.clone(),
+                    revision: *revision,
+                    state: Some(state.clone()),
+                };
+                self.events.push_back((name.clone(), loaded));
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run_for(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.now = self.now.after(STEP);
+            self.end_tasks();
+            for name in self.homes.keys() {
+                self.events.push_back((name.clone(), Event::Tick));
+            }
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        while let Some((name, event)) = self.events.pop_front() {
+            let Some(home) = self.homes.get_mut(&name) else {
+                continue;
+            };
+            let mut actions = Vec::new();
+            home.handle(self.now, event, &mut actions);
+            for action in actions {
+                if self.homes.contains_key(&name) {
+                    self.act(&name, action);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, name: &Name, event: Event) {
+        self.events.push_back((name.clone(), event));
+    }
+
+    fn act(&mut self, name: &Name, action: Action) {
+        match action {
+            Action::Load { job } => {
+                let row = self.table.get(&job).cloned();
+                let (revision, state) = row.map_or((0, None), |(at, state)| (at, Some(state)));
+                let loaded = Event::Loaded {
+                    job,
+                    revision,
+                    state,
+                };
+                self.tell(name, loaded);
+            }
+            Action::Write { write, rows } => {
+                let fate = self.write(rows);
+                if std::mem::take(&mut self.die_on_write) {
+                    return self.kill(name);
+                }
+                self.tell(name, Event::Wrote { write, fate });
+            }
+            Action::Submit {
+                request, resume, ..
+            } => self.submit(name, &request, resume),
+            Action::Cancel { request, .. } => self.cancel(request),
+            Action::Reserve { ask, .. } => {
+                let target = ask.members[0].target.clone().expect("known to the world");
+                let rack = self
+                    .racks
+                    .get_mut(&target.rack)
+                    .expect("known to the world");
+                let ids = ask.members.iter().map(|member| member.id);
+                let members: Vec<Id> = ids.take(rack.free()).collect();
+                rack.holds.insert(ask.gang, (members.clone(), ask.expires));
+                let gang = ask.gang;
+                self.tell(name, Event::Held { gang, members });
+            }
+            Action::Expect { request, .. } => {
+                let target = request.target.expect("known to the world");
+                let rack = self
+                    .racks
+                    .get_mut(&target.rack)
+                    .expect("known to the world");
+                rack.expected.insert(request.id, name.clone());
+            }
+            Action::Commit { gang, .. } => self.commit(gang),
+            Action::Release { gang, .. } => {
+                for rack in self.racks.values_mut() {
+                    rack.holds.remove(&gang);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, rows: Vec<Row>) -> Fate {
+        self.writes.push(self.now);
+        let fault = self.faults.pop_front();
+        match fault {
+            Some(Fault::Down) => return Fate::Unwritten,
+            Some(Fault::LostBefore) => return Fate::Unknown,
+            Some(Fault::LostAfter) | None => {}
+        }
+        for row in &rows {
+            let found = self
+                .table
+                .get(&row.job)
+                .map_or(0, |(revision, _)| *revision);
+            if found != row.revision {
+                let job = row.job.clone();
+                return Fate::Conflict { job };
+            }
+        }
+        self.revision += 1;
+        for row in rows {
+            match row.state {
+                Some(state) => self.table.insert(row.job, (self.revision, state)),
+                None => self.table.remove(&row.job),
+            };
+        }
+        if fault == Some(Fault::LostAfter) {
+            return Fate::Unknown;
+        }
+        Fate::Written {
+            revision: self.revision,
+        }
+    }
+
+    fn submit(&mut self, name: &Name, request: &Request, resume: bool) {
+        let target = request.target.clone().expect("known to the world");
+        let id = request.id;
+        let rack = self
+            .racks
+            .get_mut(&target.rack)
+            .expect("known to the world");
+        if let Some((waiter, _)) = rack.running.get_mut(&id) {
+            *waiter = name.clone();
+            return;
+        }
+        if rack.ended.contains(&id) {
+            let verdict = self.ran(id, &target.rack, self.outcome);
+            return self.tell(
+                name,
+                Event::Answered {
+                    request: id,
+                    verdict,
+                },
+            );
+        }
+        if resume || rack.never.contains(&id) || rack.free() == 0 {
+            rack.never.insert(id);
+            let verdict = not_run(Reason::Overload);
+            return self.tell(
+                name,
+                Event::Answered {
+                    request: id,
+                    verdict,
+                },
+            );
+        }
+        self.start(id, &target.rack, name);
+    }
+
+    fn start(&mut self, id: Id, rack: &Name, waiter: &Name) {
+        let elsewhere = |other: (&Name, &Rack)| other.1.running.contains_key(&id);
+        if self.racks.iter().any(elsewhere) {
+            self.twice.push(id);
+        }
+        self.starts.push((self.now, id, rack.clone()));
+        let end = self.now.after(self.run);
+        let rack = self.racks.get_mut(rack).expect("known to the world");
+        rack.running.insert(id, (waiter.clone(), end));
+    }
+
+    fn commit(&mut self, gang: Id) {
+        let names: Vec<Name> = self.racks.keys().cloned().collect();
+        for name in names {
+            let rack = self.racks.get_mut(&name).expect("known to the world");
+            let Some((members, _)) = rack.holds.remove(&gang) else {
+                continue;
+            };
+            for id in members {
+                let rack = self.racks.get_mut(&name).expect("known to the world");
+                let Some(waiter) = rack.expected.remove(&id) else {
+                    continue;
+                };
+                if self.stillborn > 0 {
+                    self.stillborn -= 1;
+                    rack.never.insert(id);
+                    let verdict = not_run(Reason::Gang);
+                    self.tell(
+                        &waiter,
+                        Event::Answered {
+                            request: id,
+                            verdict,
+                        },
+                    );
+                } else {
+                    self.start(id, &name, &waiter);
+                }
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: Id) {
+        let names: Vec<Name> = self.racks.keys().cloned().collect();
+        for name in names {
+            let rack = self.racks.get_mut(&name).expect("known to the world");
+            if let Some((waiter, _)) = rack.running.remove(&id) {
+                rack.ended.insert(id);
+                let verdict = self.ran(id, &name, Outcome::Stopped);
+                self.tell(
+                    &waiter,
+                    Event::Answered {
+                        request: id,
+                        verdict,
+                    },
+                );
+            }
+        }
+    }
+
+    fn end_tasks(&mut self) {
+        let names: Vec<Name> = self.racks.keys().cloned().collect();
+        for name in names {
+            let (now, outcome) = (self.now, self.outcome);
+            let rack = self.racks.get_mut(&name).expect("known to the world");
+            rack.holds.retain(|_, (_, expires)| *expires > now);
+            let due = rack.running.extract_if(.., |_, (_, end)| *end <= now);
+            let due: Vec<(Id, (Name, Time))> = due.collect();
+            for (id, (waiter, _)) in due {
+                self.racks
+                    .get_mut(&name)
+                    .expect("known to the world")
+                    .ended
+                    .insert(id);
+                let verdict = self.ran(id, &name, outcome);
+                self.tell(
+                    &waiter,
+                    Event::Answered {
+                        request: id,
+                        verdict,
+                    },
+                );
+            }
+        }
+    }
+
+    fn ran(&self, request: Id, rack: &Name, outcome: Outcome) -> Verdict {
+        Verdict::Ran {
+            attempt: Attempt { request, number: 1 },
+            worker: rack.clone(),
+            outcome,
+        }
+    }
+
+    /// Returns how many tasks run.
+    pub(crate) fn running(&self) -> usize {
+        self.racks.values().map(|rack| rack.running.len()).sum()
+    }
+
+    /// Returns the state of a job in the table.
+    pub(crate) fn row(&self, job: &str) -> &State {
+        &self.table[job].1
+    }
+}
+
+fn not_run(reason: Reason) -> Verdict {
+    Verdict::NotRun {
+        reason,
+        retry_after: None,
+    }
+}
