--- a/crates/decide/tests/jobs.rs
+++ b/crates/decide/tests/jobs.rs
@@ -60,6 +60,7 @@
     assert_eq!(world.row("batch/dawn").done, 6);
     assert!(world.row("batch/dawn").finished);
     assert_eq!(world.starts.len(), 6, "nothing ran a second time");
+    assert_eq!(world.twice, []);
 }
 
 #[test]
@@ -73,6 +74,18 @@
     assert_eq!(world.starts.len(), 6);
 }
 
+#[test]
+fn home_dies_unwritten() {
+    let mut world = World::new(8);
+    world.configure(vec![job("dawn", 6, false)]);
+    world.die_on_write = true;
+    world.faults.push_back(Fault::LostBefore);
+    world.run_for(secs(30));
+    assert_eq!(world.homes.len(), 2);
+    assert_eq!(world.row("batch/dawn").done, 6);
+    assert_eq!(world.starts.len(), 6);
+}
+
 #[test]
 fn gang_outlives_home() {
     let mut world = World::new(2);
@@ -112,12 +125,39 @@
     assert_eq!(world.starts.len(), 12);
 }
 
+#[test]
+fn gangs_do_not_starve() {
+    let mut world = World::new(2);
+    world.hold_delays = vec![150, 50, 100];
+    let names = ["one", "two", "three", "four"];
+    world.configure(names.iter().map(|name| job(name, 6, true)).collect());
+    world.run_for(secs(60));
+    for name in names {
+        assert!(world.row(&format!("batch/{name}")).finished, "{name}");
+    }
+}
+
+#[test]
+fn shortfall_gives_back() {
+    let mut world = World::new(2);
+    world.configure(vec![job("sheets", 7, true)]);
+    world.run_for(secs(1));
+    world.configure(vec![job("sheets", 7, true), job("dawn", 6, false)]);
+    world.run_for(secs(2));
+    assert_eq!(
+        world.running(),
+        6,
+        "no place is kept for a gang that can't start"
+    );
+}
+
 #[test]
 fn member_cannot_start() {
     let mut world = World::new(2);
     world.stillborn = 1;
     world.configure(vec![job("sheets", 6, true)]);
-    world.run_for(Duration::from_millis(500));
+    world.run_for(secs(1));
+    assert!([0, 6].contains(&world.running()), "{}", world.running());
     world.run_for(secs(30));
     assert!(world.row("batch/sheets").finished);
     assert_eq!(world.row("batch/sheets").done, 6);
@@ -200,8 +240,7 @@
     world.run_for(secs(15));
     assert_eq!(world.starts.len(), 1_200);
     let first = world.writes[0];
-    let early =
-        |time: &&_| Duration::as_secs(&azurepath_decide::time::Time::since(**time, first)) < 10;
+    let early = |time: &&Time| time.since(first) < secs(10);
     let writes = world.writes.iter().filter(early).count();
     assert!(writes <= 3 * 40, "{writes} writes of three homes in 10 s");
 }
--- a/crates/decide/tests/jobs/world.rs
+++ b/crates/decide/tests/jobs/world.rs
@@ -58,7 +58,7 @@
     pub(crate) racks: BTreeMap<Name, Rack>,
     /// Each start: when, which, and on which rack.
     pub(crate) starts: Vec<(Time, Id, Name)>,
-    /// Tasks that ran at the same time on two racks.
+    /// Tasks that ran at the same time on two racks, or were submitted twice as new.
     pub(crate) twice: Vec<Id>,
     /// When each write reached the table.
     pub(crate) writes: Vec<Time>,
@@ -72,6 +72,10 @@
     pub(crate) stillborn: usize,
     /// Whether the next server that writes dies before it hears of it.
     pub(crate) die_on_write: bool,
+    /// How long each server waits for an answer to a reservation, in milliseconds.
+    pub(crate) hold_delays: Vec<u64>,
+    submitted: BTreeSet<Id>,
+    delayed: Vec<(Time, Name, Event)>,
     view: View,
     revision: u64,
     work: Vec<(u64, Work)>,
@@ -94,6 +98,9 @@
             outcome: Outcome::Done,
             stillborn: 0,
             die_on_write: false,
+            hold_delays: vec![0; 3],
+            submitted: BTreeSet::new(),
+            delayed: Vec::new(),
             view: View::default(),
             revision: 0,
             work: Vec::new(),
@@ -208,6 +215,10 @@
         while self.now < end {
             self.now = self.now.after(STEP);
             self.end_tasks();
+            let now = self.now;
+            let due = self.delayed.extract_if(.., |(time, _, _)| *time <= now);
+            self.events
+                .extend(due.map(|(_, name, event)| (name, event)));
             for name in self.homes.keys() {
                 self.events.push_back((name.clone(), Event::Tick));
             }
@@ -267,7 +278,11 @@
                 let members: Vec<Id> = ids.take(rack.free()).collect();
                 rack.holds.insert(ask.gang, (members.clone(), ask.expires));
                 let gang = ask.gang;
-                self.tell(name, Event::Held { gang, members });
+                let number: usize = name[1..].parse().expect("a number");
+                let delay = Duration::from_millis(self.hold_delays[number - 1]);
+                let held = Event::Held { gang, members };
+                self.delayed
+                    .push((self.now.after(delay), name.clone(), held));
             }
             Action::Expect { request, .. } => {
                 let target = request.target.expect("known to the world");
@@ -322,6 +337,9 @@
     fn submit(&mut self, name: &Name, request: &Request, resume: bool) {
         let target = request.target.clone().expect("known to the world");
         let id = request.id;
+        if !resume && !self.submitted.insert(id) {
+            self.twice.push(id);
+        }
         let rack = self
             .racks
             .get_mut(&target.rack)
