--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,20 +5,27 @@
 //! and get the same result.
 
 pub mod action;
+pub mod allotment;
 pub mod attempt;
 pub mod candidate;
 pub mod cell;
 pub mod class;
 pub mod config;
 pub mod event;
+pub mod fair;
 pub mod fleet;
 pub mod gang;
 pub mod job;
+pub mod ledger;
 pub mod name;
+pub mod ownership;
+pub mod policy;
+pub mod queue;
 pub mod rack;
 pub mod request;
 pub mod resource;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod share;
 pub mod size;
