--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fair;
 pub mod fleet;
 pub mod gang;
+pub mod job;
 pub mod ledger;
 pub mod name;
 pub mod ownership;
