--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! and get the same result.
 
 pub mod action;
+pub mod allotment;
 pub mod attempt;
 pub mod candidate;
 pub mod cell;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod meter;
 pub mod name;
+pub mod ownership;
 pub mod policy;
 pub mod queue;
 pub mod rack;
