--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -21,6 +21,7 @@
 use crate::fair::Teams;
 use crate::ledger::Ledger;
 use crate::name::{Map, Name};
+use crate::placement::Spread;
 use crate::policy::Policy;
 use crate::queue::Queue;
 use crate::request;
@@ -33,7 +34,7 @@
 use timer::Timer;
 
 /// What a machine is made with.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
     /// The name of the server.
     pub server: Name,
@@ -42,6 +43,9 @@
     /// Who is served next, and where.
     #[serde(default)]
     pub policy: Policy,
+    /// The server's region, whose workers come first.
+    #[serde(default)]
+    pub region: Option<Name>,
 }
 
 /// The capacities of single workers, each once.
@@ -64,6 +68,7 @@
     room: Room,
     ceilings: Ceilings,
     queue: Queue,
+    spread: Spread,
     jobs: Map<request::Id, Job>,
     bookings: Map<Attempt, Booking>,
     sought: BTreeSet<request::Id>,
@@ -81,14 +86,14 @@
     pub fn new(setup: Setup) -> Cell {
         let rng = ChaCha8Rng::seed_from_u64(setup.seed);
         Cell {
-            setup,
             now: Time::default(),
             revision: None,
             teams: Teams::default(),
             ledger: Ledger::default(),
-            room: Room::default(),
+            room: Room::new(setup.region.clone()),
             ceilings: Ceilings::default(),
             queue: Queue::default(),
+            spread: Spread::default(),
             jobs: Map::default(),
             bookings: Map::default(),
             sought: BTreeSet::new(),
@@ -98,6 +103,7 @@
             arrivals: 0,
             asked: None,
             rng,
+            setup,
             out: Vec::new(),
         }
     }
--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -363,11 +363,21 @@
 
     /// Tells a caller that its request did not run, and forgets the request.
     pub(super) fn deny(&mut self, id: crate::request::Id, reason: Reason) {
+        self.deny_until(id, reason, None);
+    }
+
+    /// Does as [`Cell::deny`], and says when another try may be worth it.
+    pub(super) fn deny_until(
+        &mut self,
+        id: crate::request::Id,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
         self.queue.remove(id);
         self.sought.remove(&id);
         let verdict = Verdict::NotRun {
             reason,
-            retry_after: None,
+            retry_after,
         };
         self.answer(id, verdict);
         self.jobs.remove(&id);
--- a/crates/decide/src/cell/intake.rs
+++ b/crates/decide/src/cell/intake.rs
@@ -1,5 +1,7 @@
 //! Requests arrive, come again and are withdrawn.
 
+use std::time::Duration;
+
 use crate::attempt::Attempt;
 use crate::policy::Policy;
 use crate::queue::{Item, Key};
@@ -7,6 +9,7 @@
 use crate::size::Size;
 use crate::time::Time;
 use crate::verdict::Reason;
+use crate::work::Work;
 use crate::worker::Interrupt;
 
 use super::Cell;
@@ -110,6 +113,30 @@
         if self.queue.push(item) {
             self.seat(id);
         }
+        self.refuse_late(id);
+    }
+
+    /// Refuses a waiting request early whose patience the work ahead of it surely exceeds.
+    fn refuse_late(&mut self, id: request::Id) {
+        let Some(item) = self.queue.get(id).copied() else {
+            return;
+        };
+        let deadline = self.jobs[&id].request.deadline;
+        if deadline == Time::MAX || self.setup.policy != Policy::Fair {
+            return;
+        }
+        let patience = deadline.since(self.now);
+        let wait = self.queue.ahead(&item).span(&self.reach(item.team));
+        if wait > patience || !self.could_hold(&item.size) {
+            self.deny_until(id, Reason::Overload, Some(wait));
+        }
+    }
+
+    /// Returns the most that a team could ever use here at a time.
+    fn reach(&self, team: usize) -> Size {
+        let own = self.teams.own();
+        let limit = self.teams.get(team).limit;
+        limit.map_or(own, |limit| Size::min(&limit, &own))
     }
 
     fn item(&self, id: request::Id) -> Item {
@@ -118,11 +145,19 @@
             Policy::Fair => job.request.deadline,
             Policy::FirstFit | Policy::RandomTwo => Time::default(),
         };
+        let size = booked(&job.request.size);
+        let served = self.could_hold(&size);
+        let span = if served {
+            job.request.estimate
+        } else {
+            Duration::ZERO
+        };
         Item {
             id,
             class: job.request.class,
             team: job.team,
-            size: booked(&job.request.size),
+            size,
+            work: Work::of(&size, span),
             key: Key {
                 deadline,
                 arrival: job.arrival,
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -7,8 +7,11 @@
 use crate::action::Action;
 use crate::attempt::Attempt;
 use crate::class::Class;
+use crate::placement::{self, Find};
 use crate::policy::Policy;
+use crate::queue::Item;
 use crate::request;
+use crate::room::Worker;
 use crate::size::Size;
 use crate::time::Time;
 
@@ -21,30 +24,44 @@
         let Some(item) = self.queue.get(id).copied() else {
             return;
         };
-        if let Some(worker) = self.choose(item.team, &item.size) {
+        if let Some(worker) = self.choose(&item) {
             self.start(id, worker);
         }
     }
 
-    fn choose(&mut self, team: usize, size: &Size) -> Option<usize> {
-        if self.setup.policy == Policy::RandomTwo {
-            return self.choose_random(team, size);
-        }
+    fn choose(&mut self, item: &Item) -> Option<usize> {
+        let size = &item.size;
         let ledger = &self.ledger;
-        let chosen = self.room.first(size, |worker| {
-            size.fits(&ledger.account(worker.rack, team).rest())
-        });
-        if chosen.is_none() {
-            self.pass(team);
+        let allowed = |worker: &Worker| {
+            let rest = ledger.account(worker.rack, item.team).rest();
+            size.fits(&rest)
+        };
+        let find = match (self.setup.policy, item.class) {
+            (Policy::FirstFit, _) => self.room.first(size, allowed),
+            (Policy::RandomTwo, _) => return self.choose_random(item),
+            (Policy::Fair, Class::Service) => {
+                let kind = &self.jobs[&item.id].request.kind;
+                self.spread.thinnest(&self.room, kind, size, allowed)
+            }
+            (Policy::Fair, _) => placement::tightest(&self.room, size, allowed),
+        };
+        match find {
+            Find::Worker(worker) => Some(worker),
+            Find::NoRoom => None,
+            Find::NotAllowed => {
+                self.pass(item.team);
+                None
+            }
         }
-        chosen
     }
 
-    fn choose_random(&mut self, team: usize, size: &Size) -> Option<usize> {
-        let fits = |worker: &crate::room::Worker| {
+    fn choose_random(&mut self, item: &Item) -> Option<usize> {
+        let fits = |worker: &Worker| {
             worker.is_open()
-                && size.fits(&worker.free())
-                && size.fits(&self.ledger.account(worker.rack, team).rest())
+                && item.size.fits(&worker.free())
+                && item
+                    .size
+                    .fits(&self.ledger.account(worker.rack, item.team).rest())
         };
         let open: Vec<usize> = self
             .room
@@ -53,7 +70,7 @@
             .map(|(index, _)| index)
             .collect();
         if open.is_empty() {
-            self.pass(team);
+            self.pass(item.team);
             return None;
         }
         let one = open[self.rng.random_range(0..open.len())];
@@ -186,6 +203,11 @@
         self.ledger
             .book(rack, booking.team, &booking.size, self.now);
         self.teams.add(booking.team, &booking.size);
+        if booking.class == Class::Service {
+            let worker = booking.worker;
+            self.spread
+                .add(&booking.kind, worker, self.room.get(worker));
+        }
         self.bookings.insert(attempt, booking);
     }
 
@@ -199,6 +221,11 @@
             self.dirty.extend(self.room.rack(rack));
         }
         self.teams.remove(booking.team, &booking.size);
+        if booking.class == Class::Service {
+            let worker = booking.worker;
+            self.spread
+                .remove(&booking.kind, worker, self.room.get(worker));
+        }
         self.dirty.insert(booking.worker);
         Some(booking)
     }
--- a/crates/decide/src/fair.rs
+++ b/crates/decide/src/fair.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Returns the capacity of the own workers.
+    pub fn own(&self) -> Size {
+        self.own
+    }
+
     /// Takes another owner's summary, unless a newer one is known.
     pub fn hear(&mut self, summary: Summary) {
         let known = self.peers.get(&summary.server);
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -10,6 +10,7 @@
 use crate::request;
 use crate::size::Size;
 use crate::time::Time;
+use crate::work::{Schedule, Work};
 
 /// How many sizes of one class and team have a lane of their own.
 const EXACT_LANES: usize = 32;
@@ -36,6 +37,8 @@
     pub size: Size,
     /// Its order.
     pub key: Key,
+    /// The work that it is.
+    pub work: Work,
 }
 
 /// Requests of about one size.
@@ -55,6 +58,7 @@
 #[derive(Debug, Default)]
 struct Line {
     lanes: BTreeMap<Size, Lane>,
+    schedule: Schedule,
 }
 
 impl Line {
@@ -122,6 +126,7 @@
         let lane = line.lanes.entry(size).or_default();
         let fresh = lane.waiting.is_empty() || size != item.size;
         lane.waiting.insert(item.key, (item.id, item.size));
+        line.schedule.add(item.key.deadline, &item.work);
         let sum = &mut self.waiting[item.team];
         *sum = sum.plus(&item.size);
         self.spots.insert(item.id, Spot { item, lane: size });
@@ -138,6 +143,7 @@
                 line.lanes.remove(&size);
             }
         }
+        line.schedule.remove(item.key.deadline, &item.work);
         let sum = &mut self.waiting[item.team];
         *sum = sum.minus(&item.size);
         Some(item)
@@ -166,6 +172,31 @@
             .filter_map(Lane::head)
     }
 
+    /// Returns the work of an item's own team that is surely served before it.
+    pub fn ahead(&self, item: &Item) -> Work {
+        let mut sum = Work::default();
+        for (class, lines) in self.lines.iter().enumerate().take(item.class as usize + 1) {
+            let Some(line) = lines.get(item.team) else {
+                continue;
+            };
+            let work = if class == item.class as usize {
+                line.schedule.before(item.key.deadline)
+            } else {
+                line.schedule.total()
+            };
+            sum = sum.plus(&work);
+        }
+        sum
+    }
+
+    /// Returns all work that waits.
+    pub fn total(&self) -> Work {
+        let lines = self.lines.iter().flatten();
+        lines.fold(Work::default(), |sum, line| {
+            sum.plus(&line.schedule.total())
+        })
+    }
+
     /// Returns all waiting requests in the order of their ids.
     pub fn ids(&self) -> Vec<request::Id> {
         let mut ids: Vec<_> = self.spots.keys().copied().collect();
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::Attempt;
 use crate::name::{Map, Name};
+use crate::placement::{Find, Index};
 use crate::size::Size;
 use crate::time::Time;
 use crate::worker::Spec;
@@ -62,9 +63,38 @@
     workers: Vec<Worker>,
     names: Map<Name, usize>,
     racks: Vec<Vec<usize>>,
+    region: Option<Name>,
+    index: Index,
 }
 
 impl Room {
+    /// Makes a room whose workers in `region` come first.
+    pub fn new(region: Option<Name>) -> Room {
+        Room {
+            region,
+            ..Room::default()
+        }
+    }
+
+    /// Returns the workers by what is free on them.
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// Tells whether a worker stands in another region than the server.
+    pub fn is_remote(&self, worker: &Worker) -> bool {
+        let region = self.region.as_ref();
+        region.is_some_and(|region| *region != worker.spec.region)
+    }
+
+    fn note(&mut self, worker: usize) {
+        let known = &self.workers[worker];
+        let free = known.free();
+        let remote = self.is_remote(known);
+        let state = known.open.then_some((&free, &known.spec.capacity, remote));
+        self.index.put(worker, state);
+    }
+
     /// Takes a worker as listed and returns its index and whether it is new.
     pub fn join(&mut self, spec: Spec, rack: usize) -> (usize, bool) {
         if let Some(&worker) = self.names.get(&spec.name) {
@@ -122,28 +152,44 @@
 
     /// Books an amount for an attempt.
     pub fn book(&mut self, worker: usize, attempt: Attempt, size: &Size) {
-        let worker = &mut self.workers[worker];
-        worker.booked = worker.booked.plus(size);
-        worker.attempts.insert(attempt);
+        let known = &mut self.workers[worker];
+        known.booked = known.booked.plus(size);
+        known.attempts.insert(attempt);
+        self.note(worker);
     }
 
     /// Gives an amount back.
     pub fn free(&mut self, worker: usize, attempt: Attempt, size: &Size) {
-        let worker = &mut self.workers[worker];
-        worker.booked = worker.booked.minus(size);
-        worker.attempts.remove(&attempt);
+        let known = &mut self.workers[worker];
+        known.booked = known.booked.minus(size);
+        known.attempts.remove(&attempt);
+        self.note(worker);
     }
 
     /// Works out anew whether attempts may be started on a worker.
     pub fn refresh(&mut self, worker: usize, owned: bool) {
-        let worker = &mut self.workers[worker];
-        let usable = !worker.leaving && !worker.gone && !worker.broken;
-        worker.open = owned && usable && worker.hold == Hold::Claimed;
+        let known = &mut self.workers[worker];
+        let usable = !known.leaving && !known.gone && !known.broken;
+        known.open = owned && usable && known.hold == Hold::Claimed;
+        self.note(worker);
     }
 
-    /// Returns the first worker that has room and passes `allowed`.
-    pub fn first(&self, size: &Size, allowed: impl Fn(&Worker) -> bool) -> Option<usize> {
-        let fits = |worker: &Worker| worker.open && size.fits(&worker.free()) && allowed(worker);
-        self.workers.iter().position(fits)
+    /// Finds the first worker that has room and passes `allowed`.
+    pub fn first(&self, size: &Size, allowed: impl Fn(&Worker) -> bool) -> Find {
+        let mut refused = false;
+        for (index, worker) in self.iter() {
+            if !worker.open || !size.fits(&worker.free()) {
+                continue;
+            }
+            if allowed(worker) {
+                return Find::Worker(index);
+            }
+            refused = true;
+        }
+        if refused {
+            Find::NotAllowed
+        } else {
+            Find::NoRoom
+        }
     }
 }
--- /dev/null
+++ b/crates/decide/src/work.rs
@@ -0,0 +1,120 @@
+//! Amounts of work: sizes times the spans for which they are taken.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::size::Size;
+use crate::time::Time;
+
+/// Resource-microseconds of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Of thousandths of a processor core.
+    pub millicores: u128,
+    /// Of mebibytes of memory.
+    pub memory_mib: u128,
+    /// Of accelerators.
+    pub accelerators: u128,
+}
+
+impl Work {
+    /// Returns the work of holding `size` for `span`.
+    pub fn of(size: &Size, span: Duration) -> Work {
+        let micros = span.as_micros();
+        let each = |amount: u64| u128::from(amount).saturating_mul(micros);
+        Work {
+            millicores: each(size.millicores),
+            memory_mib: each(size.memory_mib),
+            accelerators: each(size.accelerators),
+        }
+    }
+
+    /// Adds in every resource, saturating.
+    #[must_use]
+    pub fn plus(&self, other: &Work) -> Work {
+        self.zip(other, u128::saturating_add)
+    }
+
+    /// Subtracts in every resource, stopping at zero.
+    #[must_use]
+    pub fn minus(&self, other: &Work) -> Work {
+        self.zip(other, u128::saturating_sub)
+    }
+
+    /// Returns the shortest span in which `capacity` could do the work.
+    pub fn span(&self, capacity: &Size) -> Duration {
+        let part = |work: u128, of: u64| match (work, of) {
+            (0, _) => 0,
+            (_, 0) => u64::MAX,
+            _ => u64::try_from(work / u128::from(of)).unwrap_or(u64::MAX),
+        };
+        let micros = part(self.millicores, capacity.millicores)
+            .max(part(self.memory_mib, capacity.memory_mib))
+            .max(part(self.accelerators, capacity.accelerators));
+        Duration::from_micros(micros)
+    }
+
+    fn zip(&self, other: &Work, join: impl Fn(u128, u128) -> u128) -> Work {
+        Work {
+            millicores: join(self.millicores, other.millicores),
+            memory_mib: join(self.memory_mib, other.memory_mib),
+            accelerators: join(self.accelerators, other.accelerators),
+        }
+    }
+}
+
+/// How many bits of a time each level of [`Schedule`] leaves out.
+const SHIFTS: [u32; 4] = [20, 26, 32, 38];
+
+/// Sums of work by deadline, in buckets that grow by 64 from about a second.
+///
+/// A sum over all that is due earlier reads at most 64 buckets of each level but the last.
+#[derive(Debug, Default)]
+pub struct Schedule {
+    levels: [BTreeMap<u64, Work>; 4],
+}
+
+impl Schedule {
+    /// Adds work that is due at a time.
+    pub fn add(&mut self, due: Time, work: &Work) {
+        for (level, shift) in self.levels.iter_mut().zip(SHIFTS) {
+            let sum = level.entry(due.0 >> shift).or_default();
+            *sum = sum.plus(work);
+        }
+    }
+
+    /// Takes work away again.
+    pub fn remove(&mut self, due: Time, work: &Work) {
+        for (level, shift) in self.levels.iter_mut().zip(SHIFTS) {
+            let bucket = due.0 >> shift;
+            let left = level.get(&bucket).map(|sum| sum.minus(work));
+            match left {
+                Some(left) if left != Work::default() => level.insert(bucket, left),
+                _ => level.remove(&bucket),
+            };
+        }
+    }
+
+    /// Returns the sum of all work that is due surely earlier.
+    pub fn before(&self, due: Time) -> Work {
+        let mut sum = Work::default();
+        for (index, (level, shift)) in self.levels.iter().zip(SHIFTS).enumerate() {
+            let bucket = due.0 >> shift;
+            let from = SHIFTS
+                .get(index + 1)
+                .map_or(0, |above| (due.0 >> above) << (above - shift));
+            for work in level.range(from..bucket).map(|(_, work)| work) {
+                sum = sum.plus(work);
+            }
+        }
+        sum
+    }
+
+    /// Returns the sum of all work.
+    pub fn total(&self) -> Work {
+        let last = self.levels[SHIFTS.len() - 1].values();
+        last.fold(Work::default(), |sum, work| sum.plus(work))
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/limits.rs
@@ -0,0 +1,105 @@
+//! No team runs more than its racks hold of its upper limit.
+
+mod support;
+
+use azurepath_decide::action::Action;
+use azurepath_decide::attempt::Outcome;
+use azurepath_decide::event::Event;
+use azurepath_decide::policy::Policy;
+use azurepath_decide::rack::{Allotted, Demand};
+use azurepath_decide::size::Size;
+use support::*;
+
+fn demands(actions: &[Action]) -> Vec<Demand> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Allot { demands } => Some(demands.clone()),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+}
+
+fn allotted(epoch: u64, size: Size) -> Event {
+    Event::Allot(Allotted {
+        rack: "r1".into(),
+        epoch,
+        allotments: [("a".into(), size)].into(),
+    })
+}
+
+fn bench(held: Size) -> Bench {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1), team("b", 1)]);
+    bench.gain("r1", 1, held);
+    bench.add("w0", "r1", machine());
+    bench.add("w1", "r1", machine());
+    bench
+}
+
+#[test]
+fn allotment_bounds_starts() {
+    for policy in [Policy::Fair, Policy::FirstFit, Policy::RandomTwo] {
+        let mut bench = Bench::new(policy);
+        bench.teams(&[team("a", 1), team("b", 1)]);
+        bench.gain("r1", 1, cores(4).plus(&cores(2)));
+        bench.add("w0", "r1", machine());
+        let count = (0..9)
+            .map(|id| starts(&bench.submit(request(id, "a", cores(2)))).len())
+            .sum::<usize>();
+        assert_eq!(count, 2, "{policy}: slots are part of the limit");
+        assert_eq!(starts(&bench.submit(request(20, "b", cores(2)))).len(), 1);
+        let ended = bench.ended(attempt(0, 1), "w0", Outcome::Done);
+        assert_eq!(starts(&ended).len(), 1, "{policy}");
+    }
+}
+
+#[test]
+fn unknown_team_waits() {
+    let mut bench = bench(PLENTY);
+    assert!(starts(&bench.submit(request(1, "z", cores(1)))).is_empty());
+}
+
+#[test]
+fn demand_asked_once() {
+    let mut bench = bench(cores(1));
+    bench.wait(1_000);
+    bench.submit(request(1, "a", cores(4)));
+    bench.submit(request(2, "a", cores(4)));
+    let asked = demands(&bench.wait(1_000));
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].want, cores(4).plus(&cores(4)));
+    assert!(demands(&bench.wait(10)).is_empty());
+    let taken = bench.send(allotted(1, asked[0].want));
+    assert_eq!(starts(&taken).len(), 2);
+}
+
+#[test]
+fn old_allotment_ignored() {
+    let mut bench = bench(cores(1));
+    bench.submit(request(1, "a", cores(4)));
+    assert!(starts(&bench.send(allotted(0, PLENTY))).is_empty());
+    assert_eq!(starts(&bench.send(allotted(1, PLENTY))).len(), 1);
+}
+
+#[test]
+fn idle_given_back() {
+    let mut bench = bench(cores(8));
+    bench.submit(request(1, "a", cores(2)));
+    assert!(demands(&bench.wait(1_000)).is_empty());
+    let offers = demands(&bench.wait(6_000));
+    let of_a: Vec<_> = offers.iter().filter(|offer| &*offer.team == "a").collect();
+    assert_eq!(of_a.len(), 1);
+    assert_eq!(of_a[0].want, cores(2));
+}
+
+#[test]
+fn lowered_limit_holds() {
+    let mut bench = bench(PLENTY);
+    bench.submit(request(1, "a", cores(8)));
+    bench.send(allotted(1, cores(4)));
+    assert!(starts(&bench.submit(request(2, "a", cores(1)))).is_empty());
+    let asked = demands(&bench.wait(7_000));
+    assert!(asked.iter().all(|demand| cores(8).fits(&demand.want)));
+}
