--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod action;
 pub mod attempt;
+pub mod candidate;
 pub mod cell;
 pub mod class;
 pub mod config;
@@ -21,7 +22,9 @@
 pub mod rack;
 pub mod request;
 pub mod resource;
+pub mod retry;
 pub mod room;
+pub mod route;
 pub mod share;
 pub mod size;
 pub mod time;
