Requests keep to the rack that they were routed to

A request with a target is taken up only under that ownership and queues for that rack alone. A resumed request that never began is ruled out, so that a late copy of its submission is refused.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -9,7 +9,7 @@
 mod place;
 mod timer;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -71,7 +71,7 @@
     spread: Spread,
     jobs: Map<request::Id, Job>,
     bookings: Map<Attempt, Booking>,
-    sought: BTreeSet<request::Id>,
+    sought: BTreeMap<request::Id, Option<usize>>,
     memory: Memory,
     timers: BTreeSet<(Time, Timer)>,
     dirty: BTreeSet<usize>,
@@ -96,7 +96,7 @@
             spread: Spread::default(),
             jobs: Map::default(),
             bookings: Map::default(),
-            sought: BTreeSet::new(),
+            sought: BTreeMap::new(),
             memory: Memory::default(),
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -6,7 +6,7 @@
 use crate::attempt::{Attempt, Running};
 use crate::name::Name;
 use crate::rack::{Allotted, Grant};
-use crate::request::Request;
+use crate::request::{Id, Request};
 use crate::resource::Team;
 use crate::room::Hold;
 use crate::size::Size;
@@ -82,7 +82,7 @@
             self.refresh(worker);
         }
         self.resize();
-        self.give_up_sought();
+        self.give_up_sought(rack);
         self.give_up_doubts(rack);
         self.give_up_homeless();
     }
@@ -93,7 +93,7 @@
             let Some(item) = self.queue.get(id) else {
                 continue;
             };
-            if !self.could_hold(&item.size) {
+            if !self.could_hold(&item.size, item.rack) {
                 self.deny(id, Reason::Leaving);
             }
         }
@@ -102,17 +102,17 @@
         }
     }
 
-    /// Answers requests that may run on a rack of which no more can be learnt.
-    fn give_up_sought(&mut self) {
-        for id in std::mem::take(&mut self.sought) {
-            self.say_unknown(
-                id,
-                Attempt {
-                    request: id,
-                    number: 1,
-                },
-            );
-            self.jobs.remove(&id);
+    /// Sends requests whose fate is sought on a lost rack to its next owner.
+    fn give_up_sought(&mut self, lost: usize) {
+        let asked = |&(_, rack): &(&Id, &Option<usize>)| rack.is_none_or(|rack| rack == lost);
+        let ids: Vec<Id> = self
+            .sought
+            .iter()
+            .filter(asked)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.deny(id, Reason::NoOwner);
         }
     }
 
@@ -279,7 +279,7 @@
             return;
         }
         self.memory.ended(attempt, name, self.now);
-        if self.sought.remove(&id) {
+        if self.sought.remove(&id).is_some() {
             self.attach_ended(id, attempt, worker);
         }
     }
@@ -296,28 +296,47 @@
         }
     }
 
-    /// Answers sought requests once every worker of the owned racks is known.
+    /// Answers sought requests once every worker that they may run on is known.
     pub(super) fn settle_sought(&mut self) {
-        if self.sought.is_empty() || !self.all_known() {
+        if self.sought.is_empty() {
             return;
         }
-        for id in std::mem::take(&mut self.sought) {
-            self.deny(id, Reason::NoOwner);
+        let everywhere = self.all_known();
+        let settled = |&(_, rack): &(&Id, &Option<usize>)| match rack {
+            Some(rack) => self.rack_known(*rack),
+            None => everywhere,
+        };
+        let ids: Vec<Id> = self
+            .sought
+            .iter()
+            .filter(settled)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.rule_out(id);
         }
     }
 
+    /// Answers that a request never began here, and makes sure that it never will.
+    fn rule_out(&mut self, id: Id) {
+        let target = self.jobs[&id].request.target.clone();
+        self.memory.never(id, target, self.now);
+        self.deny(id, Reason::Refused);
+    }
+
     /// Tells whether every worker of the owned racks has been claimed or is surely gone.
-    pub(super) fn all_known(&self) -> bool {
+    fn all_known(&self) -> bool {
         let mut owned = self.ledger.owned().peekable();
-        owned.peek().is_some()
-            && owned.all(|rack| {
-                let workers = self.room.rack(rack);
-                let known = |&worker: &usize| {
-                    let worker = self.room.get(worker);
-                    worker.gone || worker.hold == Hold::Claimed
-                };
-                !workers.is_empty() && workers.iter().all(known)
-            })
+        owned.peek().is_some() && owned.all(|rack| self.rack_known(rack))
+    }
+
+    fn rack_known(&self, rack: usize) -> bool {
+        let workers = self.room.rack(rack);
+        let known = |&worker: &usize| {
+            let worker = self.room.get(worker);
+            worker.gone || worker.hold == Hold::Claimed
+        };
+        !workers.is_empty() && workers.iter().all(known)
     }
 
     /// Works out anew whether a worker may be used, and marks it to be filled.
@@ -362,17 +381,12 @@
     }
 
     /// Tells a caller that its request did not run, and forgets the request.
-    pub(super) fn deny(&mut self, id: crate::request::Id, reason: Reason) {
+    pub(super) fn deny(&mut self, id: Id, reason: Reason) {
         self.deny_until(id, reason, None);
     }
 
     /// Does as [`Cell::deny`], and says when another try may be worth it.
-    pub(super) fn deny_until(
-        &mut self,
-        id: crate::request::Id,
-        reason: Reason,
-        retry_after: Option<Duration>,
-    ) {
+    pub(super) fn deny_until(&mut self, id: Id, reason: Reason, retry_after: Option<Duration>) {
         self.queue.remove(id);
         self.sought.remove(&id);
         let verdict = Verdict::NotRun {
@@ -396,5 +410,6 @@
         deadline: Time::MAX,
         idempotent: running.idempotent,
         gang: running.gang,
+        target: None,
     }
 }
--- a/crates/decide/src/cell/intake.rs
+++ b/crates/decide/src/cell/intake.rs
@@ -23,22 +23,44 @@
             return;
         }
         let id = request.id;
+        let owned = self.owns_target(&request);
         self.admit(request, Phase::Queued);
-        if self.ledger.owned().next().is_none() {
-            self.deny(id, Reason::NoOwner);
-        } else {
+        if owned {
             self.enqueue(id);
+        } else {
+            self.deny(id, Reason::NoOwner);
         }
     }
 
+    /// Tells whether the ownership that a request was routed to is held here.
+    fn owns_target(&self, request: &Request) -> bool {
+        let Some(target) = &request.target else {
+            return self.ledger.owned().next().is_some();
+        };
+        let rack = self.ledger.find(&target.rack);
+        let rack = rack.map(|rack| self.ledger.rack(rack));
+        rack.is_some_and(|rack| rack.owned && rack.epoch == target.epoch)
+    }
+
     pub(super) fn resume(&mut self, request: Request) {
         if self.meet(&request) {
             return;
         }
         let id = request.id;
+        let owned = self.owns_target(&request) || request.target.is_none();
+        let rack = self.rack_of(&request);
         self.admit(request, Phase::Sought);
-        self.sought.insert(id);
-        self.settle_sought();
+        if owned {
+            self.sought.insert(id, rack);
+            self.settle_sought();
+        } else {
+            self.deny(id, Reason::NoOwner);
+        }
+    }
+
+    fn rack_of(&self, request: &Request) -> Option<usize> {
+        let target = request.target.as_ref()?;
+        self.ledger.find(&target.rack)
     }
 
     /// Lets a request that comes again meet what is known of it.
@@ -57,6 +79,14 @@
         }
         match self.memory.get(id).cloned() {
             None => false,
+            Some(Fate::Never(target)) => {
+                let ruled_out = target == request.target;
+                if ruled_out {
+                    self.admit(request.clone(), Phase::Sought);
+                    self.deny(id, Reason::Refused);
+                }
+                ruled_out
+            }
             Some(Fate::Unknown(attempt)) => {
                 self.admit(request.clone(), Phase::Sought);
                 self.say_unknown(id, attempt);
@@ -126,16 +156,19 @@
             return;
         }
         let patience = deadline.since(self.now);
-        let wait = self.queue.ahead(&item).span(&self.reach(item.team));
-        if wait > patience || !self.could_hold(&item.size) {
+        let wait = self.queue.ahead(&item).span(&self.reach(&item));
+        if wait > patience || !self.could_hold(&item.size, item.rack) {
             self.deny_until(id, Reason::Overload, Some(wait));
         }
     }
 
-    /// Returns the most that a team could ever use here at a time.
-    fn reach(&self, team: usize) -> Size {
-        let own = self.teams.own();
-        let limit = self.teams.get(team).limit;
+    /// Returns the most that an item's team could ever use at a time where the item may run.
+    fn reach(&self, item: &Item) -> Size {
+        let own = match item.rack {
+            Some(rack) => self.room.capacity(rack),
+            None => self.teams.own(),
+        };
+        let limit = self.teams.get(item.team).limit;
         limit.map_or(own, |limit| Size::min(&limit, &own))
     }
 
@@ -146,7 +179,8 @@
             Policy::FirstFit | Policy::RandomTwo => Time::default(),
         };
         let size = booked(&job.request.size);
-        let served = self.could_hold(&size);
+        let rack = self.rack_of(&job.request);
+        let served = self.could_hold(&size, rack);
         let span = if served {
             job.request.estimate
         } else {
@@ -156,6 +190,7 @@
             id,
             class: job.request.class,
             team: job.team,
+            rack,
             size,
             work: Work::of(&size, span),
             key: Key {
@@ -212,10 +247,18 @@
         }
     }
 
-    /// Tells whether a worker of the own racks could hold a size if it were empty.
-    pub(super) fn could_hold(&self, size: &Size) -> bool {
-        let mut capacities = self.ceilings.own.iter();
-        capacities.any(|capacity| size.fits(capacity))
+    /// Tells whether a worker of the own racks, or of one of them, could hold a size if it were
+    /// empty.
+    pub(super) fn could_hold(&self, size: &Size, rack: Option<usize>) -> bool {
+        let Some(rack) = rack else {
+            let mut capacities = self.ceilings.own.iter();
+            return capacities.any(|capacity| size.fits(capacity));
+        };
+        let workers = self.room.rack(rack).iter();
+        let mut workers = workers.map(|&worker| self.room.get(worker));
+        self.ledger.rack(rack).owned
+            && workers
+                .any(|worker| !worker.gone && !worker.leaving && size.fits(&worker.spec.capacity))
     }
 
     /// Tells whether some worker of the fleet could hold a size, as far as is known.
--- a/crates/decide/src/cell/memory.rs
+++ b/crates/decide/src/cell/memory.rs
@@ -5,7 +5,7 @@
 
 use crate::attempt::Attempt;
 use crate::name::{Map, Name};
-use crate::request;
+use crate::request::{self, Target};
 use crate::time::Time;
 use crate::verdict::Verdict;
 
@@ -27,6 +27,8 @@
     },
     /// Its caller was told that its fate is unknown.
     Unknown(Attempt),
+    /// Its caller was told that it never began under this target, and never will.
+    Never(Option<Target>),
 }
 
 /// The fates of requests, oldest first.
@@ -59,6 +61,11 @@
         }
     }
 
+    /// Remembers that a request never may begin under a target.
+    pub(super) fn never(&mut self, request: request::Id, target: Option<Target>, now: Time) {
+        self.put(request, Fate::Never(target), now);
+    }
+
     fn put(&mut self, request: request::Id, fate: Fate, now: Time) {
         self.fates.insert(request, (now, fate));
         self.ages.push_back((now, request));
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -33,6 +33,9 @@
         let size = &item.size;
         let ledger = &self.ledger;
         let allowed = |worker: &Worker| {
+            if item.rack.is_some_and(|rack| rack != worker.rack) {
+                return false;
+            }
             let rest = ledger.account(worker.rack, item.team).rest();
             size.fits(&rest)
         };
@@ -43,7 +46,10 @@
                 let kind = &self.jobs[&item.id].request.kind;
                 self.spread.thinnest(&self.room, kind, size, allowed)
             }
-            (Policy::Fair, _) => placement::tightest(&self.room, size, allowed),
+            (Policy::Fair, _) => match item.rack {
+                Some(rack) => placement::tightest_in(&self.room, rack, size, allowed),
+                None => placement::tightest(&self.room, size, allowed),
+            },
         };
         match find {
             Find::Worker(worker) => Some(worker),
@@ -58,6 +64,7 @@
     fn choose_random(&mut self, item: &Item) -> Option<usize> {
         let fits = |worker: &Worker| {
             worker.is_open()
+                && item.rack.is_none_or(|rack| rack == worker.rack)
                 && item.size.fits(&worker.free())
                 && item
                     .size
@@ -118,10 +125,10 @@
                     continue;
                 }
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some((_, id)) = self.queue.first(class, team, &room) {
+                if let Some((_, id)) = self.queue.first(class, team, rack, &room) {
                     return Some(id);
                 }
-                if self.queue.first(class, team, &free).is_some() {
+                if self.queue.first(class, team, rack, &free).is_some() {
                     self.ledger.pass(rack, team);
                 }
             }
@@ -136,7 +143,7 @@
         for class in Class::iter() {
             for team in 0..self.teams.len() {
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some(head) = self.queue.first(class, team, &room) {
+                if let Some(head) = self.queue.first(class, team, rack, &room) {
                     best = best.map_or(Some(head), |best| Some(head.min(best)));
                 }
                 self.ledger.pass(rack, team);
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -164,17 +164,36 @@
     });
     match best {
         Some((_, worker)) => Find::Worker(worker),
-        None if probes == PROBES => every(room, size, allowed),
+        None if probes == PROBES => least_waste(room.iter(), size, allowed),
         None if refused => Find::NotAllowed,
         None => Find::NoRoom,
     }
 }
 
-/// Looks at every worker.
-fn every(room: &Room, size: &Size, allowed: impl Fn(&Worker) -> bool) -> Find {
+/// Finds the worker of one rack on which a size leaves the most usable room behind.
+pub fn tightest_in(
+    room: &Room,
+    rack: usize,
+    size: &Size,
+    allowed: impl Fn(&Worker) -> bool,
+) -> Find {
+    let workers = room.rack(rack).iter();
+    least_waste(
+        workers.map(|&index| (index, room.get(index))),
+        size,
+        allowed,
+    )
+}
+
+/// Looks at all workers that are given.
+fn least_waste<'a>(
+    workers: impl Iterator<Item = (usize, &'a Worker)>,
+    size: &Size,
+    allowed: impl Fn(&Worker) -> bool,
+) -> Find {
     let mut best: Option<(f64, usize)> = None;
     let mut refused = false;
-    for (index, worker) in room.iter() {
+    for (index, worker) in workers {
         if !worker.is_open() || !size.fits(&worker.free()) {
             continue;
         }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -33,6 +33,8 @@
     pub class: Class,
     /// Its team, by index.
     pub team: usize,
+    /// The one rack that it may run on, by index; none for any.
+    pub rack: Option<usize>,
     /// What would be booked for it.
     pub size: Size,
     /// Its order.
@@ -54,7 +56,7 @@
     }
 }
 
-/// All lanes of one class and team.
+/// All lanes of one class, team and rack.
 #[derive(Debug, Default)]
 struct Line {
     lanes: BTreeMap<Size, Lane>,
@@ -67,6 +69,16 @@
         if exact { *size } else { coarse(size) }
     }
 
+    fn remove(&mut self, size: &Size, item: &Item) {
+        if let Some(lane) = self.lanes.get_mut(size) {
+            lane.waiting.remove(&item.key);
+            if lane.waiting.is_empty() {
+                self.lanes.remove(size);
+            }
+        }
+        self.schedule.remove(item.key.deadline, &item.work);
+    }
+
     /// Returns the first request in order whose size fits into `room`.
     fn first(&self, room: &Size) -> Option<(Key, request::Id)> {
         self.lanes
@@ -88,7 +100,7 @@
 /// The queue.
 #[derive(Debug, Default)]
 pub struct Queue {
-    lines: [Vec<Line>; 3],
+    lines: [Vec<BTreeMap<Option<usize>, Line>>; 3],
     spots: Map<request::Id, Spot>,
     waiting: Vec<Size>,
 }
@@ -121,7 +133,7 @@
         let lines = &mut self.lines[item.class as usize];
         grow(lines, item.team);
         grow(&mut self.waiting, item.team);
-        let line = &mut lines[item.team];
+        let line = lines[item.team].entry(item.rack).or_default();
         let size = line.lane(&item.size);
         let lane = line.lanes.entry(size).or_default();
         let fresh = lane.waiting.is_empty() || size != item.size;
@@ -136,14 +148,13 @@
     /// Takes a request out.
     pub fn remove(&mut self, id: request::Id) -> Option<Item> {
         let Spot { item, lane: size } = self.spots.remove(&id)?;
-        let line = &mut self.lines[item.class as usize][item.team];
-        if let Some(lane) = line.lanes.get_mut(&size) {
-            lane.waiting.remove(&item.key);
-            if lane.waiting.is_empty() {
-                line.lanes.remove(&size);
+        let lines = &mut self.lines[item.class as usize][item.team];
+        if let Some(line) = lines.get_mut(&item.rack) {
+            line.remove(&size, &item);
+            if line.lanes.is_empty() {
+                lines.remove(&item.rack);
             }
         }
-        line.schedule.remove(item.key.deadline, &item.work);
         let sum = &mut self.waiting[item.team];
         *sum = sum.minus(&item.size);
         Some(item)
@@ -152,31 +163,32 @@
     /// Tells whether requests of a class and team wait.
     pub fn has(&self, class: Class, team: usize) -> bool {
         let line = self.lines[class as usize].get(team);
-        line.is_some_and(|line| !line.lanes.is_empty())
-    }
-
-    /// Returns the first request of a class and team, in their order, that fits into `room`.
-    pub fn first(&self, class: Class, team: usize, room: &Size) -> Option<(Key, request::Id)> {
-        self.lines[class as usize].get(team)?.first(room)
+        line.is_some_and(|lines| !lines.is_empty())
     }
 
-    /// Returns the sizes of a class and team for which requests wait, each with its first request.
-    pub fn heads(
+    /// Returns the first request of a class and team, in their order, that may run on a rack and
+    /// fits into `room`.
+    pub fn first(
         &self,
         class: Class,
         team: usize,
-    ) -> impl Iterator<Item = (Key, request::Id, Size)> + '_ {
-        let line = self.lines[class as usize].get(team);
-        line.into_iter()
-            .flat_map(|line| line.lanes.values())
-            .filter_map(Lane::head)
+        rack: usize,
+        room: &Size,
+    ) -> Option<(Key, request::Id)> {
+        let lines = self.lines[class as usize].get(team)?;
+        let first = |rack| lines.get(&rack).and_then(|line: &Line| line.first(room));
+        match (first(None), first(Some(rack))) {
+            (Some(any), Some(bound)) => Some(any.min(bound)),
+            (any, bound) => any.or(bound),
+        }
     }
 
     /// Returns the work of an item's own team that is surely served before it.
     pub fn ahead(&self, item: &Item) -> Work {
         let mut sum = Work::default();
         for (class, lines) in self.lines.iter().enumerate().take(item.class as usize + 1) {
-            let Some(line) = lines.get(item.team) else {
+            let lines = lines.get(item.team);
+            let Some(line) = lines.and_then(|lines| lines.get(&item.rack)) else {
                 continue;
             };
             let work = if class == item.class as usize {
@@ -191,7 +203,7 @@
 
     /// Returns all work that waits.
     pub fn total(&self) -> Work {
-        let lines = self.lines.iter().flatten();
+        let lines = self.lines.iter().flatten().flat_map(BTreeMap::values);
         lines.fold(Work::default(), |sum, line| {
             sum.plus(&line.schedule.total())
         })
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -145,6 +145,14 @@
         self.racks.get(rack).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns what a rack's workers hold.
+    pub fn capacity(&self, rack: usize) -> Size {
+        let workers = self.rack(rack).iter().map(|&worker| self.get(worker));
+        workers
+            .filter(|worker| !worker.gone && !worker.leaving)
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
+    }
+
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
         self.workers.iter().enumerate()
--- a/crates/decide/tests/support/mod.rs
+++ b/crates/decide/tests/support/mod.rs
@@ -56,6 +56,7 @@
         deadline: Time::MAX,
         idempotent: true,
         gang: None,
+        target: None,
     }
 }
 
