--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -101,5 +101,7 @@
     bench.send(allotted(1, cores(4)));
     assert!(starts(&bench.submit(request(2, "a", cores(1)))).is_empty());
     let asked = demands(&bench.wait(7_000));
-    assert!(asked.iter().all(|demand| cores(8).fits(&demand.want)));
+    let of_a: Vec<_> = asked.iter().filter(|demand| &*demand.team == "a").collect();
+    assert_eq!(of_a.len(), 1);
+    assert_eq!(of_a[0].want, cores(8).plus(&cores(1)));
 }
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
+use azurepath_decide::attempt::Outcome;
 use azurepath_decide::class::Class;
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
-use azurepath_decide::request::Request;
+use azurepath_decide::request::{Request, Target};
 use azurepath_decide::size::Size;
+use azurepath_decide::verdict::Reason;
 use azurepath_decide::worker::Spec;
 use support::*;
 
@@ -142,6 +144,59 @@
     }
 }
 
+#[test]
+fn index_is_complete() {
+    let mut bench = bench(&[]);
+    bench.gain("r1", 1, PLENTY);
+    let mut free = Vec::new();
+    for index in 0..100u64 {
+        let capacity = Size {
+            millicores: 1_000 + index * 7_919 % 40_000,
+            memory_mib: 1_000 + index * 104_729 % 60_000,
+            accelerators: index % 3,
+            slots: 3,
+        };
+        bench.add(&format!("w{index}"), "r1", capacity);
+        free.push(capacity);
+    }
+    for index in 0..400u64 {
+        let size = Size {
+            millicores: index * 6_151 % 20_000,
+            memory_mib: index * 99_991 % 40_000,
+            accelerators: index % 2,
+            slots: 1,
+        };
+        let fits = free.iter().any(|room| size.fits(room));
+        let started = starts(&bench.submit(request(u128::from(index), "a", size)));
+        assert_eq!(started.len(), usize::from(fits), "{index}: {size:?}");
+        for (_, worker) in started {
+            let at: usize = worker[1..].parse().expect("a number");
+            free[at] = free[at].minus(&size);
+        }
+    }
+}
+
+#[test]
+fn target_rack_only() {
+    let mut bench = bench(&[
+        ("w0", "r1", "zrh-a", "ch-north", machine()),
+        ("w1", "r2", "zrh-a", "ch-north", machine()),
+    ]);
+    let bound = |id, epoch| Request {
+        target: Some(Target {
+            rack: "r2".into(),
+            epoch,
+        }),
+        ..request(id, "a", cores(20))
+    };
+    assert_eq!(place(&mut bench, bound(1, 1)), "w1");
+    assert!(starts(&bench.submit(bound(2, 1))).is_empty());
+    let stale = bench.submit(bound(3, 2));
+    assert_eq!(answers(&stale), [(3, not_run(Reason::NoOwner))]);
+    let ended = bench.ended(attempt(1, 1), "w1", Outcome::Done);
+    assert_eq!(starts(&ended), [(attempt(2, 1), "w1".to_owned())]);
+}
+
 #[test]
 fn distant_allotment_found() {
     let mut bench = Bench::new(Policy::Fair);
--- a/crates/decide/tests/queue.rs
+++ b/crates/decide/tests/queue.rs
@@ -48,14 +48,20 @@
 #[test]
 fn large_blocks_nobody() {
     let mut bench = Bench::ready(1, machine());
-    bench.submit(request(1, "a", cores(8)));
-    let mut large = request(2, "a", cores(32));
+    for id in 1..=4 {
+        bench.submit(request(id, "a", cores(8)));
+    }
+    let mut large = request(5, "a", cores(32));
     large.deadline = Time::from_millis(90_000);
     bench.submit(large);
-    assert_eq!(starts(&bench.submit(request(3, "a", cores(8)))).len(), 1);
-    bench.ended(attempt(3, 1), "w0", Outcome::Done);
+    bench.submit(request(6, "a", cores(8)));
     let freed = bench.ended(attempt(1, 1), "w0", Outcome::Done);
-    assert_eq!(starts(&freed), [(attempt(2, 1), "w0".to_owned())]);
+    assert_eq!(starts(&freed), [(attempt(6, 1), "w0".to_owned())]);
+    for id in [2, 3, 4] {
+        assert!(starts(&bench.ended(attempt(id, 1), "w0", Outcome::Done)).is_empty());
+    }
+    let freed = bench.ended(attempt(6, 1), "w0", Outcome::Done);
+    assert_eq!(starts(&freed), [(attempt(5, 1), "w0".to_owned())]);
 }
 
 #[test]
