--- a/crates/decide/tests/shares.rs
+++ b/crates/decide/tests/shares.rs
@@ -119,7 +119,8 @@
     bench.teams(&[team("a", 1), team("b", 100)]);
     bench.gain("r1", 1, PLENTY);
     bench.add("w0", "r1", machine());
-    for (id, name) in [(1, "a"), (2, "a"), (3, "b")] {
+    bench.add("w1", "r1", machine());
+    for (id, name) in [(1, "a"), (0, "a"), (2, "a"), (3, "b")] {
         bench.submit(request(id, name, cores(32)));
     }
     let ended = bench.ended(attempt(1, 1), "w0", Outcome::Done);
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -232,7 +232,8 @@
             setup: cell::Setup {
                 server: name,
                 seed,
-                policy: Default::default(),
+                policy: azurepath_decide::policy::Policy::Fair,
+                region: Some(process.settings.server.region.clone()),
             },
             clock: process.clock,
             timing,
