--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -7,8 +7,11 @@
 use crate::action::Action;
 use crate::attempt::Attempt;
 use crate::class::Class;
+use crate::placement::{self, Find};
 use crate::policy::Policy;
+use crate::queue::Item;
 use crate::request;
+use crate::room::Worker;
 use crate::size::Size;
 use crate::time::Time;
 
@@ -21,30 +24,51 @@
         let Some(item) = self.queue.get(id).copied() else {
             return;
         };
-        if let Some(worker) = self.choose(item.team, &item.size) {
+        if let Some(worker) = self.choose(&item) {
             self.start(id, worker);
         }
     }
 
-    fn choose(&mut self, team: usize, size: &Size) -> Option<usize> {
-        if self.setup.policy == Policy::RandomTwo {
-            return self.choose_random(team, size);
-        }
+    fn choose(&mut self, item: &Item) -> Option<usize> {
+        let size = &item.size;
         let ledger = &self.ledger;
-        let chosen = self.room.first(size, |worker| {
-            size.fits(&ledger.account(worker.rack, team).rest())
-        });
-        if chosen.is_none() {
-            self.pass(team);
+        let allowed = |worker: &Worker| {
+            if item.rack.is_some_and(|rack| rack != worker.rack) {
+                return false;
+            }
+            let rest = ledger.account(worker.rack, item.team).rest();
+            size.fits(&rest)
+        };
+        let find = match (self.setup.policy, item.class) {
+            (Policy::FirstFit, _) => self.room.first(size, allowed),
+            (Policy::RandomTwo, _) => return self.choose_random(item),
+            (Policy::Fair, Class::Service) => {
+                let kind = &self.jobs[&item.id].request.kind;
+                self.spread.thinnest(&self.room, kind, size, allowed)
+            }
+            (Policy::Fair, _) => match item.rack {
+                Some(rack) => placement::tightest_in(&self.room, rack, size, allowed),
+                None => placement::tightest(&self.room, size, allowed),
+            },
+        };
+        match find {
+            Find::Worker(worker) => Some(worker),
+            Find::NoRoom => None,
+            Find::NotAllowed => {
+                self.pass(item.team);
+                None
+            }
         }
-        chosen
     }
 
-    fn choose_random(&mut self, team: usize, size: &Size) -> Option<usize> {
-        let fits = |worker: &crate::room::Worker| {
+    fn choose_random(&mut self, item: &Item) -> Option<usize> {
+        let fits = |worker: &Worker| {
             worker.is_open()
-                && size.fits(&worker.free())
-                && size.fits(&self.ledger.account(worker.rack, team).rest())
+                && item.rack.is_none_or(|rack| rack == worker.rack)
+                && item.size.fits(&worker.free())
+                && item
+                    .size
+                    .fits(&self.ledger.account(worker.rack, item.team).rest())
         };
         let open: Vec<usize> = self
             .room
@@ -53,7 +77,7 @@
             .map(|(index, _)| index)
             .collect();
         if open.is_empty() {
-            self.pass(team);
+            self.pass(item.team);
             return None;
         }
         let one = open[self.rng.random_range(0..open.len())];
@@ -101,10 +125,10 @@
                     continue;
                 }
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some((_, id)) = self.queue.first(class, team, &room) {
+                if let Some((_, id)) = self.queue.first(class, team, rack, &room) {
                     return Some(id);
                 }
-                if self.queue.first(class, team, &free).is_some() {
+                if self.queue.first(class, team, rack, &free).is_some() {
                     self.ledger.pass(rack, team);
                 }
             }
@@ -119,7 +143,7 @@
         for class in Class::iter() {
             for team in 0..self.teams.len() {
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some(head) = self.queue.first(class, team, &room) {
+                if let Some(head) = self.queue.first(class, team, rack, &room) {
                     best = best.map_or(Some(head), |best| Some(head.min(best)));
                 }
                 self.ledger.pass(rack, team);
@@ -186,6 +210,11 @@
         self.ledger
             .book(rack, booking.team, &booking.size, self.now);
         self.teams.add(booking.team, &booking.size);
+        if booking.class == Class::Service {
+            let worker = booking.worker;
+            self.spread
+                .add(&booking.kind, worker, self.room.get(worker));
+        }
         self.bookings.insert(attempt, booking);
     }
 
@@ -199,6 +228,11 @@
             self.dirty.extend(self.room.rack(rack));
         }
         self.teams.remove(booking.team, &booking.size);
+        if booking.class == Class::Service {
+            let worker = booking.worker;
+            self.spread
+                .remove(&booking.kind, worker, self.room.get(worker));
+        }
         self.dirty.insert(booking.worker);
         Some(booking)
     }
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod instances;
 pub mod membership;
 pub mod platform;
+pub mod recorder;
 pub mod renewal;
 pub mod router;
 pub mod server;
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::cell;
 use azurepath_decide::config::Snapshot;
 use azurepath_decide::fleet::View;
-use azurepath_decide::route;
+use azurepath_decide::{route, trace};
 use azurepath_platform::{instance, object, table, worker};
 use rand::Rng;
 use slog::{Logger, info};
@@ -17,6 +17,7 @@
 
 use super::clock::Clock;
 use super::engine::{self, Engine};
+use super::recorder::{self, Recorder};
 use super::stop::{self, Inflight, Phase};
 use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
 use crate::connection::ping::Pace;
@@ -195,15 +196,36 @@
         let name = process.settings.server.name.clone();
         let seed = rand::rng().random();
 
-        let router = router::Task {
-            setup: route::Setup {
-                server: name.clone(),
-                site: Site {
-                    failure_domain: process.settings.server.failure_domain.clone(),
-                    region: process.settings.server.region.clone(),
-                },
-                seed,
+        let router_setup = route::Setup {
+            server: name.clone(),
+            site: Site {
+                failure_domain: process.settings.server.failure_domain.clone(),
+                region: process.settings.server.region.clone(),
             },
+            seed,
+        };
+        let cell_setup = cell::Setup {
+            server: name.clone(),
+            seed,
+            policy: azurepath_decide::policy::Policy::Fair,
+            region: Some(process.settings.server.region.clone()),
+        };
+        let header = trace::Header {
+            version: trace::VERSION,
+            cell: Some(cell_setup.clone()),
+            router: Some(router_setup.clone()),
+        };
+        let recorder = match &process.settings.trace {
+            Some(settings) => {
+                let (handle, recorder) = Recorder::open(settings, &header, process.log.clone())?;
+                tasks.spawn_blocking(|| recorder.run());
+                handle
+            }
+            None => recorder::Handle::default(),
+        };
+        let router = router::Task {
+            setup: router_setup,
+            recorder: recorder.clone(),
             clock: process.clock,
             engine: process.engine.clone(),
             peers: process.peers.clone(),
@@ -223,11 +245,8 @@
         };
         tasks.spawn(pool.run(self.peers.1, halt.clone()));
         let engine = Engine {
-            setup: cell::Setup {
-                server: name,
-                seed,
-                policy: azurepath_decide::policy::Policy::Fair,
-            },
+            setup: cell_setup,
+            recorder,
             clock: process.clock,
             timing,
             workers: process.platform.workers.clone(),
--- /dev/null
+++ b/crates/server/tests/trace_file.rs
@@ -0,0 +1,62 @@
+//! The recorder of events.
+
+mod support;
+
+use std::fs::File;
+use std::io::BufReader;
+
+use azurepath_decide::event;
+use azurepath_decide::trace::{Input, Reader, Record};
+use support::{AUDIT, TestEnv};
+
+/// Runs a few requests on a server that records at most `max_size` and returns the records.
+async fn record(env: &TestEnv, max_size: &str) -> anyhow::Result<(u64, Vec<Record>)> {
+    let path = std::env::temp_dir().join(format!(
+        "azurepath-trace-{}-{}.jsonl",
+        std::process::id(),
+        env.fleet.address().port()
+    ));
+    let more = format!(
+        "[timing]\nlinger = 0s\ninstances = 100ms\n[trace]\nfile = {}\nmax_size = {max_size}\n",
+        path.display()
+    );
+    let mut server = env.server_with("s1", "zrh-a", "ch-north", &more).await?;
+    server.ready().await?;
+    let key = format!("Bearer {AUDIT}");
+    for number in 0..5 {
+        let body = format!("check {number}");
+        let headers = [("authorization", key.as_str())];
+        let answer = server.submit("pairing", &body, &headers).await?;
+        assert_eq!(answer.text(), body);
+    }
+    assert!(server.stop().await?.success());
+    let length = std::fs::metadata(&path)?.len();
+    let reader = Reader::new(BufReader::new(File::open(&path)?))?;
+    let records = reader.collect::<Result<_, _>>()?;
+    std::fs::remove_file(path)?;
+    Ok((length, records))
+}
+
+#[tokio::test]
+async fn whole_trace() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let (_, records) = record(&env, "64MiB").await?;
+    let submitted = records
+        .iter()
+        .filter(|record| matches!(record.input, Input::Cell(event::Event::Submit(_))));
+    assert_eq!(submitted.count(), 5);
+    let ended = records
+        .iter()
+        .filter(|record| matches!(record.input, Input::Cell(event::Event::Ended { .. })));
+    assert_eq!(ended.count(), 5);
+    Ok(())
+}
+
+#[tokio::test]
+async fn bounded_trace() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let (length, records) = record(&env, "2KiB").await?;
+    assert!(length <= 2048, "{length} bytes");
+    assert!(!records.is_empty());
+    Ok(())
+}
