--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -33,7 +33,9 @@
     #[error("the bytes are no frame; point only azurepath servers at the peers' port")]
     Magic,
     /// The peer speaks another version.
-    #[error("the peer speaks version {version}, this server {VERSION}; run the same release on both")]
+    #[error(
+        "the peer speaks version {version}, this server {VERSION}; run the same release on both"
+    )]
     Version {
         /// The peer's version.
         version: u16,
@@ -182,8 +184,7 @@
 
 fn decode(body: &[u8]) -> Result<Frame, Error> {
     let config = config::standard().with_limit::<BODY_LIMIT>();
-    let (frame, read) =
-        bincode::serde::decode_from_slice(body, config).map_err(unreadable)?;
+    let (frame, read) = bincode::serde::decode_from_slice(body, config).map_err(unreadable)?;
     if read != body.len() {
         return Err(unreadable("bytes are left over"));
     }
