--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -166,13 +166,31 @@
     let no_connection = error
         .source()
         .is_some_and(<dyn Error>::is::<std::io::Error>);
-    if early || no_connection {
+    if early || no_connection || never_written(error) {
         Failure::NotSent(detail)
     } else {
         Failure::Lost(detail)
     }
 }
 
+/// Tells whether a kept connection closed before the request was written to it.
+///
+/// `hyper` calls only such requests cancelled; one that had been taken up by the connection ends
+/// with another error.
+fn never_written(error: &ClientError) -> bool {
+    let mut source = error.source();
+    while let Some(inner) = source {
+        if inner
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(hyper::Error::is_canceled)
+        {
+            return true;
+        }
+        source = inner.source();
+    }
+    false
+}
+
 /// Refuses an answer that is shorter than its length or does not match its checksum.
 fn check(reply: &Reply) -> Result<(), Failure> {
     let length = reply
