--- a/crates/server/tests/trace_file.rs
+++ b/crates/server/tests/trace_file.rs
@@ -5,12 +5,19 @@
 use std::fs::File;
 use std::io::BufReader;
 
-use azurepath_decide::event;
 use azurepath_decide::trace::{Input, Reader, Record};
+use azurepath_decide::{event, replay};
 use support::{AUDIT, TestEnv};
 
+/// What was recorded.
+struct Trace {
+    length: u64,
+    records: Vec<Record>,
+    replayed: replay::Outcome,
+}
+
 /// Runs a few requests on a server that records at most `max_size` and returns the records.
-async fn record(env: &TestEnv, max_size: &str) -> anyhow::Result<(u64, Vec<Record>)> {
+async fn record(env: &TestEnv, max_size: &str) -> anyhow::Result<Trace> {
     let path = std::env::temp_dir().join(format!(
         "azurepath-trace-{}-{}.jsonl",
         std::process::id(),
@@ -33,14 +40,21 @@
     let length = std::fs::metadata(&path)?.len();
     let reader = Reader::new(BufReader::new(File::open(&path)?))?;
     let records = reader.collect::<Result<_, _>>()?;
+    let replayed = replay::run(BufReader::new(File::open(&path)?))?;
     std::fs::remove_file(path)?;
-    Ok((length, records))
+    Ok(Trace {
+        length,
+        records,
+        replayed,
+    })
 }
 
 #[tokio::test]
 async fn whole_trace() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
-    let (_, records) = record(&env, "64MiB").await?;
+    let Trace {
+        records, replayed, ..
+    } = record(&env, "64MiB").await?;
     let submitted = records
         .iter()
         .filter(|record| matches!(record.input, Input::Cell(event::Event::Submit(_))));
@@ -49,13 +63,17 @@
         .iter()
         .filter(|record| matches!(record.input, Input::Cell(event::Event::Ended { .. })));
     assert_eq!(ended.count(), 5);
+    assert_eq!(replayed.starts, 5);
+    assert_eq!(replayed.answers.get("ran done"), Some(&5), "{replayed:?}");
     Ok(())
 }
 
 #[tokio::test]
 async fn bounded_trace() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
-    let (length, records) = record(&env, "2KiB").await?;
+    let Trace {
+        length, records, ..
+    } = record(&env, "2KiB").await?;
     assert!(length <= 2048, "{length} bytes");
     assert!(!records.is_empty());
     Ok(())
