--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -17,7 +17,7 @@
 
 use super::clock::Clock;
 use super::engine::{self, Engine};
-use super::stop::{Inflight, Phase};
+use super::stop::{self, Inflight, Phase};
 use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
 use crate::connection::ping::Pace;
 use crate::connection::{listener, pool};
@@ -96,15 +96,9 @@
     /// Returns an error where a task has failed.
     pub async fn stop(mut self) -> anyhow::Result<()> {
         info!(self.process.log, "stopping");
-        self.phase.send_replace(Phase::Leaving);
         let linger = self.process.settings.timing.linger;
-        let handed_over = async {
-            // Where membership has ended, there is nothing left to hand over.
-            let _ = self.handed_over.wait_for(|done| *done).await;
-        };
-        tokio::join!(tokio::time::sleep(linger), handed_over);
-        self.phase.send_replace(Phase::Closing);
-        self.process.inflight.drained().await;
+        let inflight = &self.process.inflight;
+        stop::drain(&self.phase, &mut self.handed_over, inflight, linger).await;
         info!(self.process.log, "drained");
         self.entry.stop().await?;
         self.halt.cancel();
