Server drives the jobs that it is home to

Tasks without an end of patience are started detached, and a graceful stop does not wait for them. Members of a gang are expected by the owner before its commit; a reservation carries the time that is left, since clocks differ.

--- a/crates/decide/src/job/home.rs
+++ b/crates/decide/src/job/home.rs
@@ -101,6 +101,7 @@
                 self.field.set_view(view.clone());
                 self.view = view;
                 self.assign(now);
+                self.leave_former_owners(now);
             }
             Event::Sites { sites } => self.field.set_sites(sites),
             Event::Summary(summary) => self.field.set_summary(now, summary),
@@ -159,10 +160,25 @@
             }
         }
         self.loads = loads;
-        if self.revision.is_some() {
-            for (job, slot) in &mut self.slots {
-                slot.deleted = !self.work.contains_key(job);
-            }
+        for (job, slot) in &mut self.slots {
+            let known = self.revision.is_some_and(|seen| seen >= slot.state.born);
+            slot.deleted = known && !self.work.contains_key(job);
+        }
+    }
+
+    /// Has the tasks resumed that wait for the word of a server that owns their rack no more.
+    fn leave_former_owners(&mut self, now: Time) {
+        let stale = |call: &Call| {
+            let slot = self.slots.get(&call.job)?;
+            let sent = slot.state.active.get(&call.index)?;
+            let owner = self.view.owner(&sent.rack)?;
+            (owner.name != call.server).then_some(())
+        };
+        let calls = self.calls.iter();
+        let left = calls.filter(|(_, call)| stale(call).is_some());
+        let left: Vec<request::Id> = left.map(|(id, _)| *id).collect();
+        for request in left {
+            self.broken(now, request, false);
         }
     }
 
@@ -232,7 +248,8 @@
                 ..State::default()
             });
             let mut slot = Slot::new(row, state);
-            slot.deleted = self.revision.is_some() && born.is_none();
+            let known = self.revision.is_some_and(|seen| seen >= slot.state.born);
+            slot.deleted = known && born.is_none();
             self.slots.insert(job.clone(), slot);
         }
         self.advance(now, job, actions);
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -7,6 +7,7 @@
 use azurepath_decide::gang::Ask;
 use azurepath_decide::request::Id;
 use azurepath_decide::share::Summary;
+use azurepath_decide::time::Time;
 use azurepath_decide::verdict::Verdict;
 use azurepath_wire::frame::{self, Document, Fault, Frame, Task};
 use bytes::Bytes;
@@ -27,7 +28,7 @@
 use crate::process::clock::Clock;
 use crate::process::engine::{self, Submission};
 use crate::process::stop::Inflight;
-use crate::process::{Control, router};
+use crate::process::{Control, jobs, router};
 
 /// How long the set-up of a connection may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -44,6 +45,8 @@
     pub engine: engine::Handle,
     /// The entry's machine.
     pub router: router::Handle,
+    /// The jobs that this server is home to.
+    pub jobs: jobs::Handle,
     /// Takes `Change`, `Beat` and `Handover`.
     pub control: mpsc::Sender<Control>,
     /// Counts what is in flight.
@@ -175,6 +178,7 @@
             Frame::Summary(document) => {
                 let summary: Summary = parse(&document)?;
                 self.engine.event(Event::Peer(summary.clone()));
+                self.jobs.summary(summary.clone());
                 self.router.summary(summary);
                 Frame::Done
             }
@@ -208,17 +212,23 @@
         reader: &mut Reader,
         writer: &mut Writer,
     ) -> Result<(), Error> {
-        let _guard = self.inflight.enter();
         let request = task.request(self.clock.now())?;
+        // A task without an end of patience has no caller: its home resumes it elsewhere, so a stop
+        // does not wait for it.
+        let endless = request.deadline == Time::MAX;
+        let _guard = (!endless).then(|| self.inflight.enter());
+        let member = request.gang.is_some() && !resume;
         let payload = reader.payload(task.id, 0, self.limit).await?;
         let submission = Submission {
             request,
             payload,
-            detached: false,
+            detached: endless,
             keep: true,
         };
         let reply = if resume {
             self.engine.resume(submission)
+        } else if member {
+            self.engine.expect(submission)
         } else {
             self.engine.submit(submission)
         };
@@ -236,7 +246,9 @@
     }
 
     async fn reserve(&self, document: &Document) -> Result<Frame, Error> {
-        let ask: Ask = parse(document)?;
+        let mut ask: Ask = parse(document)?;
+        // Clocks differ, so the time that is left has come.
+        ask.expires = self.clock.now().after(ask.expires.since(Time::default()));
         let hold = self.engine.reserve(ask).await.map_err(|_| Error::Ended)?;
         let json = serde_json::to_string(&hold).map_err(|error| unreadable(&error))?;
         Ok(Frame::Held(Document { json }))
--- a/crates/server/src/process/dump.rs
+++ b/crates/server/src/process/dump.rs
@@ -8,6 +8,7 @@
 pub async fn dump(process: &Process) -> Value {
     let engine = process.engine.dump().await.unwrap_or_default();
     let router = process.router.dump().await.unwrap_or_default();
+    let jobs = process.jobs.dump().await.unwrap_or_default();
     let peers = process.peers.dump().await.unwrap_or_default();
     let server = &process.settings.server;
     json!({
@@ -25,6 +26,7 @@
         "instances": process.instances.borrow().len(),
         "engine": engine,
         "router": router,
+        "jobs": jobs,
         "peers": peers,
     })
 }
--- /dev/null
+++ b/crates/server/src/process/jobs/calls.rs
@@ -0,0 +1,194 @@
+//! Calls of jobs to the owners of racks, also where the owner is this process.
+
+use std::time::Duration;
+
+use azurepath_decide::event;
+use azurepath_decide::fleet::Server;
+use azurepath_decide::gang::{Ask, Hold};
+use azurepath_decide::job::{Action, Event};
+use azurepath_decide::name::Name;
+use azurepath_decide::request::{Id, Request};
+use azurepath_decide::time::Time;
+use azurepath_wire::frame::{Document, Frame, Target};
+use bytes::Bytes;
+
+use super::super::Process;
+use super::super::engine::{Reply, Submission};
+use crate::connection::call::Broken;
+
+/// How long an owner may take to answer a reservation.
+const RESERVE_WAIT: Duration = Duration::from_secs(2);
+
+/// How long an owner may take to answer a commit or a release.
+const CONTROL_WAIT: Duration = Duration::from_millis(500);
+
+/// How often a commit or a release is told before it is left to the expiry.
+const CONTROL_TRIES: u32 = 2;
+
+/// Calls owners.
+#[derive(Clone)]
+pub(super) struct Caller {
+    process: Process,
+}
+
+impl Caller {
+    /// Makes a caller on behalf of a process.
+    pub(super) fn new(process: Process) -> Caller {
+        Caller { process }
+    }
+
+    /// Carries out an action and returns what came of it.
+    pub(super) async fn call(self, action: Action) -> Vec<Event> {
+        match action {
+            Action::Submit {
+                request,
+                payload,
+                server,
+                resume,
+            } => vec![self.submit(request, payload, &server, resume).await],
+            Action::Expect {
+                request,
+                payload,
+                server,
+            } => vec![self.expect(request, payload, &server).await],
+            Action::Cancel { request, server } => {
+                self.cancel(request, &server);
+                Vec::new()
+            }
+            Action::Reserve { ask, server } => vec![self.reserve(ask, &server).await],
+            Action::Commit { gang, server } => {
+                let commit = event::Event::Commit { gang };
+                self.tell(&server, commit, Frame::Commit(Target::from(gang)))
+                    .await;
+                Vec::new()
+            }
+            Action::Release { gang, server } => {
+                let release = event::Event::Release { gang };
+                self.tell(&server, release, Frame::Release(Target::from(gang)))
+                    .await;
+                Vec::new()
+            }
+            Action::Load { .. } | Action::Write { .. } => Vec::new(),
+        }
+    }
+
+    fn is_self(&self, server: &Name) -> bool {
+        self.process.settings.server.name == *server
+    }
+
+    fn peer(&self, server: &Name) -> Option<Server> {
+        self.process.view.borrow().servers.get(server).cloned()
+    }
+
+    async fn submit(
+        &self,
+        request: Request,
+        payload: String,
+        server: &Name,
+        resume: bool,
+    ) -> Event {
+        let id = request.id;
+        let submission = submission(request, payload);
+        if self.is_self(server) {
+            let reply = if resume {
+                self.process.engine.resume(submission)
+            } else {
+                self.process.engine.submit(submission)
+            };
+            return settled(id, reply.await.map_err(|_| Broken::Lost));
+        }
+        self.send(server, &submission, resume).await
+    }
+
+    async fn expect(&self, request: Request, payload: String, server: &Name) -> Event {
+        let id = request.id;
+        let submission = submission(request, payload);
+        if self.is_self(server) {
+            let reply = self.process.engine.expect(submission);
+            return settled(id, reply.await.map_err(|_| Broken::Lost));
+        }
+        self.send(server, &submission, false).await
+    }
+
+    async fn send(&self, server: &Name, submission: &Submission, resume: bool) -> Event {
+        let id = submission.request.id;
+        let Some(peer) = self.peer(server) else {
+            return Event::Unsent { request: id };
+        };
+        let clock = self.process.clock;
+        let peers = &self.process.peers;
+        settled(id, peers.submit(&peer, submission, clock, resume).await)
+    }
+
+    fn cancel(&self, request: Id, server: &Name) {
+        if self.is_self(server) {
+            self.process.engine.cancel(request);
+        } else if let Some(peer) = self.peer(server) {
+            self.process.peers.cancel(peer, request);
+        }
+    }
+
+    async fn reserve(&self, ask: Ask, server: &Name) -> Event {
+        let gang = ask.gang;
+        let hold = tokio::time::timeout(RESERVE_WAIT, self.hold(ask, server)).await;
+        match hold {
+            Ok(Some(hold)) => Event::Held {
+                gang,
+                members: hold.places.iter().map(|place| place.member).collect(),
+            },
+            Ok(None) | Err(_) => Event::Unheld { gang },
+        }
+    }
+
+    async fn hold(&self, mut ask: Ask, server: &Name) -> Option<Hold> {
+        if self.is_self(server) {
+            return self.process.engine.reserve(ask).await.ok();
+        }
+        let peer = self.peer(server)?;
+        // Clocks differ, so the time that is left is sent.
+        let left = ask.expires.since(self.process.clock.now());
+        ask.expires = Time::default().after(left);
+        let json = serde_json::to_string(&ask).ok()?;
+        let frame = Frame::Reserve(Document { json });
+        let reply = self.process.peers.control(&peer, &frame, RESERVE_WAIT);
+        match reply.await {
+            Ok(Frame::Held(document)) => serde_json::from_str(&document.json).ok(),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    async fn tell(&self, server: &Name, event: event::Event, frame: Frame) {
+        if self.is_self(server) {
+            return self.process.engine.event(event);
+        }
+        let Some(peer) = self.peer(server) else {
+            return;
+        };
+        for _ in 0..CONTROL_TRIES {
+            let told = self.process.peers.control(&peer, &frame, CONTROL_WAIT);
+            if told.await.is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+fn submission(request: Request, payload: String) -> Submission {
+    Submission {
+        request,
+        payload: Bytes::from(payload),
+        detached: true,
+        keep: true,
+    }
+}
+
+fn settled(request: Id, reply: Result<Reply, Broken>) -> Event {
+    match reply {
+        Ok(reply) => Event::Answered {
+            request,
+            verdict: reply.verdict,
+        },
+        Err(Broken::Unsent) => Event::Unsent { request },
+        Err(Broken::Lost) => Event::Broken { request },
+    }
+}
--- /dev/null
+++ b/crates/server/src/process/jobs/rows.rs
@@ -0,0 +1,110 @@
+//! The rows of jobs in the table.
+
+use std::sync::Arc;
+
+use azurepath_decide::job::{Event, Fate, Row, State};
+use azurepath_decide::name::Name;
+use azurepath_platform::table::{self, Check, Error, Table, Transaction, Write};
+use slog::{Logger, warn};
+
+/// The beginning of the rows' keys.
+const PREFIX: &str = "job/";
+
+/// Rows in one page of a scan.
+const PAGE_ROWS: u32 = 500;
+
+/// Reads and writes rows.
+#[derive(Clone)]
+pub(super) struct Rows {
+    table: Arc<dyn Table>,
+    log: Logger,
+}
+
+impl Rows {
+    /// Makes a reader and writer of the rows in a table.
+    pub(super) fn new(table: Arc<dyn Table>, log: Logger) -> Rows {
+        Rows { table, log }
+    }
+
+    /// Reads one row.
+    pub(super) async fn load(self, job: Name) -> Vec<Event> {
+        let event = match self.table.read(&key(&job)).await {
+            Ok(Some(row)) => self.parse(row),
+            Ok(None) => Some(Event::Loaded {
+                job: job.clone(),
+                revision: 0,
+                state: None,
+            }),
+            Err(error) => {
+                warn!(self.log, "row of a job unread"; "job" => %job, "error" => %error);
+                None
+            }
+        };
+        vec![event.unwrap_or(Event::Unread { job })]
+    }
+
+    /// Reads all rows.
+    pub(super) async fn scan(self) -> Vec<Event> {
+        let mut events = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.table.scan(PREFIX, after.as_deref(), PAGE_ROWS).await;
+            let Ok(page) = page else {
+                return events;
+            };
+            events.extend(page.rows.into_iter().filter_map(|row| self.parse(row)));
+            after = page.next;
+            if after.is_none() {
+                return events;
+            }
+        }
+    }
+
+    fn parse(&self, row: table::Row) -> Option<Event> {
+        let job = row.key.strip_prefix(PREFIX)?;
+        match serde_json::from_value::<State>(row.value) {
+            Ok(state) => Some(Event::Loaded {
+                job: job.into(),
+                revision: row.revision,
+                state: Some(state),
+            }),
+            Err(error) => {
+                // A job whose row can't be read must not be begun anew.
+                warn!(self.log, "row of a job is not as agreed; run the same release everywhere";
+                    "job" => job, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Writes rows in one transaction.
+    pub(super) async fn write(self, write: u64, rows: Vec<Row>) -> Vec<Event> {
+        let checks = rows.iter().map(|row| Check {
+            key: key(&row.job),
+            revision: row.revision,
+        });
+        let writes = rows.iter().map(|row| Write {
+            key: key(&row.job),
+            value: row.state.as_ref().map(|state| serde_json::json!(state)),
+        });
+        let transaction = Transaction {
+            checks: checks.collect(),
+            writes: writes.collect(),
+        };
+        let fate = match self.table.transact(transaction).await {
+            Ok(commit) => Fate::Written {
+                revision: commit.revision,
+            },
+            Err(Error::Conflict { key, .. }) => Fate::Conflict {
+                job: key.strip_prefix(PREFIX).unwrap_or(&key).into(),
+            },
+            Err(Error::Unavailable { .. } | Error::Invalid { .. }) => Fate::Unwritten,
+            Err(Error::Unknown { .. }) => Fate::Unknown,
+        };
+        vec![Event::Wrote { write, fate }]
+    }
+}
+
+fn key(job: &str) -> String {
+    format!("{PREFIX}{job}")
+}
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod entry;
 pub mod instances;
+pub mod jobs;
 pub mod membership;
 pub mod platform;
 pub mod renewal;
@@ -50,6 +51,8 @@
     pub engine: engine::Handle,
     /// Where requests are sent.
     pub router: router::Handle,
+    /// The jobs that this server is home to.
+    pub jobs: jobs::Handle,
     /// Connections to other servers.
     pub peers: pool::Handle,
     /// The writer of intents.
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -18,7 +18,9 @@
 use super::clock::Clock;
 use super::engine::{self, Engine};
 use super::stop::{Inflight, Phase};
-use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
+use super::{
+    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+};
 use crate::connection::ping::Pace;
 use crate::connection::{listener, pool};
 use crate::metrics::Metrics;
@@ -127,6 +129,7 @@
     clock: Clock,
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
+    jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
@@ -142,6 +145,7 @@
             clock: Clock::start(),
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
+            jobs: jobs::Handle::channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
             snapshot: watch::Sender::new(Arc::default()),
@@ -169,6 +173,7 @@
             platform,
             engine: self.engine.0.clone(),
             router: self.router.0.clone(),
+            jobs: self.jobs.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
             snapshot: self.snapshot.subscribe(),
@@ -219,6 +224,12 @@
             summary: summary.subscribe(),
         };
         tasks.spawn(router.run(self.router.1, halt.clone()));
+        let jobs = jobs::Task {
+            process: process.clone(),
+            summary: summary.subscribe(),
+            seed: rand::rng().random(),
+        };
+        tasks.spawn(jobs.run(self.jobs.1, halt.clone()));
         let pool = pool::Pool {
             name: name.clone(),
             pace,
@@ -248,6 +259,7 @@
             clock: process.clock,
             engine: process.engine.clone(),
             router: process.router.clone(),
+            jobs: process.jobs.clone(),
             control,
             inflight: process.inflight.clone(),
             pace,
