--- a/crates/decide/tests/epochs.rs
+++ b/crates/decide/tests/epochs.rs
@@ -5,7 +5,7 @@
 use azurepath_decide::attempt::{Outcome, Refusal};
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
-use azurepath_decide::request::Id;
+use azurepath_decide::request::{Id, Request, Target};
 use azurepath_decide::verdict::Reason;
 use support::*;
 
@@ -97,11 +97,29 @@
     assert_eq!(attached(&claimed), [attempt(9, 1)]);
     assert!(answers(&claimed).is_empty());
     let all = bench.claimed("w1", 2);
-    assert_eq!(answers(&all), [(8, not_run(Reason::NoOwner))]);
+    assert_eq!(answers(&all), [(8, not_run(Reason::Refused))]);
     let ended = bench.ended(attempt(9, 1), "w0", Outcome::Done);
     assert_eq!(answers(&ended).len(), 1);
 }
 
+#[test]
+fn ruled_out_stays_out() {
+    let mut bench = Bench::ready(1, machine());
+    let target = Some(Target {
+        rack: "r1".into(),
+        epoch: 1,
+    });
+    let request = Request {
+        target,
+        ..request(9, "a", cores(1))
+    };
+    let resumed = bench.send(Event::Resume(request.clone()));
+    assert_eq!(answers(&resumed), [(9, not_run(Reason::Refused))]);
+    let late = bench.submit(request);
+    assert_eq!(answers(&late), [(9, not_run(Reason::Refused))]);
+    assert!(starts(&late).is_empty());
+}
+
 #[test]
 fn resume_finds_ended() {
     let mut bench = Bench::new(Policy::Fair);
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -244,6 +244,7 @@
                 server: name,
                 seed,
                 policy: azurepath_decide::policy::Policy::Fair,
+                region: Some(process.settings.server.region.clone()),
             },
             clock: process.clock,
             timing,
