--- /dev/null
+++ b/crates/server/examples/quickstart.rs
@@ -0,0 +1,204 @@
+//! Runs the whole product on embedded stand-ins: three servers, four racks of two owners and eight
+//! workers. Hands in requests, a batch job and a gang, and prints who ran what where.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, ensure};
+use azurepath_decide::job::State;
+use azurepath_decide::name::Name;
+use azurepath_decide::resource::Resource;
+use azurepath_platform::table::{self, Table, Transaction, Write};
+use azurepath_server::Server;
+use azurepath_server::settings::Settings;
+use azurepath_standin::fleet::{Fleet, Rack};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use volo_http::body::BodyConversion;
+use volo_http::client::Client;
+
+/// How long the fleet may take to come up, and each part of the work to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How often the state is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The servers with their failure domains and regions.
+const SERVERS: [(&str, &str, &str); 3] = [
+    ("entry-1", "zrh-a", "ch-north"),
+    ("entry-2", "zrh-a", "ch-north"),
+    ("entry-3", "dar-kariakoo", "dar"),
+];
+
+/// The key of each team; the part before the dot is the key's name.
+const KEYS: [(&str, &str); 2] = [
+    ("pairing", "pairing-1.c4f1a0b7"),
+    ("plans", "plans-1.9be2d355"),
+];
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let fleet = Fleet::start(&Rack::both_owners())?;
+    println!(
+        "platform at {}, {} workers",
+        fleet.address(),
+        fleet.workers.len()
+    );
+    let table = table::Client::new(fleet.address());
+    for resource in resources() {
+        put(&table, resource).await?;
+    }
+    let mut servers = Vec::new();
+    for (name, failure_domain, region) in SERVERS {
+        let settings = settings(name, failure_domain, region, fleet.address())?;
+        let server = Server::start(settings).await?;
+        println!("{name} in {failure_domain} at {}", server.addresses().http);
+        servers.push(server);
+    }
+    let client = Client::default();
+    let entries: Vec<SocketAddr> = servers.iter().map(|it| it.addresses().http).collect();
+    requests(&client, &entries).await?;
+    for job in [batch("dawn-plans", 6, false), batch("load-sheets", 4, true)] {
+        put(&table, job).await?;
+    }
+    for name in ["dawn-plans", "load-sheets"] {
+        finished(&table, name).await?;
+    }
+    report(&fleet);
+    for server in servers {
+        server.stop().await?;
+    }
+    fleet.stop().await?;
+    println!("stopped");
+    Ok(())
+}
+
+fn settings(name: &str, domain: &str, region: &str, platform: SocketAddr) -> Result<Settings> {
+    let text = format!(
+        "[server]\nname = {name}\nregion = {region}\nfailure_domain = {domain}\n\
+         http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+         [platform]\ntable = {platform}\nobjects = {platform}\ninstances = {platform}\n\
+         [timing]\nlinger = 200ms\n"
+    );
+    Settings::parse("quickstart", &text).context("the settings of the quickstart")
+}
+
+/// Returns the teams, their keys and a queue.
+fn resources() -> Vec<Value> {
+    let limit =
+        json!({"millicores": 128_000, "memory_mib": 262_144, "accelerators": 8, "slots": 32});
+    let team = |name: &str, account: &str, share: u32| json!({"kind": "team", "name": name, "account": account, "share": share, "limit": limit});
+    let key = |(team, token): (&str, &str)| {
+        let name = token.split('.').next();
+        let digest = Sha256::digest(token.as_bytes());
+        let hash: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        json!({"kind": "key", "name": name, "team": team, "hash": hash})
+    };
+    let queue = json!({
+        "kind": "queue", "name": "checks", "class": "urgent", "estimate_ms": 20, "idempotent": true,
+        "size": {"millicores": 1_000, "memory_mib": 256, "slots": 1},
+    });
+    let mut all = vec![
+        team("pairing", "lumenbruecke", 60),
+        team("plans", "barafu-pwani", 40),
+        queue,
+    ];
+    all.extend(KEYS.map(key));
+    all
+}
+
+fn batch(name: &str, tasks: u32, gang: bool) -> Value {
+    json!({
+        "kind": "job", "name": name, "team": "plans", "tasks": tasks, "gang": gang,
+        "estimate_ms": 300, "retries": 1,
+        "size": {"millicores": 4_000, "memory_mib": 4_096, "slots": 1},
+    })
+}
+
+async fn put(table: &table::Client, document: Value) -> Result<()> {
+    let resource: Resource = serde_json::from_value(document)?;
+    let write = Write {
+        key: format!("resource/{}/{}", resource.kind(), resource.name()),
+        value: Some(serde_json::to_value(&resource)?),
+    };
+    let transaction = Transaction {
+        checks: Vec::new(),
+        writes: vec![write],
+    };
+    table.transact(transaction).await?;
+    println!("{} {} is in the table", resource.kind(), resource.name());
+    Ok(())
+}
+
+/// Sends requests of both teams through all servers.
+async fn requests(client: &Client, entries: &[SocketAddr]) -> Result<()> {
+    for number in 0..12 {
+        let (team, token) = KEYS[number % KEYS.len()];
+        let entry = entries[number % entries.len()];
+        let text = format!("answer {number}");
+        let (worker, answer) = request(client, entry, token, &text).await?;
+        ensure!(answer == text, "request {number} got {answer:?}");
+        println!("request {number} of {team} through {entry} ran on {worker}");
+    }
+    Ok(())
+}
+
+/// Sends one request, again and again while the fleet comes up.
+async fn request(
+    client: &Client,
+    entry: SocketAddr,
+    token: &str,
+    text: &str,
+) -> Result<(String, String)> {
+    let begun = Instant::now();
+    loop {
+        let payload = json!({"run_ms": 20, "answer": text}).to_string();
+        let response = client
+            .post(format!("http://{entry}/v1/queues/checks/requests"))
+            .header("authorization", format!("Bearer {token}"))
+            .header("azurepath-patience", "5s")
+            .data(payload)
+            .send()
+            .await?;
+        let status = response.status();
+        let worker = response.headers().get("azurepath-worker").cloned();
+        let body = response.into_string().await?;
+        if status.is_success() {
+            let worker = worker.context("the answer names no worker")?;
+            return Ok((worker.to_str()?.to_owned(), body));
+        }
+        ensure!(begun.elapsed() < PATIENCE, "status {status}: {body}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Waits for the end of a job.
+async fn finished(table: &table::Client, name: &str) -> Result<()> {
+    let begun = Instant::now();
+    loop {
+        let row = table.read(&format!("job/batch/{name}")).await?;
+        let state = row.map(|row| serde_json::from_value::<State>(row.value));
+        let state = state.transpose()?.unwrap_or_default();
+        if state.finished {
+            println!("job {name}: {} done, {} failed", state.done, state.failed);
+            return Ok(());
+        }
+        ensure!(begun.elapsed() < PATIENCE, "job {name} is at {state:?}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Prints who ran what where.
+fn report(fleet: &Fleet) {
+    println!("{:<22} {:<10} {:<14} tasks", "worker", "team", "what");
+    for (worker, record) in fleet.records() {
+        let mut counts: BTreeMap<(Name, Name), u32> = BTreeMap::new();
+        for begun in record.begun {
+            *counts.entry((begun.team, begun.kind)).or_default() += 1;
+        }
+        for ((team, kind), count) in counts {
+            println!("{worker:<22} {team:<10} {kind:<14} {count}");
+        }
+    }
+}
