--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod size;
 pub mod time;
 pub mod trace;
+pub mod usage;
 pub mod verdict;
 pub mod work;
 pub mod worker;
--- /dev/null
+++ b/crates/decide/src/usage/segment.rs
@@ -0,0 +1,257 @@
+//! Sealed segments: entries as JSON lines, each segment bound to the one before by its SHA-256.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::Entry;
+
+/// The beginning of the names of segments in the object store.
+const PREFIX: &str = "usage/";
+
+/// The end of a chain, as the writer keeps it in the table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The number of the last segment, counted from 1; 0 before the first.
+    pub sequence: u64,
+    /// The hash of the last segment; empty before the first.
+    pub hash: String,
+}
+
+/// The first line of a segment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Header {
+    writer: String,
+    sequence: u64,
+    previous: String,
+}
+
+/// The last line of a segment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Seal {
+    sha256: String,
+}
+
+/// A sealed segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// The server that wrote it, with its incarnation.
+    pub writer: String,
+    /// Its number in the writer's chain, counted from 1.
+    pub sequence: u64,
+    /// The hash of the segment before it; empty for the first.
+    pub previous: String,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The hash of all its lines but the last.
+    pub hash: String,
+}
+
+/// Why a segment or a chain is not as it was sealed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    /// A line can't be read.
+    #[error("{name}, line {line}: {detail}; ask the other owner for its copy")]
+    Line {
+        /// The segment.
+        name: String,
+        /// The line, counted from 1.
+        line: usize,
+        /// What is wrong.
+        detail: String,
+    },
+    /// The lines are not those that were sealed.
+    #[error("{name} was changed after it was sealed; ask the other owner for its copy")]
+    Changed {
+        /// The segment.
+        name: String,
+    },
+    /// The segment does not follow the one before it.
+    #[error(
+        "{name} does not follow segment {expected} of its writer; a segment is missing or replaced"
+    )]
+    Gap {
+        /// The segment.
+        name: String,
+        /// The number of the segment that should come before it.
+        expected: u64,
+    },
+    /// The chain ends before its head.
+    #[error(
+        "the chain of {writer} ends at segment {found} instead of {expected}; segments are missing"
+    )]
+    Short {
+        /// The writer.
+        writer: String,
+        /// The last segment that was found.
+        found: u64,
+        /// The last segment by the table.
+        expected: u64,
+    },
+}
+
+impl Segment {
+    /// Seals entries as the segment that follows `head`.
+    pub fn seal(writer: &str, head: &Head, entries: Vec<Entry>) -> Segment {
+        let mut segment = Segment {
+            writer: writer.to_owned(),
+            sequence: head.sequence + 1,
+            previous: head.hash.clone(),
+            entries,
+            hash: String::new(),
+        };
+        segment.hash = hash(&segment.lines());
+        segment
+    }
+
+    /// Returns the head of a chain that ends with this segment.
+    pub fn head(&self) -> Head {
+        Head {
+            sequence: self.sequence,
+            hash: self.hash.clone(),
+        }
+    }
+
+    /// Returns the name in the object store; names of one writer sort in the order of the chain.
+    pub fn name(&self) -> String {
+        format!("{PREFIX}{}/{:010}", self.writer, self.sequence)
+    }
+
+    /// Returns the beginning of the names of all segments.
+    pub fn prefix() -> &'static str {
+        PREFIX
+    }
+
+    /// Returns the text that is stored.
+    pub fn text(&self) -> String {
+        let seal = Seal {
+            sha256: self.hash.clone(),
+        };
+        format!("{}{}\n", self.lines(), line(&seal))
+    }
+
+    /// Reads a stored text and checks it against its seal.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`] where a line can't be read or the seal does not match.
+    pub fn parse(name: &str, text: &str) -> Result<Segment, Broken> {
+        let lines: Vec<&str> = text.lines().collect();
+        let fault = |line: usize, detail: String| Broken::Line {
+            name: name.to_owned(),
+            line,
+            detail,
+        };
+        let [first, middle @ .., last] = lines.as_slice() else {
+            return Err(fault(1, "the segment is cut".to_owned()));
+        };
+        let header: Header =
+            serde_json::from_str(first).map_err(|error| fault(1, error.to_string()))?;
+        let seal: Seal =
+            serde_json::from_str(last).map_err(|error| fault(lines.len(), error.to_string()))?;
+        let body_bytes = text.len() - last.len() - usize::from(text.ends_with('\n'));
+        if hash(&text[..body_bytes]) != seal.sha256 {
+            return Err(Broken::Changed {
+                name: name.to_owned(),
+            });
+        }
+        let mut entries = Vec::with_capacity(middle.len());
+        for (index, text) in middle.iter().enumerate() {
+            let entry = serde_json::from_str(text);
+            entries.push(entry.map_err(|error| fault(index + 2, error.to_string()))?);
+        }
+        Ok(Segment {
+            writer: header.writer,
+            sequence: header.sequence,
+            previous: header.previous,
+            entries,
+            hash: seal.sha256,
+        })
+    }
+
+    /// Returns all lines but the seal.
+    fn lines(&self) -> String {
+        let header = Header {
+            writer: self.writer.clone(),
+            sequence: self.sequence,
+            previous: self.previous.clone(),
+        };
+        let mut lines = line(&header);
+        lines.push('\n');
+        for entry in &self.entries {
+            lines.push_str(&line(entry));
+            lines.push('\n');
+        }
+        lines
+    }
+}
+
+fn line(document: &impl Serialize) -> String {
+    serde_json::to_string(document).unwrap_or_default()
+}
+
+fn hash(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Follows the chain of one writer, segment by segment, up to the head that the table names.
+#[derive(Debug)]
+pub struct Chain {
+    writer: String,
+    expected: Head,
+    found: Head,
+}
+
+impl Chain {
+    /// Begins a writer's chain.
+    pub fn new(writer: &str, expected: Head) -> Chain {
+        Chain {
+            writer: writer.to_owned(),
+            expected,
+            found: Head::default(),
+        }
+    }
+
+    /// Checks that a segment is the next of the chain.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken::Gap`] where it is not, and [`Broken::Changed`] where it is not the segment
+    /// that the table names as the head.
+    pub fn follow(&mut self, segment: &Segment) -> Result<(), Broken> {
+        let next = segment.sequence == self.found.sequence + 1;
+        let bound = segment.previous == self.found.hash;
+        if !next || !bound || segment.writer != self.writer {
+            return Err(Broken::Gap {
+                name: segment.name(),
+                expected: self.found.sequence,
+            });
+        }
+        self.found = segment.head();
+        let is_head = self.found.sequence == self.expected.sequence;
+        if is_head && self.found.hash != self.expected.hash {
+            return Err(Broken::Changed {
+                name: segment.name(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Checks that the chain has reached its head.
+    ///
+    /// The head is written after its segment, so a chain may be ahead of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken::Short`] where segments are missing at the end.
+    pub fn finish(&self) -> Result<(), Broken> {
+        if self.found.sequence < self.expected.sequence {
+            return Err(Broken::Short {
+                writer: self.writer.clone(),
+                found: self.found.sequence,
+                expected: self.expected.sequence,
+            });
+        }
+        Ok(())
+    }
+}
