--- a/crates/server/tests/support/proxy.rs
+++ b/crates/server/tests/support/proxy.rs
@@ -1,5 +1,7 @@
 //! A relay between two ends that can lose track of the connections that are open.
 
+#![allow(dead_code, unreachable_pub)]
+
 use std::net::SocketAddr;
 
 use tokio::io::copy_bidirectional;
