--- /dev/null
+++ b/crates/decide/tests/support/drive.rs
@@ -0,0 +1,288 @@
+//! Drives one owner's machine with a workload; tasks end after their true run time.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use azurepath_decide::action::Action;
+use azurepath_decide::attempt::{Attempt, Outcome};
+use azurepath_decide::cell::{Cell, Setup};
+use azurepath_decide::event::Event;
+use azurepath_decide::meter::Meter;
+use azurepath_decide::name::Name;
+use azurepath_decide::policy::Policy;
+use azurepath_decide::rack::{Allotments, Grant};
+use azurepath_decide::replay;
+use azurepath_decide::request;
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+use azurepath_decide::trace::{Input, Record};
+use azurepath_decide::worker::{Interrupt, Inventory};
+
+use super::workload::{Task, Workload};
+
+/// How long a message to or from a worker takes.
+const DELAY: Duration = Duration::from_millis(1);
+
+/// The time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// An input at a time, ordered so that the earliest is on top of the heap.
+struct Due {
+    at: Time,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// What a run gave.
+#[derive(Default)]
+pub struct Result {
+    pub meter: Meter,
+    pub verdicts: BTreeMap<String, u64>,
+    pub events: u64,
+    pub actions: u64,
+    pub starts: u64,
+    /// The time that the machine took for each input.
+    pub times: Vec<Duration>,
+    pub most_running: usize,
+    pub records: Vec<Record>,
+    /// Requests started more than once at a time, or on a worker without room.
+    pub faults: Vec<String>,
+}
+
+pub struct Drive {
+    cell: Cell,
+    heap: BinaryHeap<Due>,
+    order: u64,
+    tasks: BTreeMap<request::Id, Task>,
+    running: BTreeMap<Attempt, (Name, Size)>,
+    used: BTreeMap<Name, Size>,
+    capacities: BTreeMap<Name, Size>,
+    keep: bool,
+    /// Only what comes from this time on is timed.
+    timed_from: Time,
+    result: Result,
+}
+
+impl Drive {
+    /// Feeds a workload until `end` and returns what came of it; `keep` records the inputs.
+    pub fn run(workload: Workload, setup: Setup, end: Time, keep: bool) -> Result {
+        Drive::run_from(workload, setup, Time(0), end, keep)
+    }
+
+    /// As [`Drive::run`], but times inputs from `timed_from` on only.
+    pub fn run_from(
+        workload: Workload,
+        setup: Setup,
+        timed_from: Time,
+        end: Time,
+        keep: bool,
+    ) -> Result {
+        let mut drive = Drive {
+            cell: Cell::new(setup),
+            heap: BinaryHeap::new(),
+            order: 0,
+            tasks: BTreeMap::new(),
+            running: BTreeMap::new(),
+            used: BTreeMap::new(),
+            capacities: BTreeMap::new(),
+            keep,
+            timed_from,
+            result: Result::default(),
+        };
+        drive.prepare(workload);
+        while let Some(due) = drive.heap.pop() {
+            if due.at > end {
+                break;
+            }
+            drive.feed(due.at, due.event);
+        }
+        drive.result
+    }
+
+    fn prepare(&mut self, workload: Workload) {
+        let mut allotments = Allotments::new();
+        for team in &workload.teams {
+            allotments.insert(team.name.clone(), PLENTY);
+        }
+        let configure = Event::Configure {
+            revision: 1,
+            teams: workload.teams,
+        };
+        self.push(Time(0), configure);
+        let mut racks: Vec<Name> = Vec::new();
+        for spec in workload.workers {
+            if racks.last() != Some(&spec.rack) {
+                racks.push(spec.rack.clone());
+                let grant = Grant {
+                    rack: spec.rack.clone(),
+                    epoch: 1,
+                    allotments: allotments.clone(),
+                };
+                self.push(Time(0), Event::Gain(grant));
+            }
+            self.capacities.insert(spec.name.clone(), spec.capacity);
+            self.push(Time(0), Event::Join(spec));
+        }
+        for task in workload.tasks {
+            self.push(task.at, Event::Submit(task.request.clone()));
+            self.tasks.insert(task.request.id, task);
+        }
+        self.push(Time(0), Event::Tick);
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.order += 1;
+        self.heap.push(Due {
+            at,
+            order: self.order,
+            event,
+        });
+    }
+
+    fn feed(&mut self, now: Time, event: Event) {
+        if event == Event::Tick {
+            self.push(now.after(TICK), Event::Tick);
+        }
+        if let Event::Ended { attempt, .. } = &event {
+            self.free(*attempt);
+        }
+        if self.keep {
+            self.result.records.push(Record {
+                at: now,
+                input: Input::Cell(event.clone()),
+            });
+        }
+        let seen = event.clone();
+        let mut actions = Vec::new();
+        let begun = Instant::now();
+        self.cell.handle(now, event, &mut actions);
+        if now >= self.timed_from {
+            self.result.times.push(begun.elapsed());
+        }
+        self.result.events += 1;
+        self.result.actions += actions.len() as u64;
+        self.result.meter.observe(now, &seen, &actions);
+        for action in actions {
+            self.act(now, action);
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Claim { worker, epoch } => {
+                let inventory = Inventory {
+                    worker,
+                    epoch,
+                    running: Vec::new(),
+                    ended: Vec::new(),
+                };
+                self.push(now.after(DELAY), Event::Claimed(inventory));
+            }
+            Action::Start {
+                attempt,
+                worker,
+                size,
+                ..
+            } => self.start(now, attempt, worker, size),
+            Action::Interrupt {
+                attempt,
+                worker,
+                how,
+            } => self.interrupt(now, attempt, worker, how),
+            Action::Answer { verdict, .. } => {
+                let label = replay::label(&verdict);
+                *self.result.verdicts.entry(label).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn start(&mut self, now: Time, attempt: Attempt, worker: Name, size: Size) {
+        self.result.starts += 1;
+        let used = self.used.entry(worker.clone()).or_default();
+        *used = used.plus(&size);
+        if !used.fits(&self.capacities[&worker]) {
+            let text = format!("{worker} is over its capacity at {now:?}");
+            self.result.faults.push(text);
+        }
+        self.running.insert(attempt, (worker.clone(), size));
+        self.result.most_running = self.result.most_running.max(self.running.len());
+        let begun = now.after(DELAY);
+        let run = self.tasks[&attempt.request].run;
+        self.push(
+            begun,
+            Event::Started {
+                attempt,
+                worker: worker.clone(),
+            },
+        );
+        let ended = Event::Ended {
+            attempt,
+            worker,
+            outcome: Outcome::Done,
+        };
+        self.push(begun.after(run), ended);
+    }
+
+    fn interrupt(&mut self, now: Time, attempt: Attempt, worker: Name, how: Interrupt) {
+        let outcome = match how {
+            Interrupt::Throttle => return,
+            Interrupt::Checkpoint => Outcome::Checkpointed,
+            Interrupt::Stop => Outcome::Stopped,
+        };
+        let ended = Event::Ended {
+            attempt,
+            worker,
+            outcome,
+        };
+        self.push(now.after(DELAY * 2), ended);
+    }
+
+    fn free(&mut self, attempt: Attempt) {
+        if let Some((worker, size)) = self.running.remove(&attempt)
+            && let Some(used) = self.used.get_mut(&worker)
+        {
+            *used = used.minus(&size);
+        }
+    }
+}
+
+/// Allotments that never bind.
+const PLENTY: Size = Size {
+    millicores: u64::MAX / 1_000,
+    memory_mib: u64::MAX / 1_000,
+    accelerators: u64::MAX / 1_000,
+    slots: u64::MAX / 1_000,
+};
+
+/// The setup of a machine under a policy.
+pub fn setup(policy: Policy) -> Setup {
+    Setup {
+        server: "entry-1".into(),
+        region: None,
+        seed: 1,
+        policy,
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/support/workload.rs
@@ -0,0 +1,306 @@
+//! Workloads of both owners, drawn from a seed.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use std::time::Duration;
+
+use azurepath_decide::class::Class;
+use azurepath_decide::name::Name;
+use azurepath_decide::request::{Id, Request};
+use azurepath_decide::resource::Team;
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+use azurepath_decide::worker::Spec;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A request with its true run time.
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub at: Time,
+    pub run: Duration,
+    pub request: Request,
+}
+
+/// A fleet with what is handed in to it.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub workers: Vec<Spec>,
+    pub teams: Vec<Team>,
+    pub tasks: Vec<Task>,
+}
+
+/// A kind of work.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub name: &'static str,
+    pub class: Class,
+    pub cores: u64,
+    pub memory_gib: u64,
+    pub accelerators: u64,
+    pub run_seconds: f64,
+    pub patience_seconds: u64,
+    pub idempotent: bool,
+    /// Its part of the work.
+    pub part: f64,
+}
+
+const LUMEN: [Kind; 3] = [
+    kind("pairing", Class::Urgent, (1, 1), 0.5, 6, true, 0.15),
+    kind("audit", Class::Batch, (4, 8), 20.0, 600, true, 0.45),
+    kind("sweep", Class::Batch, (8, 24), 60.0, 3_600, false, 0.40),
+];
+
+const BARAFU: [Kind; 3] = [
+    kind("order", Class::Urgent, (1, 1), 0.3, 6, false, 0.10),
+    kind("route", Class::Batch, (8, 12), 45.0, 3_600, true, 0.60),
+    kind("sheet", Class::Batch, (2, 2), 5.0, 300, true, 0.30),
+];
+
+const fn kind(
+    name: &'static str,
+    class: Class,
+    (cores, memory_gib): (u64, u64),
+    run_seconds: f64,
+    patience_seconds: u64,
+    idempotent: bool,
+    part: f64,
+) -> Kind {
+    Kind {
+        name,
+        class,
+        cores,
+        memory_gib,
+        accelerators: 0,
+        run_seconds,
+        patience_seconds,
+        idempotent,
+        part,
+    }
+}
+
+impl Kind {
+    pub fn size(&self) -> Size {
+        Size {
+            millicores: self.cores * 1_000,
+            memory_mib: self.memory_gib * 1_024,
+            accelerators: self.accelerators,
+            slots: 1,
+        }
+    }
+}
+
+/// Lumenbrücke's day on 50 workers of 32 cores, 128 GB and 8 slots.
+pub fn lumen(seed: u64, load: f64, seconds: u64) -> Workload {
+    let site = ["zrh-a", "zrh-b", "gva-a"];
+    owner(seed, load, seconds, &LUMEN, 128, site)
+}
+
+/// Barafu Pwani's night on 50 workers of 32 cores, 64 GB and 8 slots.
+pub fn barafu(seed: u64, load: f64, seconds: u64) -> Workload {
+    let site = ["dar-kariakoo", "dar-mbezi", "znz-stone"];
+    owner(seed, load, seconds, &BARAFU, 64, site)
+}
+
+fn owner(
+    seed: u64,
+    load: f64,
+    seconds: u64,
+    kinds: &[Kind],
+    memory_gib: u64,
+    sites: [&str; 3],
+) -> Workload {
+    let capacity = Size {
+        millicores: 32_000,
+        memory_mib: memory_gib * 1_024,
+        accelerators: 0,
+        slots: 8,
+    };
+    let workers = fleet(50, |_| capacity, &sites);
+    // A few accounts are large.
+    let demand = [30.0, 25.0, 20.0, 10.0, 10.0, 5.0];
+    let teams = teams(&[3, 2, 2, 1, 1, 1]);
+    let mut draw = Draw::new(seed);
+    let mut tasks = Vec::new();
+    let total = capacity.times(50);
+    for kind in kinds {
+        let each = kind.size().dominant(&total).max(1.0 / 400.0) * kind.run_seconds;
+        let per_second = load * kind.part / each;
+        draw.arrivals(kind, per_second, 0, seconds, &demand, &mut tasks);
+    }
+    finish(workers, teams, tasks)
+}
+
+/// 1,700 workers with 2,900 accelerators, 83 teams, 25,000 running of which a fifth are services,
+/// and 120 starts per second; `load` scales the arrivals.
+pub fn letter(seed: u64, load: f64, seconds: u64) -> Workload {
+    let sites = ["a-1", "a-2", "a-3", "b-1", "b-2"];
+    let workers = fleet(1_700, letter_worker, &sites);
+    let shares: Vec<u32> = (0..83).map(|index| 1 + index % 5).collect();
+    let teams = teams(&shares);
+    // Demand falls with the rank of the team.
+    let demand: Vec<f64> = (1..=83).map(|rank| 1.0 / f64::from(rank).sqrt()).collect();
+    let mut draw = Draw::new(seed);
+    let mut tasks = Vec::new();
+    let service = Kind {
+        run_seconds: 1e7,
+        ..kind("service", Class::Service, (1, 2), 1.0, 1 << 40, true, 0.0)
+    };
+    draw.burst(&service, 5_000, &demand, &mut tasks);
+    let (small, large, accelerated, urgent) = letter_kinds();
+    for (kind, per_second) in [
+        (small, 80.0),
+        (large, 14.0),
+        (accelerated, 8.0),
+        (urgent, 18.0),
+    ] {
+        let running = (per_second * kind.run_seconds) as u64;
+        draw.burst(&kind, running, &demand, &mut tasks);
+        draw.arrivals(&kind, per_second * load, 60, seconds, &demand, &mut tasks);
+    }
+    finish(workers, teams, tasks)
+}
+
+fn letter_kinds() -> (Kind, Kind, Kind, Kind) {
+    let small = kind("small", Class::Batch, (2, 4), 180.0, 3_600, true, 0.0);
+    let large = kind("large", Class::Batch, (4, 16), 300.0, 3_600, false, 0.0);
+    let accelerated = Kind {
+        accelerators: 1,
+        ..kind(
+            "accelerated",
+            Class::Batch,
+            (2, 16),
+            160.0,
+            3_600,
+            true,
+            0.0,
+        )
+    };
+    let urgent = kind("urgent", Class::Urgent, (1, 1), 2.0, 6, true, 0.0);
+    (small, large, accelerated, urgent)
+}
+
+fn letter_worker(index: usize) -> Size {
+    Size {
+        millicores: 32_000,
+        memory_mib: 128 * 1_024,
+        accelerators: if index < 725 { 4 } else { 0 },
+        slots: 24,
+    }
+}
+
+/// Workers at 8 a rack; the racks go round the failure domains.
+fn fleet(count: usize, capacity: impl Fn(usize) -> Size, sites: &[&str]) -> Vec<Spec> {
+    let worker = |index: usize| {
+        let rack = index / 8;
+        let site = sites[rack % sites.len()];
+        Spec {
+            name: format!("w{index:04}").into(),
+            rack: format!("r{rack:03}").into(),
+            failure_domain: site.into(),
+            region: site.split('-').next().unwrap_or(site).into(),
+            capacity: capacity(index),
+        }
+    };
+    (0..count).map(worker).collect()
+}
+
+fn teams(shares: &[u32]) -> Vec<Team> {
+    let team = |(index, share): (usize, &u32)| Team {
+        name: team_name(index),
+        account: format!("account{}", index % 6).into(),
+        share: *share,
+        limit: Size::MAX,
+    };
+    shares.iter().enumerate().map(team).collect()
+}
+
+fn team_name(index: usize) -> Name {
+    format!("t{index:02}").into()
+}
+
+fn finish(workers: Vec<Spec>, teams: Vec<Team>, mut tasks: Vec<Task>) -> Workload {
+    tasks.sort_by_key(|task| (task.at, task.request.id));
+    Workload {
+        workers,
+        teams,
+        tasks,
+    }
+}
+
+struct Draw {
+    rng: ChaCha8Rng,
+    next: u128,
+}
+
+impl Draw {
+    fn new(seed: u64) -> Draw {
+        Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next: 0,
+        }
+    }
+
+    /// Poisson arrivals.
+    fn arrivals(
+        &mut self,
+        kind: &Kind,
+        per_second: f64,
+        from: u64,
+        to: u64,
+        demand: &[f64],
+        tasks: &mut Vec<Task>,
+    ) {
+        let mut at = from as f64;
+        loop {
+            at += self.exponential(1.0 / per_second);
+            if at >= to as f64 {
+                return;
+            }
+            let task = self.task(kind, Time((at * 1e6) as u64), demand);
+            tasks.push(task);
+        }
+    }
+
+    /// Work that is there from the start, handed in over the first 30 s.
+    fn burst(&mut self, kind: &Kind, count: u64, demand: &[f64], tasks: &mut Vec<Task>) {
+        for index in 0..count {
+            let at = Time(30_000_000 * index / count.max(1));
+            let task = self.task(kind, at, demand);
+            tasks.push(task);
+        }
+    }
+
+    fn task(&mut self, kind: &Kind, at: Time, demand: &[f64]) -> Task {
+        let run = Duration::from_secs_f64(self.exponential(kind.run_seconds).max(0.01));
+        // Declared run times are far off.
+        let factor = self.rng.random_range(-1.5_f64..1.5).exp();
+        self.next += 1;
+        let request = Request {
+            id: Id(self.next),
+            team: self.team(demand),
+            kind: kind.name.into(),
+            class: kind.class,
+            size: kind.size(),
+            estimate: run.mul_f64(factor),
+            deadline: at.after(Duration::from_secs(kind.patience_seconds)),
+            idempotent: kind.idempotent,
+            gang: None,
+            target: None,
+        };
+        Task { at, run, request }
+    }
+
+    fn team(&mut self, demand: &[f64]) -> Name {
+        let mut left = self.rng.random::<f64>() * demand.iter().sum::<f64>();
+        let index = demand.iter().position(|part| {
+            left -= part;
+            left <= 0.0
+        });
+        team_name(index.unwrap_or(0))
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+}
