--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -2,12 +2,19 @@
 
 mod claim;
 mod demand;
+mod dump;
 mod fate;
+mod gangs;
 mod intake;
 mod job;
 mod memory;
 mod place;
+mod preempt;
+mod probe;
+mod retrial;
+mod summary;
 mod timer;
+mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,16 +26,24 @@
 use crate::attempt::Attempt;
 use crate::event::Event;
 use crate::fair::Teams;
+use crate::health::Health;
+use crate::learn::Learner;
 use crate::ledger::Ledger;
 use crate::name::{Map, Name};
 use crate::placement::Spread;
 use crate::policy::Policy;
 use crate::queue::Queue;
 use crate::request;
+use crate::retry::Budget;
 use crate::room::Room;
+use crate::share::Summary;
 use crate::size::Size;
 use crate::time::Time;
 
+pub use dump::{AttemptDump, Dump, RackDump, TeamDump, WorkerDump};
+pub use job::State;
+
+use gangs::Gang;
 use job::{Booking, Job};
 use memory::Memory;
 use timer::Timer;
@@ -73,6 +88,12 @@
     bookings: Map<Attempt, Booking>,
     sought: BTreeMap<request::Id, Option<usize>>,
     memory: Memory,
+    gangs: BTreeMap<request::Id, Gang>,
+    changed: BTreeSet<request::Id>,
+    learner: Learner,
+    health: Health,
+    budget: Budget,
+    published: Option<(Time, Summary)>,
     timers: BTreeSet<(Time, Timer)>,
     dirty: BTreeSet<usize>,
     arrivals: u64,
@@ -98,6 +119,12 @@
             bookings: Map::default(),
             sought: BTreeMap::new(),
             memory: Memory::default(),
+            gangs: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            learner: Learner::default(),
+            health: Health::default(),
+            budget: Budget::default(),
+            published: None,
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             arrivals: 0,
@@ -120,7 +147,9 @@
         self.run_timers();
         self.take(event);
         self.fill_dirty();
+        self.tell_held();
         self.ask();
+        self.publish();
         std::mem::swap(&mut self.out, actions);
     }
 
@@ -151,13 +180,13 @@
             } => self.ended(attempt, &worker, outcome),
             Event::Lost { attempt, worker } => self.lost(attempt, &worker),
             Event::Peer(summary) => self.teams.hear(summary),
-            Event::Reclaim(_)
-            | Event::Report(_)
-            | Event::Probed { .. }
-            | Event::Reserve(_)
-            | Event::Commit { .. }
-            | Event::Release { .. }
-            | Event::Tick => {}
+            Event::Reclaim(demand) => self.reclaim(&demand),
+            Event::Report(report) => self.report(&report),
+            Event::Probed { worker, healthy } => self.probed(&worker, healthy),
+            Event::Reserve(ask) => self.reserve(ask),
+            Event::Commit { gang } => self.commit(gang),
+            Event::Release { gang } => self.release(gang),
+            Event::Tick => {}
         }
     }
 }
--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -4,6 +4,7 @@
 
 use crate::action::Action;
 use crate::attempt::{Attempt, Running};
+use crate::health::Circuit;
 use crate::name::Name;
 use crate::rack::{Allotted, Grant};
 use crate::request::{Id, Request};
@@ -80,6 +81,7 @@
         for worker in self.room.rack(rack).to_vec() {
             self.room.get_mut(worker).hold = Hold::Free;
             self.refresh(worker);
+            self.unhold(worker);
         }
         self.resize();
         self.give_up_sought(rack);
@@ -130,9 +132,14 @@
         let Some(worker) = self.room.find(worker) else {
             return;
         };
-        self.room.get_mut(worker).leaving = true;
+        let known = self.room.get_mut(worker);
+        if std::mem::replace(&mut known.leaving, true) {
+            return;
+        }
         self.refresh(worker);
         self.resize();
+        self.unhold(worker);
+        self.drain(worker);
     }
 
     pub(super) fn gone(&mut self, worker: &Name) {
@@ -142,9 +149,10 @@
         let known = self.room.get_mut(worker);
         known.gone = true;
         known.hold = Hold::Free;
-        let attempts = known.attempts.clone();
         self.refresh(worker);
         self.resize();
+        self.unhold(worker);
+        let attempts = self.room.get(worker).attempts.clone();
         for attempt in attempts {
             self.perished(attempt);
         }
@@ -241,6 +249,10 @@
             sends: 1,
             since: self.now,
             interrupt: None,
+            guard: Time::default(),
+            declared: running.size,
+            used: None,
+            peak: Size::ZERO,
         };
         self.book(attempt, booking);
         self.tie(attempt, running, team);
@@ -253,14 +265,10 @@
         self.queue.remove(id);
         self.sought.remove(&id);
         let arrival = self.next_arrival();
+        self.unpress(id);
         let job = self.jobs.entry(id).or_insert_with(|| Job {
-            request: orphan(running),
-            team,
-            number: attempt.number,
-            phase: Phase::Placed(attempt),
             caller: false,
-            cancelled: false,
-            arrival,
+            ..Job::new(orphan(running), team, Phase::Backoff, arrival)
         });
         if !matches!(job.phase, Phase::Placed(_)) {
             job.phase = Phase::Placed(attempt);
@@ -341,8 +349,13 @@
 
     /// Works out anew whether a worker may be used, and marks it to be filled.
     pub(super) fn refresh(&mut self, worker: usize) {
-        let rack = self.room.get(worker).rack;
-        let owned = self.ledger.rack(rack).owned;
+        let known = self.room.get_mut(worker);
+        known.broken = match self.health.circuit(worker) {
+            Circuit::Closed => false,
+            Circuit::Open => true,
+            Circuit::Trial => !known.attempts.is_empty(),
+        };
+        let owned = self.ledger.rack(known.rack).owned;
         self.room.refresh(worker, owned);
         self.dirty.insert(worker);
     }
@@ -389,12 +402,14 @@
     pub(super) fn deny_until(&mut self, id: Id, reason: Reason, retry_after: Option<Duration>) {
         self.queue.remove(id);
         self.sought.remove(&id);
-        let verdict = Verdict::NotRun {
+        self.unpress(id);
+        let past = self.jobs.get(&id).and_then(|job| job.past.clone());
+        let verdict = past.unwrap_or(Verdict::NotRun {
             reason,
             retry_after,
-        };
+        });
         self.answer(id, verdict);
-        self.jobs.remove(&id);
+        self.drop_job(id);
     }
 }
 
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::action::Action;
+use crate::rack::Demand;
 
 use super::Cell;
 
@@ -10,6 +11,23 @@
 const PAUSE: Duration = Duration::from_secs(1);
 
 impl Cell {
+    /// Bounds what a rack uses of a lowered limit and offers the rest.
+    pub(super) fn reclaim(&mut self, demand: &Demand) {
+        let Some(rack) = self.ledger.find(&demand.rack) else {
+            return;
+        };
+        if !self.ledger.rack(rack).owned {
+            return;
+        }
+        let team = self.teams.index(&demand.team);
+        let want = self.ledger.cap(rack, team, demand.want);
+        let demands = vec![Demand {
+            want,
+            ..demand.clone()
+        }];
+        self.out.push(Action::Allot { demands });
+    }
+
     pub(super) fn ask(&mut self) {
         let due = self.asked.is_none_or(|at| self.now.since(at) >= PAUSE);
         if !due || self.ledger.owned().next().is_none() {
--- a/crates/decide/src/cell/fate.rs
+++ b/crates/decide/src/cell/fate.rs
@@ -12,20 +12,15 @@
 
 use super::Cell;
 use super::job::{Booking, Cause, Phase, State, Told};
+use super::retrial::MAX_RETRIES;
 use super::timer::Timer;
 
-/// How long a refused request waits at most before its next attempt.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// How long an attempt in doubt waits before it is looked for again.
 const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 
 /// How long after it was sent a start may still arrive at a worker.
 const LATE: Duration = Duration::from_secs(30);
 
-/// How many attempts of one request may be refused.
-const MAX_ATTEMPTS: u32 = 8;
-
 impl Cell {
     pub(super) fn started(&mut self, attempt: Attempt, worker: &Name) {
         if let Some(worker) = self.booked_on(attempt, worker) {
@@ -60,8 +55,8 @@
             return;
         };
         let booking = &self.bookings[&attempt];
-        let (sends, epoch) = (booking.sends, booking.epoch);
-        if booking.state == State::Running {
+        let (sends, epoch, kind) = (booking.sends, booking.epoch, booking.kind.clone());
+        if matches!(booking.state, State::Running | State::Held) {
             return;
         }
         match refusal {
@@ -69,7 +64,8 @@
             Refusal::NoRoom => self.claim(worker),
             Refusal::Leaving => self.leave(&self.room.get(worker).spec.name.clone()),
             Refusal::StaleEpoch => self.fenced(worker, epoch),
-            Refusal::Broken | Refusal::Unreachable => {}
+            Refusal::Broken => self.judge(&kind, worker, false),
+            Refusal::Unreachable => self.unreachable(&self.room.get(worker).spec.name.clone()),
         }
         let final_word = matches!(refusal, Refusal::Leaving | Refusal::StaleEpoch);
         if sends > 1 && !final_word {
@@ -78,43 +74,6 @@
         self.never_began(attempt);
     }
 
-    /// Takes back an attempt that surely did not begin.
-    fn never_began(&mut self, attempt: Attempt) {
-        self.unbook(attempt);
-        let id = attempt.request;
-        let Some(job) = self.placed(attempt) else {
-            return;
-        };
-        if !job.caller {
-            self.jobs.remove(&id);
-        } else if job.cancelled {
-            self.deny(id, Reason::Cancelled);
-        } else if job.number >= MAX_ATTEMPTS {
-            self.deny(id, Reason::Refused);
-        } else {
-            self.back_off(id);
-        }
-    }
-
-    /// Lets a request wait a little before its next attempt.
-    fn back_off(&mut self, id: request::Id) {
-        if self.ledger.owned().next().is_none() {
-            return self.deny(id, Reason::Leaving);
-        }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.phase = Phase::Backoff;
-        }
-        let pause = self.jitter(RETRY_PAUSE);
-        self.at(self.now.after(pause), Timer::Retry(id));
-    }
-
-    pub(super) fn retry(&mut self, id: request::Id) {
-        let job = self.jobs.get(&id);
-        if job.is_some_and(|job| job.phase == Phase::Backoff) {
-            self.enqueue(id);
-        }
-    }
-
     /// Stops placing on a rack whose worker has seen a later owner.
     fn fenced(&mut self, worker: usize, epoch: u64) {
         let rack = self.ledger.rack(self.room.get(worker).rack);
@@ -128,28 +87,18 @@
             self.ended_attached(attempt, worker, outcome);
             return;
         }
-        self.unbook(attempt);
-        self.finish(attempt, worker, outcome);
+        let Some(booking) = self.unbook(attempt) else {
+            return;
+        };
+        self.learn(&booking, outcome);
+        self.finish(attempt, worker, outcome, Some(&booking));
     }
 
     /// Takes the answer of an attempt that had ended before it was attached to.
     fn ended_attached(&mut self, attempt: Attempt, worker: &Name, outcome: Outcome) {
         let known = self.room.find(worker).is_some();
         if known && !self.bookings.contains_key(&attempt) && self.placed(attempt).is_some() {
-            self.finish(attempt, worker, outcome);
-        }
-    }
-
-    fn finish(&mut self, attempt: Attempt, worker: &Name, outcome: Outcome) {
-        let verdict = Verdict::Ran {
-            attempt,
-            worker: worker.clone(),
-            outcome,
-        };
-        self.memory.ended(attempt, worker.clone(), self.now);
-        if self.placed(attempt).is_some() {
-            self.answer(attempt.request, verdict);
-            self.jobs.remove(&attempt.request);
+            self.finish(attempt, worker, outcome, None);
         }
     }
 
@@ -158,7 +107,7 @@
             self.doubt(attempt);
         } else if !self.bookings.contains_key(&attempt) && self.placed(attempt).is_some() {
             self.say_unknown(attempt.request, attempt);
-            self.jobs.remove(&attempt.request);
+            self.drop_job(attempt.request);
         }
     }
 
@@ -199,7 +148,7 @@
         let worker = booking.worker;
         match booking.state {
             // The start, or the end, may have crossed the inventory.
-            State::Sent => {}
+            State::Held | State::Sent => {}
             State::Running => self.absent_running(attempt),
             State::Doubt => self.absent_doubt(attempt, worker, inventory),
         }
@@ -288,12 +237,15 @@
         let Some(job) = self.placed(attempt) else {
             return;
         };
-        let again = booking.idempotent && job.caller && !job.cancelled;
-        if again && job.number < MAX_ATTEMPTS {
-            self.back_off(id);
+        let again = booking.idempotent && booking.gang.is_none();
+        let again = again && job.caller && !job.cancelled && job.retries < MAX_RETRIES;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.past = Some(Verdict::Unknown { attempt });
+        }
+        if again {
+            self.back_off(id, None);
         } else {
-            self.say_unknown(id, attempt);
-            self.jobs.remove(&id);
+            self.deny(id, Reason::Refused);
         }
     }
 
@@ -318,14 +270,14 @@
 
     /// Interrupts a booked attempt, unless it was told the same before.
     pub(super) fn interrupt(&mut self, attempt: Attempt, how: Interrupt, cause: Cause) {
-        let Some(booking) = self.bookings.get_mut(&attempt) else {
+        let Some(booking) = self.bookings.get(&attempt) else {
             return;
         };
         if booking.interrupt.is_some_and(|told| told.how == how) {
             return;
         }
         let at = self.now;
-        booking.interrupt = Some(Told { how, cause, at });
+        self.set_told(attempt, Some(Told { how, cause, at }));
         self.tell(attempt, how);
     }
 
@@ -357,14 +309,14 @@
     }
 
     /// Returns the request of which an attempt is the one in hand.
-    fn placed(&self, attempt: Attempt) -> Option<&super::Job> {
+    pub(super) fn placed(&self, attempt: Attempt) -> Option<&super::Job> {
         let job = self.jobs.get(&attempt.request)?;
         (job.phase == Phase::Placed(attempt)).then_some(job)
     }
 
     fn forget(&mut self, attempt: Attempt) {
         if self.placed(attempt).is_some() {
-            self.jobs.remove(&attempt.request);
+            self.drop_job(attempt.request);
         }
     }
 
--- /dev/null
+++ b/crates/decide/src/cell/gangs.rs
@@ -0,0 +1,243 @@
+//! Members of gangs hold places until all start together.
+
+use std::collections::BTreeSet;
+
+use crate::action::Action;
+use crate::attempt::Attempt;
+use crate::gang::{Ask, Hold, Place};
+use crate::request;
+use crate::time::Time;
+use crate::verdict::Reason;
+use crate::worker::Interrupt;
+
+use super::Cell;
+use super::job::{Cause, Phase, State};
+use super::timer::Timer;
+
+/// A gang as it stands here.
+#[derive(Debug)]
+pub(super) struct Gang {
+    members: BTreeSet<request::Id>,
+    expires: Time,
+    committed: bool,
+}
+
+impl Cell {
+    pub(super) fn reserve(&mut self, ask: Ask) {
+        let id = ask.gang;
+        let gang = self.gangs.entry(id).or_insert_with(|| Gang {
+            members: BTreeSet::new(),
+            expires: ask.expires,
+            committed: false,
+        });
+        if gang.committed {
+            return;
+        }
+        gang.expires = ask.expires;
+        self.at(ask.expires, Timer::Gang(id));
+        self.changed.insert(id);
+        for member in ask.members {
+            self.reserve_member(id, member);
+        }
+        self.take_over(id);
+    }
+
+    fn reserve_member(&mut self, gang: request::Id, member: request::Request) {
+        let id = member.id;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.admit(member, Phase::Queued);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.caller = false;
+            job.hold = Some(gang);
+        }
+        if let Some(gang) = self.gangs.get_mut(&gang) {
+            gang.members.insert(id);
+        }
+        self.enqueue(id);
+    }
+
+    /// Takes places from gangs with higher ids for members that have none.
+    ///
+    /// The lowest gang thus always gets what it can, so that two gangs which want each other's
+    /// places can't both wait.
+    fn take_over(&mut self, gang: request::Id) {
+        let Some(members) = self.gangs.get(&gang).map(|gang| gang.members.clone()) else {
+            return;
+        };
+        for member in members {
+            self.seat(member);
+            while let Some(other) = self.yielding(gang, member) {
+                self.yield_places(other);
+                self.seat(member);
+            }
+        }
+    }
+
+    /// Finds the highest gang above `gang` whose places would make room for a waiting member.
+    fn yielding(&self, gang: request::Id, member: request::Id) -> Option<request::Id> {
+        let item = self.queue.get(member)?;
+        let above = (std::ops::Bound::Excluded(gang), std::ops::Bound::Unbounded);
+        let holds = |&(_, other): &(&request::Id, &Gang)| !other.committed;
+        let helps = |&(_, other): &(&request::Id, &Gang)| {
+            let held = other.members.iter().filter_map(|id| self.held(*id));
+            let mut held = held.map(|attempt| &self.bookings[&attempt]);
+            held.any(|booking| {
+                let worker = self.room.get(booking.worker);
+                let allowed = item.rack.is_none_or(|rack| rack == worker.rack);
+                allowed && item.size.fits(&worker.free().plus(&booking.size))
+            })
+        };
+        let mut above = self.gangs.range(above).rev().filter(holds).filter(helps);
+        above.next().map(|(id, _)| *id)
+    }
+
+    fn yield_places(&mut self, gang: request::Id) {
+        self.changed.insert(gang);
+        let members = self.gangs[&gang].members.clone();
+        for member in members {
+            if let Some(attempt) = self.held(member) {
+                self.unbook(attempt);
+                self.wait_again(member);
+            }
+        }
+    }
+
+    /// Puts a member that has lost its place back into the queue.
+    fn wait_again(&mut self, member: request::Id) {
+        let item = self.item(member);
+        if let Some(job) = self.jobs.get_mut(&member) {
+            job.phase = Phase::Queued;
+        }
+        self.queue.push(item);
+    }
+
+    /// Takes back the places that were held on a worker which may not be used any more.
+    pub(super) fn unhold(&mut self, worker: usize) {
+        for attempt in self.room.get(worker).attempts.clone() {
+            let held = self.bookings.get(&attempt);
+            let Some(gang) = held
+                .filter(|booking| booking.state == State::Held)
+                .and_then(|booking| booking.gang)
+            else {
+                continue;
+            };
+            self.unbook(attempt);
+            self.changed.insert(gang);
+            self.wait_again(attempt.request);
+        }
+    }
+
+    /// Returns the attempt that holds a place for a member.
+    fn held(&self, member: request::Id) -> Option<Attempt> {
+        match self.jobs.get(&member)?.phase {
+            Phase::Placed(attempt) => {
+                let booking = self.bookings.get(&attempt)?;
+                (booking.state == State::Held).then_some(attempt)
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn commit(&mut self, gang: request::Id) {
+        let Some(known) = self.gangs.get_mut(&gang) else {
+            self.changed.insert(gang);
+            return;
+        };
+        if known.committed {
+            return;
+        }
+        known.committed = true;
+        for member in known.members.clone() {
+            match self.held(member) {
+                Some(attempt) => self.start_member(member, attempt),
+                None => self.drop_member(gang, member),
+            }
+        }
+    }
+
+    fn start_member(&mut self, member: request::Id, attempt: Attempt) {
+        if let Some(job) = self.jobs.get_mut(&member) {
+            job.caller = true;
+            job.hold = None;
+        }
+        self.send(attempt);
+    }
+
+    /// Forgets a member that has not started.
+    fn drop_member(&mut self, gang: request::Id, member: request::Id) {
+        if let Some(attempt) = self.held(member) {
+            self.unbook(attempt);
+        }
+        self.deny(member, Reason::Gang);
+        self.leave_gang(gang, member);
+    }
+
+    pub(super) fn release(&mut self, gang: request::Id) {
+        let Some(known) = self.gangs.get(&gang) else {
+            return;
+        };
+        if known.committed {
+            return;
+        }
+        for member in known.members.clone() {
+            self.drop_member(gang, member);
+        }
+        self.gangs.remove(&gang);
+        self.changed.remove(&gang);
+    }
+
+    /// Gives the places of a gang back that has not started in time.
+    pub(super) fn expire_gang(&mut self, gang: request::Id) {
+        let due = self.gangs.get(&gang);
+        if due.is_some_and(|gang| !gang.committed && gang.expires <= self.now) {
+            self.release(gang);
+            self.changed.insert(gang);
+        }
+    }
+
+    /// Stops the other members of a gang of which one could not start.
+    pub(super) fn undo_gang(&mut self, gang: request::Id, failed: request::Id) {
+        self.deny(failed, Reason::Gang);
+        let members = self.gangs.get(&gang).map(|gang| gang.members.clone());
+        for member in members.unwrap_or_default() {
+            if let Some(Phase::Placed(attempt)) = self.jobs.get(&member).map(|job| job.phase) {
+                self.interrupt(attempt, Interrupt::Stop, Cause::Gang);
+            }
+        }
+    }
+
+    /// Forgets that a request belongs to a gang.
+    pub(super) fn leave_gang(&mut self, gang: request::Id, member: request::Id) {
+        let Some(known) = self.gangs.get_mut(&gang) else {
+            return;
+        };
+        known.members.remove(&member);
+        if known.members.is_empty() && known.committed {
+            self.gangs.remove(&gang);
+        }
+    }
+
+    /// Tells the homes of gangs which places are held now.
+    pub(super) fn tell_held(&mut self) {
+        while let Some(gang) = self.changed.pop_first() {
+            let known = self.gangs.get(&gang);
+            if known.is_some_and(|known| known.committed) {
+                continue;
+            }
+            let members = known.into_iter().flat_map(|known| &known.members);
+            let places = members.filter_map(|member| self.place(*member)).collect();
+            self.out.push(Action::Held(Hold { gang, places }));
+        }
+    }
+
+    fn place(&self, member: request::Id) -> Option<Place> {
+        let attempt = self.held(member)?;
+        let worker = self.room.get(self.bookings[&attempt].worker);
+        Some(Place {
+            member,
+            worker: worker.spec.name.clone(),
+        })
+    }
+}
--- a/crates/decide/src/cell/intake.rs
+++ b/crates/decide/src/cell/intake.rs
@@ -13,7 +13,7 @@
 use crate::worker::Interrupt;
 
 use super::Cell;
-use super::job::{Cause, Job, Phase};
+use super::job::{Cause, Job, Phase, State};
 use super::memory::Fate;
 use super::timer::Timer;
 
@@ -90,7 +90,7 @@
             Some(Fate::Unknown(attempt)) => {
                 self.admit(request.clone(), Phase::Sought);
                 self.say_unknown(id, attempt);
-                self.jobs.remove(&id);
+                self.drop_job(id);
                 true
             }
             Some(Fate::Ended { attempt, worker }) => {
@@ -104,20 +104,13 @@
         }
     }
 
-    fn admit(&mut self, request: Request, phase: Phase) {
+    pub(super) fn admit(&mut self, request: Request, phase: Phase) {
         let id = request.id;
         let deadline = request.deadline;
         let team = self.teams.index(&request.team);
         let arrival = self.next_arrival();
-        let job = Job {
-            request,
-            team,
-            number: 0,
-            phase,
-            caller: true,
-            cancelled: false,
-            arrival,
-        };
+        self.budget.earn(self.now, &request.team);
+        let job = Job::new(request, team, phase, arrival);
         self.jobs.insert(id, job);
         self.expire_at(id, deadline);
     }
@@ -136,6 +129,8 @@
             self.deny(id, Reason::TooLarge);
             return;
         }
+        // Room that has just grown belongs to those who wait already.
+        self.fill_dirty();
         let item = self.item(id);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.phase = Phase::Queued;
@@ -144,6 +139,7 @@
             self.seat(id);
         }
         self.refuse_late(id);
+        self.press(id);
     }
 
     /// Refuses a waiting request early whose patience the work ahead of it surely exceeds.
@@ -152,7 +148,8 @@
             return;
         };
         let deadline = self.jobs[&id].request.deadline;
-        if deadline == Time::MAX || self.setup.policy != Policy::Fair {
+        let holds = self.jobs[&id].hold.is_some();
+        if deadline == Time::MAX || holds || self.setup.policy != Policy::Fair {
             return;
         }
         let patience = deadline.since(self.now);
@@ -172,17 +169,19 @@
         limit.map_or(own, |limit| Size::min(&limit, &own))
     }
 
-    fn item(&self, id: request::Id) -> Item {
+    pub(super) fn item(&self, id: request::Id) -> Item {
         let job = &self.jobs[&id];
         let deadline = match self.setup.policy {
             Policy::Fair => job.request.deadline,
             Policy::FirstFit | Policy::RandomTwo => Time::default(),
         };
-        let size = booked(&job.request.size);
         let rack = self.rack_of(&job.request);
-        let served = self.could_hold(&size, rack);
-        let span = if served {
-            job.request.estimate
+        let declared = booked(&job.request.size);
+        let learnt = self.learner.size(&job.request.kind, &declared);
+        let size = self.bounded(&declared, &learnt);
+        let span = if self.could_hold(&size, rack) {
+            let kind = &job.request.kind;
+            self.learner.span(kind, job.request.estimate)
         } else {
             Duration::ZERO
         };
@@ -191,6 +190,7 @@
             class: job.request.class,
             team: job.team,
             rack,
+            avoid: job.avoid,
             size,
             work: Work::of(&size, span),
             key: Key {
@@ -200,6 +200,18 @@
         }
     }
 
+    /// Bounds a learnt size by what workers hold, but never below the declared one.
+    fn bounded(&self, declared: &Size, learnt: &Size) -> Size {
+        let capacities = self.ceilings.own.iter();
+        let most = capacities.fold(Size::ZERO, |most, size| Size::max(&most, size));
+        let size = Size::max(declared, &Size::min(learnt, &most));
+        if self.could_hold(&size, None) {
+            size
+        } else {
+            *declared
+        }
+    }
+
     pub(super) fn cancel(&mut self, id: request::Id) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -208,7 +220,23 @@
         match job.phase {
             Phase::Queued | Phase::Backoff => self.deny(id, Reason::Cancelled),
             Phase::Sought => {}
-            Phase::Placed(attempt) => self.interrupt(attempt, Interrupt::Stop, Cause::Unwanted),
+            Phase::Placed(attempt) => self.unwant(id, attempt),
+        }
+    }
+
+    /// Stops an attempt that nobody waits for any more, or gives its place back.
+    fn unwant(&mut self, id: request::Id, attempt: Attempt) {
+        let held = self
+            .bookings
+            .get(&attempt)
+            .and_then(|booking| booking.gang.filter(|_| booking.state == State::Held));
+        match held {
+            Some(gang) => {
+                self.unbook(attempt);
+                self.changed.insert(gang);
+                self.deny(id, Reason::Cancelled);
+            }
+            None => self.interrupt(attempt, Interrupt::Stop, Cause::Unwanted),
         }
     }
 
@@ -230,12 +258,12 @@
                 };
                 self.sought.remove(&id);
                 self.say_unknown(id, attempt);
-                self.jobs.remove(&id);
+                self.drop_job(id);
             }
             Phase::Placed(attempt) => {
                 self.say_unknown(id, attempt);
                 if idempotent {
-                    self.interrupt(attempt, Interrupt::Stop, Cause::Unwanted);
+                    self.unwant(id, attempt);
                 }
             }
         }
--- a/crates/decide/src/cell/job.rs
+++ b/crates/decide/src/cell/job.rs
@@ -1,11 +1,14 @@
 //! Requests and bookings as the machine keeps them.
 
+use serde::Serialize;
+
 use crate::attempt::Attempt;
 use crate::class::Class;
 use crate::name::Name;
 use crate::request::{self, Request};
 use crate::size::Size;
 use crate::time::Time;
+use crate::verdict::Verdict;
 use crate::worker::Interrupt;
 
 /// A request.
@@ -25,6 +28,35 @@
     pub(super) cancelled: bool,
     /// Counts arrivals.
     pub(super) arrival: u64,
+    /// How often it was tried again after a failure.
+    pub(super) retries: u32,
+    /// The worker that it has failed on.
+    pub(super) avoid: Option<usize>,
+    /// What is true of its earlier attempts, where one has begun.
+    pub(super) past: Option<Verdict>,
+    /// The gang that its place is to be held for.
+    pub(super) hold: Option<request::Id>,
+    /// The worker where room is made for it, and how much.
+    pub(super) pressed: Option<(usize, Size)>,
+}
+
+impl Job {
+    pub(super) fn new(request: Request, team: usize, phase: Phase, arrival: u64) -> Job {
+        Job {
+            request,
+            team,
+            number: 0,
+            phase,
+            caller: true,
+            cancelled: false,
+            arrival,
+            retries: 0,
+            avoid: None,
+            past: None,
+            hold: None,
+            pressed: None,
+        }
+    }
 }
 
 /// Where a request stands.
@@ -41,7 +73,6 @@
 }
 
 /// An attempt that is booked on a worker.
-#[expect(dead_code)]
 #[derive(Clone, Debug)]
 pub(super) struct Booking {
     /// The index of the worker.
@@ -70,6 +101,33 @@
     pub(super) since: Time,
     /// What it was last told, if anything.
     pub(super) interrupt: Option<Told>,
+    /// Until when it is not preempted.
+    pub(super) guard: Time,
+    /// The declared size.
+    pub(super) declared: Size,
+    /// What it used when it was last measured.
+    pub(super) used: Option<Size>,
+    /// The most of each resource that it was seen to use.
+    pub(super) peak: Size,
+}
+
+impl Booking {
+    /// Tells whether it may ever make room for urgent work.
+    pub(super) fn is_soft(&self) -> bool {
+        self.class == Class::Batch && self.gang.is_none()
+    }
+
+    /// Tells whether it uses more than it declared.
+    pub(super) fn exceeds(&self) -> bool {
+        let used = self.used.unwrap_or(Size::ZERO);
+        used.millicores > self.declared.millicores || used.memory_mib > self.declared.memory_mib
+    }
+
+    /// Tells whether it was told to end.
+    pub(super) fn is_ending(&self) -> bool {
+        self.interrupt
+            .is_some_and(|told| told.how != Interrupt::Throttle)
+    }
 }
 
 /// An interrupt that was sent.
@@ -88,11 +146,32 @@
 pub(super) enum Cause {
     /// Its caller has withdrawn it, or waits no longer.
     Unwanted,
+    /// Urgent work needs its room.
+    Preempted,
+    /// Its worker is about to be over.
+    Over,
+    /// Another member of its gang could not start.
+    Gang,
+    /// Its worker is leaving.
+    Draining,
+}
+
+impl Cause {
+    /// Tells whether the request is to run again.
+    pub(super) fn runs_again(self) -> bool {
+        match self {
+            Cause::Preempted | Cause::Over | Cause::Draining => true,
+            Cause::Unwanted | Cause::Gang => false,
+        }
+    }
 }
 
 /// How far an attempt has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum State {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Its room is held for a gang.
+    Held,
     /// A start was sent.
     Sent,
     /// It has begun.
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -1,22 +1,30 @@
 //! Waiting requests are placed where there is room.
 
+use std::time::Duration;
+
 use strum::IntoEnumIterator;
 
 use rand::Rng;
 
 use crate::action::Action;
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Outcome};
 use crate::class::Class;
+use crate::health::Circuit;
 use crate::placement::{self, Find};
 use crate::policy::Policy;
-use crate::queue::Item;
+use crate::queue::{Item, Spot};
 use crate::request;
 use crate::room::Worker;
 use crate::size::Size;
 use crate::time::Time;
+use crate::verdict::Verdict;
 
 use super::Cell;
-use super::job::{Booking, Phase, State};
+use super::intake::booked;
+use super::job::{Booking, Phase, State, Told};
+
+/// How long a preempted request runs on before it may be preempted again.
+const GUARD: Duration = Duration::from_secs(60);
 
 impl Cell {
     /// Starts a waiting request on the best worker that has room for it.
@@ -36,6 +44,10 @@
             if item.rack.is_some_and(|rack| rack != worker.rack) {
                 return false;
             }
+            let avoided = item.avoid.map(|avoided| &self.room.get(avoided).spec.name);
+            if avoided == Some(&worker.spec.name) {
+                return false;
+            }
             let rest = ledger.account(worker.rack, item.team).rest();
             size.fits(&rest)
         };
@@ -125,10 +137,12 @@
                     continue;
                 }
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some((_, id)) = self.queue.first(class, team, rack, &room) {
+                let spot = Spot { rack, worker, room };
+                if let Some((_, id)) = self.queue.first(class, team, &spot) {
                     return Some(id);
                 }
-                if self.queue.first(class, team, rack, &free).is_some() {
+                let spot = Spot { room: free, ..spot };
+                if self.queue.first(class, team, &spot).is_some() {
                     self.ledger.pass(rack, team);
                 }
             }
@@ -143,7 +157,8 @@
         for class in Class::iter() {
             for team in 0..self.teams.len() {
                 let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                if let Some(head) = self.queue.first(class, team, rack, &room) {
+                let spot = Spot { rack, worker, room };
+                if let Some(head) = self.queue.first(class, team, &spot) {
                     best = best.map_or(Some(head), |best| Some(head.min(best)));
                 }
                 self.ledger.pass(rack, team);
@@ -167,6 +182,19 @@
             number: job.number,
         };
         job.phase = Phase::Placed(attempt);
+        let hold = job.hold;
+        let again = matches!(
+            job.past,
+            Some(Verdict::Ran {
+                outcome: Outcome::Stopped | Outcome::Checkpointed,
+                ..
+            })
+        );
+        let guard = if again {
+            self.now.after(GUARD)
+        } else {
+            Time::default()
+        };
         let booking = Booking {
             worker,
             team: item.team,
@@ -175,25 +203,36 @@
             class: item.class,
             gang: job.request.gang,
             idempotent: job.request.idempotent,
-            state: State::Sent,
+            state: State::Held,
             epoch,
             doubted: Time::MAX,
             sends: 0,
             since: self.now,
             interrupt: None,
+            guard,
+            declared: booked(&job.request.size),
+            used: None,
+            peak: Size::ZERO,
         };
+        self.unpress(id);
         self.book(attempt, booking);
-        self.send(attempt);
+        match hold {
+            Some(gang) => {
+                self.changed.insert(gang);
+            }
+            None => self.send(attempt),
+        }
     }
 
     /// Sends the start of a booked attempt.
     pub(super) fn send(&mut self, attempt: Attempt) {
+        self.set_told(attempt, None);
         let Some(booking) = self.bookings.get_mut(&attempt) else {
             return;
         };
         booking.sends += 1;
         booking.state = State::Sent;
-        booking.interrupt = None;
+        booking.since = self.now;
         let worker = self.room.get(booking.worker);
         self.out.push(Action::Start {
             attempt,
@@ -215,12 +254,44 @@
             self.spread
                 .add(&booking.kind, worker, self.room.get(worker));
         }
+        self.weigh(&booking, Size::plus);
+        let worker = booking.worker;
+        self.bookings.insert(attempt, booking);
+        self.refresh_trial(worker);
+    }
+
+    /// Counts a booking in or out of what may end soon on its worker.
+    fn weigh(&mut self, booking: &Booking, count: impl Fn(&Size, &Size) -> Size) {
+        let worker = self.room.get_mut(booking.worker);
+        if booking.is_ending() {
+            worker.ending = count(&worker.ending, &booking.size);
+        } else if booking.is_soft() {
+            worker.soft = count(&worker.soft, &booking.size);
+        }
+    }
+
+    /// Notes what a booked attempt was told.
+    pub(super) fn set_told(&mut self, attempt: Attempt, told: Option<Told>) {
+        let Some(mut booking) = self.bookings.remove(&attempt) else {
+            return;
+        };
+        self.weigh(&booking, Size::minus);
+        booking.interrupt = told;
+        self.weigh(&booking, Size::plus);
         self.bookings.insert(attempt, booking);
     }
 
+    /// Lets a worker on trial take one attempt at a time.
+    fn refresh_trial(&mut self, worker: usize) {
+        if self.health.circuit(worker) == Circuit::Trial {
+            self.refresh(worker);
+        }
+    }
+
     /// Gives an attempt's room and allotment back.
     pub(super) fn unbook(&mut self, attempt: Attempt) -> Option<Booking> {
         let booking = self.bookings.remove(&attempt)?;
+        self.weigh(&booking, Size::minus);
         let rack = self.room.get(booking.worker).rack;
         self.room.free(booking.worker, attempt, &booking.size);
         let now = self.now;
@@ -234,6 +305,7 @@
                 .remove(&booking.kind, worker, self.room.get(worker));
         }
         self.dirty.insert(booking.worker);
+        self.refresh_trial(booking.worker);
         Some(booking)
     }
 
--- a/crates/decide/src/cell/timer.rs
+++ b/crates/decide/src/cell/timer.rs
@@ -23,6 +23,16 @@
     Resend(Attempt),
     /// An attempt in doubt that nobody waits for is looked for again.
     Settle(Attempt),
+    /// A waiting urgent request looks for room again.
+    Press(request::Id),
+    /// A preempted attempt has had time to save its state.
+    Stop(Attempt),
+    /// A worker in quarantine is probed.
+    Probe(usize),
+    /// The places of a gang are given back.
+    Gang(request::Id),
+    /// A request need not avoid a worker any more.
+    Calm(request::Id),
 }
 
 impl Cell {
@@ -42,6 +52,11 @@
                 Timer::Claim(worker) => self.claim_again(worker),
                 Timer::Resend(attempt) => self.resend(attempt),
                 Timer::Settle(attempt) => self.settle(attempt),
+                Timer::Press(id) => self.press(id),
+                Timer::Stop(attempt) => self.stop_late(attempt),
+                Timer::Probe(worker) => self.probe_again(worker),
+                Timer::Gang(gang) => self.expire_gang(gang),
+                Timer::Calm(id) => self.calm(id),
             }
         }
     }
--- /dev/null
+++ b/crates/decide/src/cell/usage.rs
@@ -0,0 +1,105 @@
+//! Reports of use: sizes are learnt, and overloaded workers relieved.
+
+use std::time::Duration;
+
+use crate::attempt::Attempt;
+use crate::size::Size;
+use crate::worker::{Interrupt, Report, Usage};
+
+use super::Cell;
+use super::job::{Booking, Cause};
+
+/// The part of a worker's capacity above which it is relieved, in percent.
+const FULL: u64 = 95;
+
+/// How long an interrupt has to show before a stronger one follows.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+impl Cell {
+    pub(super) fn report(&mut self, report: &Report) {
+        let Some(worker) = self.room.find(&report.worker) else {
+            return;
+        };
+        for usage in &report.usage {
+            self.take_usage(worker, usage);
+        }
+        self.relieve(worker);
+    }
+
+    fn take_usage(&mut self, worker: usize, usage: &Usage) {
+        let Some(booking) = self.bookings.get_mut(&usage.attempt) else {
+            return;
+        };
+        if booking.worker != worker {
+            return;
+        }
+        booking.used = Some(usage.used);
+        let peak = Size::max(&booking.peak, &usage.used);
+        if peak != booking.peak {
+            booking.peak = peak;
+            let kind = booking.kind.clone();
+            self.learner.used(&kind, &peak);
+        }
+        self.grow(usage.attempt, &usage.used);
+    }
+
+    /// Books what an attempt uses beyond its size, so that nothing else is placed there.
+    fn grow(&mut self, attempt: Attempt, used: &Size) {
+        let booking = &self.bookings[&attempt];
+        let size = Size {
+            millicores: booking.size.millicores.max(used.millicores),
+            memory_mib: booking.size.memory_mib.max(used.memory_mib),
+            ..booking.size
+        };
+        if size == booking.size {
+            return;
+        }
+        if let Some(mut booking) = self.unbook(attempt) {
+            booking.size = size;
+            self.book(attempt, booking);
+        }
+    }
+
+    /// Interrupts the cheapest attempt that uses more than it declared, ever more strongly, before
+    /// its worker is over.
+    fn relieve(&mut self, worker: usize) {
+        let known = self.room.get(worker);
+        let bookings = known.attempts.iter().map(|at| (*at, &self.bookings[at]));
+        let used = bookings.clone().fold(Size::ZERO, |sum, (_, booking)| {
+            sum.plus(&booking.used.unwrap_or(booking.size))
+        });
+        if !is_over(&used, &known.spec.capacity) {
+            return;
+        }
+        let cheapest = bookings
+            .filter(|(_, booking)| booking.exceeds())
+            .min_by_key(|(at, booking)| {
+                (std::cmp::Reverse(booking.class), self.cost(booking), *at)
+            });
+        let Some((attempt, booking)) = cheapest else {
+            return;
+        };
+        if let Some(how) = self.stronger(booking) {
+            self.interrupt(attempt, how, Cause::Over);
+        }
+    }
+
+    fn stronger(&self, booking: &Booking) -> Option<Interrupt> {
+        let Some(told) = booking.interrupt else {
+            return Some(Interrupt::Throttle);
+        };
+        if self.now.since(told.at) < PATIENCE {
+            return None;
+        }
+        match told.how {
+            Interrupt::Throttle => Some(Interrupt::Checkpoint),
+            Interrupt::Checkpoint if booking.idempotent => Some(Interrupt::Stop),
+            Interrupt::Checkpoint | Interrupt::Stop => None,
+        }
+    }
+}
+
+fn is_over(used: &Size, capacity: &Size) -> bool {
+    let over = |used: u64, of: u64| used * 100 > of * FULL;
+    over(used.millicores, capacity.millicores) || over(used.memory_mib, capacity.memory_mib)
+}
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -15,6 +15,8 @@
 pub struct Account {
     /// The part of the team's limit.
     pub allotted: Size,
+    /// What it may hold of a limit that is being lowered.
+    pub cap: Option<Size>,
     /// What is booked there for the team.
     pub used: Size,
     /// Whether work of the team was passed over there for lack of allotment.
@@ -24,9 +26,15 @@
 }
 
 impl Account {
+    /// Returns the least that may be held within the present amount: `wanted`, or what is used.
+    fn floor(&self, wanted: Size) -> Size {
+        Size::max(&self.used, &Size::min(&wanted, &self.allotted))
+    }
+
     /// Returns what may still be started.
     pub fn rest(&self) -> Size {
-        self.allotted.minus(&self.used)
+        let cap = self.cap.unwrap_or(Size::MAX);
+        Size::min(&self.allotted, &cap).minus(&self.used)
     }
 }
 
@@ -101,6 +109,16 @@
             let team = team(name);
             self.account_mut(rack, team).allotted = *size;
         }
+        for account in &mut self.racks[rack].accounts {
+            account.cap = account.cap.filter(|cap| !account.allotted.fits(cap));
+        }
+    }
+
+    /// Bounds what a rack may hold for a team, and returns what it needs at least.
+    pub fn cap(&mut self, rack: usize, team: usize, cap: Size) -> Size {
+        let account = self.account_mut(rack, team);
+        account.cap = Some(cap).filter(|cap| !account.allotted.fits(cap));
+        account.floor(cap)
     }
 
     /// Returns what a rack holds for a team.
@@ -166,6 +184,7 @@
             let raises = !wanted.fits(&account.allotted);
             let idle = now.since(account.busy) >= IDLE;
             let want = match (raises, idle) {
+                _ if account.cap.is_some() => account.floor(account.cap.unwrap_or(Size::ZERO)),
                 (true, _) => Size::max(&wanted, &account.allotted),
                 (false, true) if waiting.is_zero() => account.used,
                 _ => account.allotted,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod fair;
 pub mod fleet;
 pub mod gang;
+pub mod health;
+pub mod learn;
 pub mod ledger;
 pub mod name;
 pub mod ownership;
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -35,6 +35,8 @@
     pub team: usize,
     /// The one rack that it may run on, by index; none for any.
     pub rack: Option<usize>,
+    /// A worker that it does not start on, by index.
+    pub avoid: Option<usize>,
     /// What would be booked for it.
     pub size: Size,
     /// Its order.
@@ -43,16 +45,26 @@
     pub work: Work,
 }
 
+/// Room on one worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Spot {
+    /// The worker's rack, by index.
+    pub rack: usize,
+    /// The worker, by index.
+    pub worker: usize,
+    /// What may be started there.
+    pub room: Size,
+}
+
 /// Requests of about one size.
 #[derive(Debug, Default)]
 struct Lane {
-    waiting: BTreeMap<Key, (request::Id, Size)>,
+    waiting: BTreeMap<Key, Item>,
 }
 
 impl Lane {
-    fn head(&self) -> Option<(Key, request::Id, Size)> {
-        let (key, (id, size)) = self.waiting.first_key_value()?;
-        Some((*key, *id, *size))
+    fn head(&self) -> Option<&Item> {
+        self.waiting.first_key_value().map(|(_, item)| item)
     }
 }
 
@@ -79,20 +91,20 @@
         self.schedule.remove(item.key.deadline, &item.work);
     }
 
-    /// Returns the first request in order whose size fits into `room`.
-    fn first(&self, room: &Size) -> Option<(Key, request::Id)> {
+    /// Returns the first request in order that may start at a spot.
+    fn first(&self, spot: &Spot) -> Option<(Key, request::Id)> {
         self.lanes
             .values()
             .filter_map(Lane::head)
-            .filter(|(_, _, size)| size.fits(room))
-            .map(|(key, id, _)| (key, id))
+            .filter(|item| item.size.fits(&spot.room) && item.avoid != Some(spot.worker))
+            .map(|item| (item.key, item.id))
             .min()
     }
 }
 
 /// Where a request waits.
 #[derive(Clone, Copy, Debug)]
-struct Spot {
+struct Waiting {
     item: Item,
     lane: Size,
 }
@@ -101,7 +113,7 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     lines: [Vec<BTreeMap<Option<usize>, Line>>; 3],
-    spots: Map<request::Id, Spot>,
+    spots: Map<request::Id, Waiting>,
     waiting: Vec<Size>,
 }
 
@@ -137,17 +149,17 @@
         let size = line.lane(&item.size);
         let lane = line.lanes.entry(size).or_default();
         let fresh = lane.waiting.is_empty() || size != item.size;
-        lane.waiting.insert(item.key, (item.id, item.size));
+        lane.waiting.insert(item.key, item);
         line.schedule.add(item.key.deadline, &item.work);
         let sum = &mut self.waiting[item.team];
         *sum = sum.plus(&item.size);
-        self.spots.insert(item.id, Spot { item, lane: size });
+        self.spots.insert(item.id, Waiting { item, lane: size });
         fresh
     }
 
     /// Takes a request out.
     pub fn remove(&mut self, id: request::Id) -> Option<Item> {
-        let Spot { item, lane: size } = self.spots.remove(&id)?;
+        let Waiting { item, lane: size } = self.spots.remove(&id)?;
         let lines = &mut self.lines[item.class as usize][item.team];
         if let Some(line) = lines.get_mut(&item.rack) {
             line.remove(&size, &item);
@@ -166,18 +178,11 @@
         line.is_some_and(|lines| !lines.is_empty())
     }
 
-    /// Returns the first request of a class and team, in their order, that may run on a rack and
-    /// fits into `room`.
-    pub fn first(
-        &self,
-        class: Class,
-        team: usize,
-        rack: usize,
-        room: &Size,
-    ) -> Option<(Key, request::Id)> {
+    /// Returns the first request of a class and team, in their order, that may start at a spot.
+    pub fn first(&self, class: Class, team: usize, spot: &Spot) -> Option<(Key, request::Id)> {
         let lines = self.lines[class as usize].get(team)?;
-        let first = |rack| lines.get(&rack).and_then(|line: &Line| line.first(room));
-        match (first(None), first(Some(rack))) {
+        let first = |rack| lines.get(&rack).and_then(|line: &Line| line.first(spot));
+        match (first(None), first(Some(spot.rack))) {
             (Some(any), Some(bound)) => Some(any.min(bound)),
             (any, bound) => any.or(bound),
         }
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -39,6 +39,14 @@
     pub booked: Size,
     /// The attempts that are booked.
     pub attempts: BTreeSet<Attempt>,
+    /// What of it may make room for urgent work.
+    pub soft: Size,
+    /// What of it was told to end.
+    pub ending: Size,
+    /// What is promised to urgent requests that wait.
+    pub promised: Size,
+    /// When it is probed next, in quarantine.
+    pub probe_at: Time,
     /// How many claims in a row went unanswered.
     pub silent: u32,
     /// Whether attempts may be started there.
@@ -119,6 +127,10 @@
             broken: false,
             booked: Size::ZERO,
             attempts: BTreeSet::new(),
+            soft: Size::ZERO,
+            ending: Size::ZERO,
+            promised: Size::ZERO,
+            probe_at: Time::default(),
             silent: 0,
             open: false,
         });
--- /dev/null
+++ b/crates/decide/tests/health.rs
@@ -0,0 +1,190 @@
+//! Bad workers are told from bad jobs.
+
+mod support;
+
+use azurepath_decide::action::Action;
+use azurepath_decide::attempt::{Attempt, Outcome, Refusal};
+use azurepath_decide::event::Event;
+use azurepath_decide::request::Request;
+use azurepath_decide::size::Size;
+use azurepath_decide::verdict::{Reason, Verdict};
+use support::*;
+
+/// Lets attempts end as `outcome` says until nothing is started, and returns all that was wanted.
+fn play(
+    bench: &mut Bench,
+    mut actions: Vec<Action>,
+    outcome: impl Fn(Attempt, &str) -> Outcome,
+) -> Vec<Action> {
+    let mut all = actions.clone();
+    for _ in 0..400 {
+        let mut next = Vec::new();
+        for (attempt, worker) in starts(&actions) {
+            next.extend(bench.ended(attempt, &worker, outcome(attempt, &worker)));
+        }
+        next.extend(bench.wait(10));
+        all.extend(next.clone());
+        actions = next;
+    }
+    all
+}
+
+fn kind(id: u128) -> Request {
+    let kinds = ["audit", "sweep", "plan"];
+    Request {
+        kind: kinds[(id % 3) as usize].into(),
+        ..request(id, "a", cores(1))
+    }
+}
+
+fn bad_first_worker(_: Attempt, worker: &str) -> Outcome {
+    if worker == "w0" {
+        Outcome::Failed
+    } else {
+        Outcome::Done
+    }
+}
+
+#[test]
+fn bad_worker_quarantined() {
+    let mut bench = Bench::ready(3, machine());
+    let mut failed = 0;
+    let mut seen = Vec::new();
+    for id in 0..60 {
+        let actions = bench.submit(kind(id));
+        let all = play(&mut bench, actions, bad_first_worker);
+        failed += starts(&all)
+            .iter()
+            .filter(|(_, worker)| worker == "w0")
+            .count();
+        for (_, verdict) in answers(&all) {
+            assert!(
+                matches!(
+                    verdict,
+                    Verdict::Ran {
+                        outcome: Outcome::Done,
+                        ..
+                    }
+                ),
+                "{verdict:?}"
+            );
+        }
+        seen.extend(probes(&all));
+    }
+    assert!(failed <= 6, "{failed} started on the bad worker");
+    assert!(seen.contains(&"w0".to_owned()));
+    assert!(!seen.contains(&"w1".to_owned()));
+}
+
+#[test]
+fn bad_kind_spares_workers() {
+    let mut bench = Bench::ready(3, machine());
+    for id in 0..60 {
+        let request = Request {
+            kind: "broken".into(),
+            ..request(id, "a", cores(1))
+        };
+        let actions = bench.submit(request);
+        let all = play(&mut bench, actions, |_, _| Outcome::Failed);
+        assert_eq!(answers(&all).len(), 1);
+        for worker in probes(&all) {
+            bench.send(Event::Probed {
+                worker: worker.as_str().into(),
+                healthy: true,
+            });
+        }
+    }
+    let dump = bench.cell.dump();
+    assert!(dump.workers.iter().all(|worker| worker.open));
+}
+
+#[test]
+fn probes_back_off() {
+    let mut bench = Bench::ready(2, machine());
+    for id in 0..30 {
+        let actions = bench.submit(kind(id));
+        play(&mut bench, actions, bad_first_worker);
+    }
+    let mut probed = Vec::new();
+    for second in 0..600 {
+        for worker in probes(&bench.wait(1_000)) {
+            probed.push(second);
+            bench.send(Event::Probed {
+                worker: worker.as_str().into(),
+                healthy: false,
+            });
+        }
+    }
+    assert!((3..=14).contains(&probed.len()), "{probed:?}");
+    assert!(
+        starts(&bench.submit(kind(90)))
+            .iter()
+            .all(|(_, worker)| worker == "w1")
+    );
+}
+
+#[test]
+fn trial_one_at_time() {
+    let mut bench = Bench::ready(2, machine());
+    for id in 0..30 {
+        let actions = bench.submit(kind(id));
+        play(&mut bench, actions, bad_first_worker);
+    }
+    let other = Size {
+        slots: 8,
+        ..cores(32)
+    };
+    assert_eq!(starts(&bench.submit(request(50, "a", other)))[0].1, "w1");
+    for id in 60..64 {
+        assert!(starts(&bench.submit(kind(id))).is_empty());
+    }
+    let healthy = bench.send(Event::Probed {
+        worker: "w0".into(),
+        healthy: true,
+    });
+    assert_eq!(starts(&healthy).len(), 1);
+    let done = bench.ended(starts(&healthy)[0].0, "w0", Outcome::Done);
+    assert_eq!(starts(&done).len(), 3);
+}
+
+#[test]
+fn broken_refusal_counts() {
+    let mut bench = Bench::ready(2, machine());
+    let mut refused = 0;
+    for id in 0..20 {
+        let mut actions = bench.submit(kind(id));
+        for _ in 0..100 {
+            for (attempt, worker) in starts(&actions) {
+                if worker == "w0" {
+                    refused += 1;
+                    bench.refused(attempt, &worker, Refusal::Broken);
+                } else {
+                    bench.ended(attempt, &worker, Outcome::Done);
+                }
+            }
+            actions = bench.wait(20);
+        }
+    }
+    assert!((1..=4).contains(&refused), "{refused}");
+}
+
+#[test]
+fn retry_budget_ends() {
+    let mut bench = Bench::ready(2, machine());
+    let mut sent = 0;
+    let mut said = Vec::new();
+    for id in 0..200 {
+        let mut actions = bench.submit(request(id, "a", cores(1)));
+        for _ in 0..20 {
+            for (attempt, worker) in starts(&actions) {
+                sent += 1;
+                let refused = bench.refused(attempt, &worker, Refusal::NoRoom);
+                said.extend(answers(&refused));
+                bench.claimed(&worker, 1);
+            }
+            actions = bench.wait(1);
+        }
+    }
+    assert!(sent < 300, "{sent}");
+    assert!(said.contains(&(199, not_run(Reason::Refused))));
+}
--- /dev/null
+++ b/crates/decide/tests/sizes.rs
@@ -0,0 +1,136 @@
+//! Declared sizes are wrong.
+
+mod support;
+
+use azurepath_decide::action::Action;
+use azurepath_decide::attempt::{Attempt, Outcome};
+use azurepath_decide::event::Event;
+use azurepath_decide::request::Request;
+use azurepath_decide::size::Size;
+use azurepath_decide::worker::{Interrupt, Report, Usage};
+use support::*;
+
+fn report(bench: &mut Bench, worker: &str, usage: &[(Attempt, Size)]) -> Vec<Action> {
+    let usage = usage.iter().map(|&(attempt, used)| Usage { attempt, used });
+    bench.send(Event::Report(Report {
+        worker: worker.into(),
+        usage: usage.collect(),
+    }))
+}
+
+fn sizes(actions: &[Action]) -> Vec<Size> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start { size, .. } => Some(*size),
+            _ => None,
+        })
+        .collect()
+}
+
+fn run(bench: &mut Bench, id: u128, kind: &str, used: Size) -> Size {
+    let request = Request {
+        kind: kind.into(),
+        ..request(id, "a", cores(2))
+    };
+    let actions = bench.submit(request);
+    let (attempt, worker) = starts(&actions).remove(0);
+    report(bench, &worker, &[(attempt, used)]);
+    bench.ended(attempt, &worker, Outcome::Done);
+    sizes(&actions)[0]
+}
+
+#[test]
+fn use_is_learnt() {
+    let mut bench = Bench::ready(1, machine());
+    for id in 0..40 {
+        run(&mut bench, id, "sweep", cores(6));
+    }
+    let learnt = run(&mut bench, 50, "sweep", cores(6));
+    assert!(
+        cores(6).fits(&learnt) && learnt.fits(&cores(8)),
+        "{learnt:?}"
+    );
+    assert_eq!(run(&mut bench, 51, "other", cores(1)), cores(2));
+}
+
+#[test]
+fn declared_is_floor() {
+    let mut bench = Bench::ready(1, machine());
+    for id in 0..40 {
+        assert_eq!(run(&mut bench, id, "audit", Size::ZERO), cores(2));
+    }
+}
+
+#[test]
+fn old_use_fades() {
+    let mut bench = Bench::ready(1, machine());
+    for id in 0..100 {
+        run(&mut bench, id, "sweep", cores(16));
+    }
+    for id in 100..3_000 {
+        run(&mut bench, id, "sweep", cores(4));
+    }
+    let learnt = run(&mut bench, 5_000, "sweep", cores(4));
+    assert!(learnt.fits(&cores(6)), "{learnt:?}");
+}
+
+#[test]
+fn learnt_size_bounded() {
+    let mut bench = Bench::ready(1, machine());
+    for id in 0..40 {
+        run(&mut bench, id, "sweep", cores(500));
+    }
+    let learnt = run(&mut bench, 50, "sweep", cores(1));
+    assert!(learnt.fits(&machine()));
+}
+
+#[test]
+fn overuse_takes_room() {
+    let mut bench = Bench::ready(1, machine());
+    bench.submit(request(1, "a", cores(2)));
+    report(&mut bench, "w0", &[(attempt(1, 1), cores(20))]);
+    assert!(starts(&bench.submit(request(2, "a", cores(16)))).is_empty());
+    assert_eq!(starts(&bench.submit(request(3, "a", cores(10)))).len(), 1);
+}
+
+#[test]
+fn relief_in_steps() {
+    let mut bench = Bench::ready(1, machine());
+    bench.submit(request(1, "a", cores(16)));
+    bench.wait(1_000);
+    bench.submit(request(2, "a", cores(16)));
+    let over = [(attempt(1, 1), cores(14)), (attempt(2, 1), cores(18))];
+    let mut told = Vec::new();
+    for _ in 0..6 {
+        told.extend(interrupts(&report(&mut bench, "w0", &over)));
+        told.extend(interrupts(&report(&mut bench, "w0", &over)));
+        bench.wait(1_100);
+    }
+    let each = |how| (attempt(2, 1), how);
+    let steps = [Interrupt::Throttle, Interrupt::Checkpoint, Interrupt::Stop];
+    assert_eq!(told, steps.map(each));
+    let stopped = bench.ended(attempt(2, 1), "w0", Outcome::Stopped);
+    assert!(answers(&stopped).is_empty());
+}
+
+#[test]
+fn order_not_stopped() {
+    let mut bench = Bench::ready(1, machine());
+    let order = Request {
+        idempotent: false,
+        ..request(1, "a", cores(16))
+    };
+    bench.submit(order);
+    let mut told = Vec::new();
+    for _ in 0..6 {
+        told.extend(interrupts(&report(
+            &mut bench,
+            "w0",
+            &[(attempt(1, 1), cores(32))],
+        )));
+        bench.wait(1_100);
+    }
+    assert!(told.iter().all(|(_, how)| *how != Interrupt::Stop));
+    assert_eq!(told.len(), 2);
+}
--- a/crates/decide/tests/support/mod.rs
+++ b/crates/decide/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
 use azurepath_decide::verdict::{Reason, Verdict};
-use azurepath_decide::worker::{Inventory, Spec};
+use azurepath_decide::worker::{Interrupt, Inventory, Spec};
 
 pub const PLENTY: Size = Size {
     millicores: 100_000_000,
@@ -275,3 +275,39 @@
         outcome,
     }
 }
+
+/// The interrupts sent, each with its attempt.
+pub fn interrupts(actions: &[Action]) -> Vec<(Attempt, Interrupt)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Interrupt { attempt, how, .. } => Some((*attempt, *how)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The places held, by gang and member.
+pub fn held(actions: &[Action]) -> Vec<(u128, Vec<u128>)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Held(hold) => {
+                let members = hold.places.iter().map(|place| place.member.0);
+                Some((hold.gang.0, members.collect()))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// The workers probed.
+pub fn probes(actions: &[Action]) -> Vec<String> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Probe { worker } => Some(worker.to_string()),
+            _ => None,
+        })
+        .collect()
+}
