--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -19,7 +19,9 @@
 use super::engine::{self, Engine};
 use super::recorder::{self, Recorder};
 use super::stop::{self, Inflight, Phase};
-use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
+use super::{
+    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+};
 use crate::connection::ping::Pace;
 use crate::connection::{listener, pool};
 use crate::metrics::Metrics;
@@ -122,6 +124,7 @@
     clock: Clock,
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
+    jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
@@ -137,6 +140,7 @@
             clock: Clock::start(),
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
+            jobs: jobs::Handle::channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
             snapshot: watch::Sender::new(Arc::default()),
@@ -164,6 +168,7 @@
             platform,
             engine: self.engine.0.clone(),
             router: self.router.0.clone(),
+            jobs: self.jobs.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
             snapshot: self.snapshot.subscribe(),
@@ -235,6 +240,12 @@
             summary: summary.subscribe(),
         };
         tasks.spawn(router.run(self.router.1, halt.clone()));
+        let jobs = jobs::Task {
+            process: process.clone(),
+            summary: summary.subscribe(),
+            seed: rand::rng().random(),
+        };
+        tasks.spawn(jobs.run(self.jobs.1, halt.clone()));
         let pool = pool::Pool {
             name: name.clone(),
             pace,
@@ -261,6 +272,7 @@
             clock: process.clock,
             engine: process.engine.clone(),
             router: process.router.clone(),
+            jobs: process.jobs.clone(),
             control,
             inflight: process.inflight.clone(),
             pace,
