--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -9,7 +9,7 @@
 mod place;
 mod timer;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -21,6 +21,7 @@
 use crate::fair::Teams;
 use crate::ledger::Ledger;
 use crate::name::{Map, Name};
+use crate::placement::Spread;
 use crate::policy::Policy;
 use crate::queue::Queue;
 use crate::request;
@@ -33,7 +34,7 @@
 use timer::Timer;
 
 /// What a machine is made with.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
     /// The name of the server.
     pub server: Name,
@@ -42,6 +43,9 @@
     /// Who is served next, and where.
     #[serde(default)]
     pub policy: Policy,
+    /// The server's region, whose workers come first.
+    #[serde(default)]
+    pub region: Option<Name>,
 }
 
 /// The capacities of single workers, each once.
@@ -64,9 +68,10 @@
     room: Room,
     ceilings: Ceilings,
     queue: Queue,
+    spread: Spread,
     jobs: Map<request::Id, Job>,
     bookings: Map<Attempt, Booking>,
-    sought: BTreeSet<request::Id>,
+    sought: BTreeMap<request::Id, Option<usize>>,
     memory: Memory,
     timers: BTreeSet<(Time, Timer)>,
     dirty: BTreeSet<usize>,
@@ -81,23 +86,24 @@
     pub fn new(setup: Setup) -> Cell {
         let rng = ChaCha8Rng::seed_from_u64(setup.seed);
         Cell {
-            setup,
             now: Time::default(),
             revision: None,
             teams: Teams::default(),
             ledger: Ledger::default(),
-            room: Room::default(),
+            room: Room::new(setup.region.clone()),
             ceilings: Ceilings::default(),
             queue: Queue::default(),
+            spread: Spread::default(),
             jobs: Map::default(),
             bookings: Map::default(),
-            sought: BTreeSet::new(),
+            sought: BTreeMap::new(),
             memory: Memory::default(),
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             arrivals: 0,
             asked: None,
             rng,
+            setup,
             out: Vec::new(),
         }
     }
--- a/crates/decide/src/config/evidence.rs
+++ b/crates/decide/src/config/evidence.rs
@@ -9,12 +9,12 @@
 /// What a server may do with the configuration that it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// Nothing newer is in force elsewhere before this time, unless more evidence comes.
+    /// Nothing newer is accepted before this time, which more evidence puts off.
     Current {
         /// When the evidence ends.
         until: Time,
     },
-    /// There is something newer.
+    /// There is something newer, and the earlier evidence has ended.
     Behind {
         /// The newest revision that was heard of.
         newest: u64,
@@ -42,7 +42,7 @@
     applied: u64,
     newest: u64,
     loaded: bool,
-    table: Option<Time>,
+    table: Option<Word>,
     others: Option<BTreeSet<Name>>,
     words: BTreeMap<Name, Word>,
 }
@@ -74,10 +74,18 @@
         self.newest = self.newest.max(revision);
     }
 
+    /// Takes a revision that was heard of, which alone is evidence of nothing else.
+    pub fn heard(&mut self, revision: u64) {
+        self.newest = self.newest.max(revision);
+    }
+
     /// Takes the table's answer to a reading of the head that began at `asked`.
     pub fn head(&mut self, asked: Time, revision: u64) {
         self.newest = self.newest.max(revision);
-        self.table = self.table.max(Some(asked));
+        // What was asked for earlier still counts until its window ends.
+        if revision <= self.applied && self.table.is_none_or(|word| word.asked <= asked) {
+            self.table = Some(Word { asked, revision });
+        }
     }
 
     /// Takes a server's word, asked for at `asked`, on the newest revision that it knows; none
@@ -101,17 +109,14 @@
 
     /// Returns what the server may do at `now`.
     pub fn standing(&self, now: Time) -> Standing {
-        if self.newest > self.applied {
-            return Standing::Behind {
-                newest: self.newest,
-            };
-        }
         if !self.loaded {
             return Standing::Isolated;
         }
-        let until = self.by_table().max(self.by_majority());
-        match until {
+        match self.by_table().max(self.by_majority()) {
             Some(until) if now < until => Standing::Current { until },
+            _ if self.newest > self.applied => Standing::Behind {
+                newest: self.newest,
+            },
             _ => Standing::Isolated,
         }
     }
@@ -123,14 +128,15 @@
     }
 
     fn by_table(&self) -> Option<Time> {
-        self.table.map(|asked| asked.after(self.window))
+        let word = self.table.filter(|word| word.revision <= self.applied)?;
+        Some(word.asked.after(self.window))
     }
 
     /// Returns until when more than half of the servers vouch for the revision.
     fn by_majority(&self) -> Option<Time> {
         let needed = self.others.as_ref()?.len().div_ceil(2);
         if needed == 0 {
-            return Some(Time::MAX);
+            return (self.newest <= self.applied).then_some(Time::MAX);
         }
         let mut asked: Vec<Time> = self
             .words
--- a/crates/decide/tests/attempts.rs
+++ b/crates/decide/tests/attempts.rs
@@ -39,7 +39,7 @@
     let mut order = request(1, "a", cores(20));
     order.idempotent = false;
     bench.submit(order.clone());
-    bench.lost(attempt(1, 1), "w0");
+    assert!(answers(&bench.lost(attempt(1, 1), "w0")).is_empty());
     let mut found = inventory("w0", 1);
     found.running.push(running(&order, 1));
     let claimed = bench.send(Event::Claimed(found));
--- a/crates/server/src/process/dump.rs
+++ b/crates/server/src/process/dump.rs
@@ -9,6 +9,7 @@
     let engine = process.engine.dump().await.unwrap_or_default();
     let router = process.router.dump().await.unwrap_or_default();
     let peers = process.peers.dump().await.unwrap_or_default();
+    let config = process.config.dump().await;
     let server = &process.settings.server;
     json!({
         "server": server.name,
@@ -23,6 +24,7 @@
         "revision": process.snapshot.borrow().revision,
         "view": **process.view.borrow(),
         "instances": process.instances.borrow().len(),
+        "config": config,
         "engine": engine,
         "router": router,
         "peers": peers,
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -129,6 +129,8 @@
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
+    membership: (membership::Handle, membership::Inbox),
+    config: (version::Handle, version::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
     view: watch::Sender<Arc<View>>,
     instances: watch::Sender<Arc<Vec<instance::Instance>>>,
@@ -144,6 +146,8 @@
             router: router::Handle::channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
+            membership: membership::channel(),
+            config: version::channel(),
             snapshot: watch::Sender::new(Arc::default()),
             view: watch::Sender::new(Arc::default()),
             instances: watch::Sender::new(Arc::default()),
@@ -171,6 +175,8 @@
             router: self.router.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
+            membership: self.membership.0.clone(),
+            config: self.config.0.clone(),
             snapshot: self.snapshot.subscribe(),
             view: self.view.subscribe(),
             instances: self.instances.subscribe(),
@@ -233,12 +239,17 @@
                 server: name,
                 seed,
                 policy: azurepath_decide::policy::Policy::Fair,
+                region: Some(process.settings.server.region.clone()),
             },
             clock: process.clock,
             timing,
             workers: process.platform.workers.clone(),
             instances: process.instances.clone(),
-            outputs: engine::Outputs { demands, summary },
+            outputs: engine::Outputs {
+                demands,
+                summary,
+                membership: process.membership.clone(),
+            },
             handle: process.engine.clone(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
@@ -269,11 +280,17 @@
             view: self.view,
             handed_over: self.handed_over,
         };
-        tasks.spawn(membership::run(process.clone(), outputs, halt.clone()));
+        tasks.spawn(membership::run(
+            process.clone(),
+            self.membership.1,
+            outputs,
+            halt.clone(),
+        ));
         tasks.spawn(allotment::run(process.clone(), demanded, halt.clone()));
         tasks.spawn(version::run(
             process.clone(),
             self.snapshot,
+            self.config.1,
             controlled,
             halt.clone(),
         ));
