Demands ask for the rack that work is bound to

Cause: a routed request is bound to one rack, but the demand for its team's waiting work went to the first owned rack with room, so that the allotment arrived on another rack and the request expired (whole_answer and open_queue of request_path: 503 expired after 30 s, once racks were gained without allotments). The queue now counts what waits for one rack only.

--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -38,10 +38,14 @@
         for team in 0..self.teams.len() {
             let waiting = self.queue.waiting(team);
             let name = &self.teams.get(team).name;
-            demands.extend(
-                self.ledger
-                    .demands(team, name, waiting, self.now, |rack| self.rack_free(rack)),
-            );
+            demands.extend(self.ledger.demands(
+                team,
+                name,
+                waiting,
+                self.now,
+                |rack| self.queue.bound(team, rack),
+                |rack| self.rack_free(rack),
+            ));
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -165,21 +165,27 @@
     /// Returns demands that spread `waiting` of a team over racks with room, and give back what
     /// has lain idle.
     ///
-    /// `free` gives the free room of a rack, by its index.
+    /// `bound` gives the part of `waiting` that waits for one rack and no other, and `free` the free
+    /// room of a rack, by its index.
     pub fn demands(
         &self,
         team: usize,
         name: &Name,
         waiting: Size,
         now: Time,
+        bound: impl Fn(usize) -> Size,
         free: impl Fn(usize) -> Size,
     ) -> Vec<Demand> {
-        let mut left = waiting;
+        let mut left = self
+            .owned()
+            .fold(waiting, |left, rack| left.minus(&bound(rack)));
         let mut demands = Vec::new();
         for rack in self.owned() {
             let account = self.account(rack, team);
-            let part = Size::min(&left, &free(rack));
-            let wanted = account.used.plus(&part);
+            let (room, own) = (free(rack), bound(rack));
+            let own = Size::min(&own, &room);
+            let part = Size::min(&left, &room.minus(&own));
+            let wanted = account.used.plus(&own).plus(&part);
             left = left.minus(&part);
             let raises = !wanted.fits(&account.allotted);
             let idle = now.since(account.busy) >= IDLE;
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -115,6 +115,7 @@
     lines: [Vec<BTreeMap<Option<usize>, Line>>; 3],
     spots: Map<request::Id, Waiting>,
     waiting: Vec<Size>,
+    bound: BTreeMap<(usize, usize), Size>,
 }
 
 impl Queue {
@@ -128,6 +129,11 @@
         self.spots.is_empty()
     }
 
+    /// Returns how much of a team waits for one rack and no other.
+    pub fn bound(&self, team: usize, rack: usize) -> Size {
+        self.bound.get(&(team, rack)).copied().unwrap_or_default()
+    }
+
     /// Returns a waiting request.
     pub fn get(&self, id: request::Id) -> Option<&Item> {
         self.spots.get(&id).map(|spot| &spot.item)
@@ -153,6 +159,10 @@
         line.schedule.add(item.key.deadline, &item.work);
         let sum = &mut self.waiting[item.team];
         *sum = sum.plus(&item.size);
+        if let Some(rack) = item.rack {
+            let sum = self.bound.entry((item.team, rack)).or_default();
+            *sum = sum.plus(&item.size);
+        }
         self.spots.insert(item.id, Waiting { item, lane: size });
         fresh
     }
@@ -169,6 +179,14 @@
         }
         let sum = &mut self.waiting[item.team];
         *sum = sum.minus(&item.size);
+        if let Some(rack) = item.rack
+            && let Some(sum) = self.bound.get_mut(&(item.team, rack))
+        {
+            *sum = sum.minus(&item.size);
+            if sum.is_zero() {
+                self.bound.remove(&(item.team, rack));
+            }
+        }
         Some(item)
     }
 
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -7,6 +7,7 @@
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
 use azurepath_decide::rack::{Allotted, Demand};
+use azurepath_decide::request::Target;
 use azurepath_decide::size::Size;
 use support::*;
 
@@ -75,6 +76,27 @@
     assert_eq!(starts(&taken).len(), 2);
 }
 
+#[test]
+fn demand_for_bound_work() {
+    // Two racks without allotments; the work may run on the second one only.
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    for rack in ["r1", "r2"] {
+        bench.gain(rack, 1, Size::ZERO);
+        bench.add(&format!("{rack}-w"), rack, machine());
+    }
+    let mut bound = request(1, "a", cores(4));
+    bound.target = Some(Target {
+        rack: "r2".into(),
+        epoch: 1,
+    });
+    let mut asked = demands(&bench.submit(bound));
+    asked.extend(demands(&bench.wait(1_000)));
+    let racks: Vec<&str> = asked.iter().map(|demand| &*demand.rack).collect();
+    assert_eq!(racks, ["r2"]);
+    assert_eq!(asked[0].want, cores(4));
+}
+
 #[test]
 fn old_allotment_ignored() {
     let mut bench = bench(cores(1));
--- a/crates/server/tests/settings_file.rs
+++ b/crates/server/tests/settings_file.rs
@@ -47,7 +47,7 @@
     s1.ini:9: [platform] objects: is missing; give an IP number and a port, such as 10.0.0.7:8080
     s1.ini:14: [limits] patience: can't be "3 weeks"; give a whole number with ms, s, m or h, such as 1500ms
     s1.ini:15: [limits] body: can't be "8MB"; give a whole number with B, KiB, MiB or GiB, such as 8MiB
-    s1.ini:18: [limit] body: is in an unknown section; the sections are limits, platform, server, timing
+    s1.ini:18: [limit] body: is in an unknown section; the sections are limits, operator, platform, server, timing
     "#);
 }
 
