--- a/crates/server/src/process/dump.rs
+++ b/crates/server/src/process/dump.rs
@@ -8,6 +8,7 @@
 pub async fn dump(process: &Process) -> Value {
     let engine = process.engine.dump().await.unwrap_or_default();
     let router = process.router.dump().await.unwrap_or_default();
+    let jobs = process.jobs.dump().await.unwrap_or_default();
     let peers = process.peers.dump().await.unwrap_or_default();
     let config = process.config.dump().await;
     let server = &process.settings.server;
@@ -27,6 +28,7 @@
         "config": config,
         "engine": engine,
         "router": router,
+        "jobs": jobs,
         "peers": peers,
     })
 }
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod entry;
 pub mod instances;
+pub mod jobs;
 pub mod membership;
 pub mod platform;
 pub mod renewal;
@@ -56,6 +57,8 @@
     pub config: crate::version::Handle,
     /// Where requests are sent.
     pub router: router::Handle,
+    /// The jobs that this server is home to.
+    pub jobs: jobs::Handle,
     /// Connections to other servers.
     pub peers: pool::Handle,
     /// The writer of intents.
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -17,8 +17,10 @@
 
 use super::clock::Clock;
 use super::engine::{self, Engine};
-use super::stop::{Inflight, Phase};
-use super::{Addresses, Platform, Process, allotment, instances, membership, platform, router};
+use super::stop::{self, Inflight, Phase};
+use super::{
+    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+};
 use crate::connection::ping::Pace;
 use crate::connection::{listener, pool};
 use crate::metrics::Metrics;
@@ -96,15 +98,9 @@
     /// Returns an error where a task has failed.
     pub async fn stop(mut self) -> anyhow::Result<()> {
         info!(self.process.log, "stopping");
-        self.phase.send_replace(Phase::Leaving);
         let linger = self.process.settings.timing.linger;
-        let handed_over = async {
-            // Where membership has ended, there is nothing left to hand over.
-            let _ = self.handed_over.wait_for(|done| *done).await;
-        };
-        tokio::join!(tokio::time::sleep(linger), handed_over);
-        self.phase.send_replace(Phase::Closing);
-        self.process.inflight.drained().await;
+        let inflight = &self.process.inflight;
+        stop::drain(&self.phase, &mut self.handed_over, inflight, linger).await;
         info!(self.process.log, "drained");
         self.entry.stop().await?;
         self.halt.cancel();
@@ -127,6 +123,7 @@
     clock: Clock,
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
+    jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
     membership: (membership::Handle, membership::Inbox),
@@ -144,6 +141,7 @@
             clock: Clock::start(),
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
+            jobs: jobs::Handle::channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
             membership: membership::channel(),
@@ -173,6 +171,7 @@
             platform,
             engine: self.engine.0.clone(),
             router: self.router.0.clone(),
+            jobs: self.jobs.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
             membership: self.membership.0.clone(),
@@ -225,6 +224,12 @@
             summary: summary.subscribe(),
         };
         tasks.spawn(router.run(self.router.1, halt.clone()));
+        let jobs = jobs::Task {
+            process: process.clone(),
+            summary: summary.subscribe(),
+            seed: rand::rng().random(),
+        };
+        tasks.spawn(jobs.run(self.jobs.1, halt.clone()));
         let pool = pool::Pool {
             name: name.clone(),
             pace,
@@ -259,6 +264,7 @@
             clock: process.clock,
             engine: process.engine.clone(),
             router: process.router.clone(),
+            jobs: process.jobs.clone(),
             control,
             inflight: process.inflight.clone(),
             pace,
