--- a/crates/server/src/request/admission.rs
+++ b/crates/server/src/request/admission.rs
@@ -20,6 +20,7 @@
     if *process.phase.borrow() == Phase::Closing {
         return Err(Problem::Stopping);
     }
+    version::check_standing(process).map_err(Problem::Denied)?;
     let found = process.snapshot.borrow().queue(queue).cloned();
     let queue = found.ok_or_else(|| Problem::Queue {
         name: queue.to_owned(),
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -11,6 +11,9 @@
 
 use super::unit;
 
+/// The length of a SHA-256 in hexadecimal digits.
+const HASH_DIGITS: usize = 64;
+
 /// One thing that is wrong in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -176,6 +179,15 @@
             .unwrap_or_default()
     }
 
+    /// Reads a SHA-256 as hexadecimal digits, if it is given.
+    pub(super) fn hash(&mut self, section: &'static str, key: &'static str) -> Option<String> {
+        let remedy = "give the SHA-256 of the token as 64 hexadecimal digits";
+        self.optional(section, key, remedy, |text| {
+            let right = text.len() == HASH_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+            right.then(|| text.to_ascii_lowercase())
+        })
+    }
+
     /// Reads a span of time.
     pub(super) fn span(
         &mut self,
