Faults found by the random test: limits, pauses, checkpoints, demands

Cause and mending of each: an order that was checkpointed began again, though no call of a worker hands saved state on, so only idempotent work is preempted, relieved or drained (the test that allowed a checkpoint of an order is replaced by one that allows nothing). What a rack offered to give back could still be used while the table gave it to another rack, so a team ran more than its limit: an offer now binds at once, until the table shows it. Offers were held back while work of the team waited on any rack, and demands asked for no more than free room: requests are bound to racks, so each rack now weighs its own. A learnt quantile was rounded up beyond the limit of the team; the largest sample is kept instead. A process that wakes up from a pause places nothing for a second, so that it hears of leaving workers first.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -17,6 +17,7 @@
 mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -48,6 +49,12 @@
 use memory::Memory;
 use timer::Timer;
 
+/// How long a process sees no event before it is taken to have been paused.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// How long nothing is placed after a pause.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
 /// What a machine is made with.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
@@ -77,6 +84,8 @@
 pub struct Cell {
     setup: Setup,
     now: Time,
+    /// Until when nothing is placed, since the process was paused.
+    stale_until: Option<Time>,
     revision: Option<u64>,
     teams: Teams,
     ledger: Ledger,
@@ -108,6 +117,7 @@
         let rng = ChaCha8Rng::seed_from_u64(setup.seed);
         Cell {
             now: Time::default(),
+            stale_until: None,
             revision: None,
             teams: Teams::default(),
             ledger: Ledger::default(),
@@ -142,8 +152,8 @@
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        self.now = self.now.max(now);
         std::mem::swap(&mut self.out, actions);
+        self.pass_time(now);
         self.run_timers();
         self.take(event);
         self.fill_dirty();
@@ -153,6 +163,17 @@
         std::mem::swap(&mut self.out, actions);
     }
 
+    /// Moves the time on; after a pause, what was missed is taken in before anything is placed.
+    fn pass_time(&mut self, now: Time) {
+        let begun = self.now != Time::default();
+        if begun && now.since(self.now) >= PAUSE {
+            let until = now.after(CATCH_UP);
+            self.stale_until = Some(until);
+            self.at(until, Timer::CatchUp);
+        }
+        self.now = self.now.max(now);
+    }
+
     fn take(&mut self, event: Event) {
         match event {
             Event::Configure { revision, teams } => self.configure(revision, &teams),
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use crate::action::Action;
+use crate::ledger::{Need, Room};
 use crate::rack::Demand;
+use crate::room::Room as Workers;
+use crate::size::Size;
 
 use super::Cell;
 
@@ -35,16 +38,29 @@
         }
         self.asked = Some(self.now);
         let mut demands = Vec::new();
+        let room = |rack| Room {
+            free: rack_free(&self.room, rack),
+            capacity: self.room.capacity(rack),
+        };
         for team in 0..self.teams.len() {
-            let waiting = self.queue.waiting(team);
-            let name = &self.teams.get(team).name;
-            demands.extend(
-                self.ledger
-                    .demands(team, name, waiting, self.now, |rack| self.rack_free(rack)),
-            );
+            let need = Need {
+                team,
+                name: &self.teams.get(team).name,
+                anywhere: self.queue.waiting_at(team, None),
+                bound: &|rack| self.queue.waiting_at(team, Some(rack)),
+            };
+            demands.extend(self.ledger.demands(&need, self.now, room));
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
         }
     }
 }
+
+/// Returns what is free on the open workers of a rack.
+fn rack_free(workers: &Workers, rack: usize) -> Size {
+    let rack = workers.rack(rack).iter();
+    rack.map(|&worker| workers.get(worker))
+        .filter(|worker| worker.is_open())
+        .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
+}
--- a/crates/decide/src/cell/fate.rs
+++ b/crates/decide/src/cell/fate.rs
@@ -18,6 +18,9 @@
 /// How long an attempt in doubt waits before it is looked for again.
 const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long an attempt in doubt on a leaving worker waits before it is looked for again.
+const LEAVING_PAUSE: Duration = Duration::from_secs(2);
+
 /// How long after it was sent a start may still arrive at a worker.
 const LATE: Duration = Duration::from_secs(30);
 
@@ -179,7 +182,13 @@
             .is_some_and(|job| job.caller && !job.cancelled);
         let booking = &self.bookings[&attempt];
         if wanted && booking.idempotent {
-            self.at(self.now.after(DOUBT_PAUSE), Timer::Resend(attempt));
+            let leaving = self.room.get(worker).leaving;
+            let (pause, timer) = if leaving {
+                (LEAVING_PAUSE, Timer::Settle(attempt))
+            } else {
+                (DOUBT_PAUSE, Timer::Resend(attempt))
+            };
+            self.at(self.now.after(pause), timer);
             return;
         }
         self.say_unknown(attempt.request, attempt);
@@ -213,9 +222,12 @@
             return;
         };
         let doubted = booking.state == State::Doubt;
-        let claimed = self.room.get(booking.worker).hold == Hold::Claimed;
+        let known = self.room.get(booking.worker);
+        let claimed = known.hold == Hold::Claimed && !known.leaving;
         let waits = self.placed(attempt).is_some_and(|job| job.caller);
-        if doubted && claimed && waits {
+        if doubted && self.is_stale() {
+            self.at(self.now.after(DOUBT_PAUSE), Timer::Resend(attempt));
+        } else if doubted && claimed && waits {
             self.send(attempt);
         }
     }
--- a/crates/decide/src/cell/intake.rs
+++ b/crates/decide/src/cell/intake.rs
@@ -129,6 +129,11 @@
             self.deny(id, Reason::TooLarge);
             return;
         }
+        let limit = self.teams.get(job.team).limit;
+        if limit.is_some_and(|limit| !booked(&job.request.size).fits(&limit)) {
+            self.deny(id, Reason::Limit);
+            return;
+        }
         // Room that has just grown belongs to those who wait already.
         self.fill_dirty();
         let item = self.item(id);
@@ -178,7 +183,7 @@
         let rack = self.rack_of(&job.request);
         let declared = booked(&job.request.size);
         let learnt = self.learner.size(&job.request.kind, &declared);
-        let size = self.bounded(&declared, &learnt);
+        let size = self.bounded(&declared, &learnt, self.teams.get(job.team).limit);
         let span = if self.could_hold(&size, rack) {
             let kind = &job.request.kind;
             self.learner.span(kind, job.request.estimate)
@@ -200,10 +205,11 @@
         }
     }
 
-    /// Bounds a learnt size by what workers hold, but never below the declared one.
-    fn bounded(&self, declared: &Size, learnt: &Size) -> Size {
+    /// Bounds a learnt size by what workers and the team's limit hold, but never below the declared one.
+    fn bounded(&self, declared: &Size, learnt: &Size, limit: Option<Size>) -> Size {
         let capacities = self.ceilings.own.iter();
         let most = capacities.fold(Size::ZERO, |most, size| Size::max(&most, size));
+        let most = limit.map_or(most, |limit| Size::min(&most, &limit));
         let size = Size::max(declared, &Size::min(learnt, &most));
         if self.could_hold(&size, None) {
             size
--- a/crates/decide/src/cell/job.rs
+++ b/crates/decide/src/cell/job.rs
@@ -114,8 +114,11 @@
 
 impl Booking {
     /// Tells whether it may ever make room for urgent work.
+    ///
+    /// A worker has no call that hands saved state to another attempt, so an attempt that is not
+    /// idempotent would begin anew after a checkpoint and is left alone.
     pub(super) fn is_soft(&self) -> bool {
-        self.class == Class::Batch && self.gang.is_none()
+        self.class == Class::Batch && self.idempotent && self.gang.is_none()
     }
 
     /// Tells whether it uses more than it declared.
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -29,6 +29,9 @@
 impl Cell {
     /// Starts a waiting request on the best worker that has room for it.
     pub(super) fn seat(&mut self, id: request::Id) {
+        if self.is_stale() {
+            return;
+        }
         let Some(item) = self.queue.get(id).copied() else {
             return;
         };
@@ -106,11 +109,28 @@
 
     /// Fills the workers whose room or allotment has grown.
     pub(super) fn fill_dirty(&mut self) {
+        if self.is_stale() {
+            return;
+        }
         while let Some(worker) = self.dirty.pop_first() {
             self.fill(worker);
         }
     }
 
+    /// Tells whether what was missed during a pause is still being taken in.
+    pub(super) fn is_stale(&self) -> bool {
+        self.stale_until.is_some()
+    }
+
+    /// Places work again after a pause.
+    pub(super) fn catch_up(&mut self) {
+        if self.stale_until.is_some_and(|until| until <= self.now) {
+            self.stale_until = None;
+            self.dirty
+                .extend(self.room.iter().map(|(worker, _)| worker));
+        }
+    }
+
     fn fill(&mut self, worker: usize) {
         while !self.queue.is_empty() && self.room.get(worker).has_slot() {
             let Some(id) = self.next_for(worker) else {
@@ -245,8 +265,7 @@
     pub(super) fn book(&mut self, attempt: Attempt, booking: Booking) {
         let rack = self.room.get(booking.worker).rack;
         self.room.book(booking.worker, attempt, &booking.size);
-        self.ledger
-            .book(rack, booking.team, &booking.size, self.now);
+        self.ledger.book(rack, booking.team, &booking.size);
         self.teams.add(booking.team, &booking.size);
         if booking.class == Class::Service {
             let worker = booking.worker;
@@ -293,8 +312,7 @@
         self.weigh(&booking, Size::minus);
         let rack = self.room.get(booking.worker).rack;
         self.room.free(booking.worker, attempt, &booking.size);
-        let now = self.now;
-        if self.ledger.free(rack, booking.team, &booking.size, now) {
+        if self.ledger.free(rack, booking.team, &booking.size) {
             self.dirty.extend(self.room.rack(rack));
         }
         self.teams.remove(booking.team, &booking.size);
@@ -307,13 +325,4 @@
         self.refresh_trial(booking.worker);
         Some(booking)
     }
-
-    /// Returns what is free on the open workers of a rack.
-    pub(super) fn rack_free(&self, rack: usize) -> Size {
-        let workers = self.room.rack(rack).iter();
-        workers
-            .map(|&worker| self.room.get(worker))
-            .filter(|worker| worker.is_open())
-            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
-    }
 }
--- a/crates/decide/src/cell/preempt.rs
+++ b/crates/decide/src/cell/preempt.rs
@@ -23,7 +23,7 @@
 
 /// Attempts that would make room on a worker.
 struct Victims {
-    cost: (usize, Duration),
+    cost: Duration,
     worker: usize,
     attempts: Vec<Attempt>,
 }
@@ -34,6 +34,10 @@
         let Some(item) = self.queue.get(id).copied() else {
             return;
         };
+        if self.is_stale() {
+            self.at(self.now.after(CHECKPOINT), Timer::Press(id));
+            return;
+        }
         let joins_gang = self.jobs[&id].hold.is_some();
         if item.class != Class::Urgent || self.setup.policy != Policy::Fair || joins_gang {
             return;
@@ -67,14 +71,11 @@
     /// Stops a preempted attempt that has not saved its state in time.
     pub(super) fn stop_late(&mut self, attempt: Attempt) {
         let booking = self.bookings.get(&attempt);
-        let preempted = |booking: &&Booking| {
+        let preempted = |booking: &Booking| {
             let told = booking.interrupt;
             told.is_some_and(|told| told.cause == Cause::Preempted)
         };
-        if booking
-            .filter(preempted)
-            .is_some_and(|booking| booking.idempotent)
-        {
+        if booking.is_some_and(preempted) {
             self.interrupt(attempt, Interrupt::Stop, Cause::Preempted);
         }
     }
@@ -109,14 +110,14 @@
             .map(|(attempt, booking)| (self.cost(booking), attempt, booking.size))
             .collect();
         soft.sort_unstable_by_key(|(cost, attempt, _)| (*cost, *attempt));
-        let mut cost = (0, Duration::ZERO);
+        let mut cost = Duration::ZERO;
         let mut attempts = Vec::new();
         for (each, attempt, size) in soft {
             if wanted.fits(&room) {
                 break;
             }
             room = room.plus(&size);
-            cost = (cost.0 + each.0, cost.1 + each.1);
+            cost += each;
             attempts.push(attempt);
         }
         wanted.fits(&room).then_some(Victims {
@@ -131,12 +132,10 @@
         booking.is_soft() && begun && !booking.is_ending() && booking.guard <= self.now
     }
 
-    /// Returns the work that stopping an attempt may lose; attempts that can only be stopped once
-    /// their state is saved come last.
-    pub(super) fn cost(&self, booking: &Booking) -> (usize, Duration) {
+    /// Returns the work that stopping an attempt may lose.
+    pub(super) fn cost(&self, booking: &Booking) -> Duration {
         let span = self.now.since(booking.since);
         let capacity = &self.room.get(booking.worker).spec.capacity;
-        let lost = Work::of(&booking.size, span).span(capacity);
-        (usize::from(!booking.idempotent), lost)
+        Work::of(&booking.size, span).span(capacity)
     }
 }
--- a/crates/decide/src/cell/timer.rs
+++ b/crates/decide/src/cell/timer.rs
@@ -33,6 +33,8 @@
     Gang(request::Id),
     /// A request need not avoid a worker any more.
     Calm(request::Id),
+    /// What was missed during a pause has been taken in.
+    CatchUp,
 }
 
 impl Cell {
@@ -57,6 +59,7 @@
                 Timer::Probe(worker) => self.probe_again(worker),
                 Timer::Gang(gang) => self.expire_gang(gang),
                 Timer::Calm(id) => self.calm(id),
+                Timer::CatchUp => self.catch_up(),
             }
         }
     }
--- a/crates/decide/src/cell/usage.rs
+++ b/crates/decide/src/cell/usage.rs
@@ -92,9 +92,10 @@
             return None;
         }
         match told.how {
+            _ if !booking.idempotent => None,
             Interrupt::Throttle => Some(Interrupt::Checkpoint),
-            Interrupt::Checkpoint if booking.idempotent => Some(Interrupt::Stop),
-            Interrupt::Checkpoint | Interrupt::Stop => None,
+            Interrupt::Checkpoint => Some(Interrupt::Stop),
+            Interrupt::Stop => None,
         }
     }
 }
--- a/crates/decide/src/learn.rs
+++ b/crates/decide/src/learn.rs
@@ -23,10 +23,17 @@
 /// A histogram of amounts whose older samples weigh less, in buckets that grow by a fifth.
 #[derive(Clone, Debug, Default)]
 pub struct Histogram {
-    counts: Vec<u32>,
+    buckets: Vec<Bucket>,
     total: u32,
 }
 
+/// Samples of about one amount.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    count: u32,
+    most: u64,
+}
+
 impl Histogram {
     /// Adds a sample.
     pub fn add(&mut self, amount: u64) {
@@ -34,33 +41,38 @@
             self.halve();
         }
         let bucket = bucket(amount);
-        if self.counts.len() <= bucket {
-            self.counts.resize(bucket + 1, 0);
+        if self.buckets.len() <= bucket {
+            self.buckets.resize(bucket + 1, Bucket::default());
         }
-        self.counts[bucket] += 1;
+        let bucket = &mut self.buckets[bucket];
+        bucket.count += 1;
+        bucket.most = bucket.most.max(amount);
         self.total += 1;
     }
 
-    /// Returns the upper bound of the bucket below which `percent` of the samples lie, once there
-    /// are enough samples.
+    /// Returns the largest amount in the bucket up to which `percent` of the samples lie, once
+    /// there are enough samples.
     pub fn quantile(&self, percent: u32) -> Option<u64> {
         if self.total < ENOUGH {
             return None;
         }
         let wanted = (self.total * percent).div_ceil(100).max(1);
         let mut sum = 0;
-        let found = self.counts.iter().position(|count| {
-            sum += count;
+        let found = self.buckets.iter().find(|bucket| {
+            sum += bucket.count;
             sum >= wanted
         });
-        found.map(bound)
+        found.map(|bucket| bucket.most)
     }
 
     fn halve(&mut self) {
-        for count in &mut self.counts {
-            *count /= 2;
+        for bucket in &mut self.buckets {
+            bucket.count /= 2;
+            if bucket.count == 0 {
+                bucket.most = 0;
+            }
         }
-        self.total = self.counts.iter().sum();
+        self.total = self.buckets.iter().map(|bucket| bucket.count).sum();
     }
 }
 
@@ -71,13 +83,6 @@
     (octave * PER_OCTAVE) as usize + step as usize
 }
 
-/// Returns the largest amount of a bucket.
-fn bound(bucket: usize) -> u64 {
-    let octave = bucket as u32 / PER_OCTAVE;
-    let step = (bucket as u64 % u64::from(PER_OCTAVE)) + 1;
-    ((4 + step) << octave.saturating_sub(2)) - 1
-}
-
 /// What is known of one kind.
 #[derive(Clone, Debug, Default)]
 struct Kind {
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What racks hold of the upper limits of teams, and what of it is in use.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::name::{Map, Name};
@@ -17,15 +18,55 @@
     pub allotted: Size,
     /// What it may hold of a limit that is being lowered.
     pub cap: Option<Size>,
+    /// What it has offered to keep at most, until the table has taken the rest back.
+    offer: Option<Size>,
     /// What is booked there for the team.
     pub used: Size,
     /// Whether work of the team was passed over there for lack of allotment.
     pub short: bool,
-    /// When more was last in use than now, or work was passed over.
-    pub busy: Time,
+    /// The most that was in use since `since`.
+    peak: Size,
+    /// The most that was in use in the span before.
+    earlier: Size,
+    /// When the present span began.
+    since: Time,
 }
 
 impl Account {
+    /// Returns what is to be held where `wanted` is wanted besides what is used, if that differs
+    /// from what is held.
+    fn want(&mut self, wanted: &Size, now: Time) -> Option<Size> {
+        if now.since(self.since) >= IDLE {
+            self.earlier = self.peak;
+            self.peak = self.used;
+            self.since = now;
+        }
+        let wanted = self.used.plus(wanted);
+        let recent = Size::max(&self.earlier, &self.peak);
+        let want = match (self.cap, self.offer) {
+            (Some(cap), _) => self.floor(cap),
+            (None, Some(offer)) => Size::max(&offer, &self.used),
+            (None, None) if !wanted.fits(&self.allotted) => Size::max(&wanted, &self.allotted),
+            (None, None) => {
+                let kept = Size::max(&wanted, &recent);
+                // What is offered may be given to others before this process hears of it.
+                self.offer = Some(kept).filter(|kept| *kept != self.allotted);
+                kept
+            }
+        };
+        (want != self.allotted).then_some(want)
+    }
+
+    /// Takes what is held.
+    fn allot(&mut self, allotted: Size) {
+        if !allotted.fits(&self.allotted) {
+            self.earlier = Size::max(&self.earlier, &allotted);
+        }
+        self.allotted = allotted;
+        self.cap = self.cap.filter(|cap| !allotted.fits(cap));
+        self.offer = self.offer.filter(|offer| !allotted.fits(offer));
+    }
+
     /// Returns the least that may be held within the present amount: `wanted`, or what is used.
     fn floor(&self, wanted: Size) -> Size {
         Size::max(&self.used, &Size::min(&wanted, &self.allotted))
@@ -34,10 +75,33 @@
     /// Returns what may still be started.
     pub fn rest(&self) -> Size {
         let cap = self.cap.unwrap_or(Size::MAX);
-        Size::min(&self.allotted, &cap).minus(&self.used)
+        let offer = self.offer.unwrap_or(Size::MAX);
+        let bound = Size::min(&cap, &offer);
+        Size::min(&self.allotted, &bound).minus(&self.used)
     }
 }
 
+/// What a team has waiting.
+pub struct Need<'a> {
+    /// The team, by index.
+    pub team: usize,
+    /// The team's name.
+    pub name: &'a Name,
+    /// What may run on any rack.
+    pub anywhere: Size,
+    /// What may run on one rack only, by the rack's index.
+    pub bound: &'a dyn Fn(usize) -> Size,
+}
+
+/// The room of a rack.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// What is free on its workers.
+    pub free: Size,
+    /// What its workers hold.
+    pub capacity: Size,
+}
+
 /// A rack.
 #[derive(Debug)]
 pub struct Rack {
@@ -102,15 +166,13 @@
         allotments: &Allotments,
         mut team: impl FnMut(&Name) -> usize,
     ) {
-        for account in &mut self.racks[rack].accounts {
-            account.allotted = Size::ZERO;
-        }
-        for (name, size) in allotments {
-            let team = team(name);
-            self.account_mut(rack, team).allotted = *size;
-        }
-        for account in &mut self.racks[rack].accounts {
-            account.cap = account.cap.filter(|cap| !account.allotted.fits(cap));
+        let mut held: BTreeMap<usize, Size> = BTreeMap::new();
+        held.extend(allotments.iter().map(|(name, size)| (team(name), *size)));
+        let known = 0..self.racks[rack].accounts.len();
+        let teams: BTreeSet<usize> = known.chain(held.keys().copied()).collect();
+        for team in teams {
+            let size = held.get(&team).copied().unwrap_or(Size::ZERO);
+            self.account_mut(rack, team).allot(size);
         }
     }
 
@@ -136,17 +198,16 @@
     }
 
     /// Books an amount, within the allotment or not.
-    pub fn book(&mut self, rack: usize, team: usize, size: &Size, now: Time) {
+    pub fn book(&mut self, rack: usize, team: usize, size: &Size) {
         let account = self.account_mut(rack, team);
         account.used = account.used.plus(size);
-        account.busy = now;
+        account.peak = Size::max(&account.peak, &account.used);
     }
 
     /// Gives an amount back and tells whether work of the team had been passed over for it.
-    pub fn free(&mut self, rack: usize, team: usize, size: &Size, now: Time) -> bool {
+    pub fn free(&mut self, rack: usize, team: usize, size: &Size) -> bool {
         let account = self.account_mut(rack, team);
         account.used = account.used.minus(size);
-        account.busy = now;
         std::mem::take(&mut account.short)
     }
 
@@ -162,41 +223,35 @@
             .fold(Size::ZERO, |sum, size| sum.plus(&size))
     }
 
-    /// Returns demands that spread `waiting` of a team over racks with room, and give back what
-    /// has lain idle.
+    /// Returns demands that bring allotments to where work waits, and give back what has not been
+    /// in use lately.
     ///
-    /// `free` gives the free room of a rack, by its index.
-    pub fn demands(
-        &self,
-        team: usize,
-        name: &Name,
-        waiting: Size,
-        now: Time,
-        free: impl Fn(usize) -> Size,
-    ) -> Vec<Demand> {
-        let mut left = waiting;
-        let mut demands = Vec::new();
-        for rack in self.owned() {
-            let account = self.account(rack, team);
-            let part = Size::min(&left, &free(rack));
-            let wanted = account.used.plus(&part);
+    /// Work that may run on any rack is spread over those with free room first.
+    pub fn demands(&mut self, need: &Need, now: Time, room: impl Fn(usize) -> Room) -> Vec<Demand> {
+        let owned: Vec<usize> = self.owned().collect();
+        let mut left = need.anywhere;
+        let mut wanted = Vec::with_capacity(owned.len());
+        for &rack in &owned {
+            let room = room(rack);
+            let part = Size::min(&left, &room.free);
             left = left.minus(&part);
-            let raises = !wanted.fits(&account.allotted);
-            let idle = now.since(account.busy) >= IDLE;
-            let want = match (raises, idle) {
-                _ if account.cap.is_some() => account.floor(account.cap.unwrap_or(Size::ZERO)),
-                (true, _) => Size::max(&wanted, &account.allotted),
-                (false, true) if waiting.is_zero() => account.used,
-                _ => account.allotted,
-            };
-            if want != account.allotted {
-                demands.push(Demand {
-                    rack: self.racks[rack].name.clone(),
-                    team: name.clone(),
-                    want,
-                });
-            }
+            let bound = (need.bound)(rack);
+            wanted.push(Size::min(&bound.plus(&part), &room.capacity));
+        }
+        for (rack, wanted) in owned.iter().zip(&mut wanted) {
+            let part = Size::min(&left, &room(*rack).capacity);
+            left = left.minus(&part);
+            *wanted = wanted.plus(&part);
         }
-        demands
+        let demand = |(rack, wanted): (usize, Size)| {
+            let account = self.account_mut(rack, need.team);
+            let want = account.want(&wanted, now)?;
+            Some(Demand {
+                rack: self.racks[rack].name.clone(),
+                team: need.name.clone(),
+                want,
+            })
+        };
+        owned.into_iter().zip(wanted).filter_map(demand).collect()
     }
 }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -194,7 +194,7 @@
 pub struct Queue {
     lines: [Vec<BTreeMap<Option<usize>, Line>>; 3],
     spots: Map<request::Id, Box<Waiting>>,
-    waiting: Vec<Size>,
+    waiting: Vec<BTreeMap<Option<usize>, Size>>,
 }
 
 impl Queue {
@@ -215,7 +215,19 @@
 
     /// Returns the sum of what waits for a team.
     pub fn waiting(&self, team: usize) -> Size {
-        self.waiting.get(team).copied().unwrap_or_default()
+        let racks = self
+            .waiting
+            .get(team)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        racks.fold(Size::ZERO, |sum, size| sum.plus(size))
+    }
+
+    /// Returns the sum of what waits for a team and may run on just this rack, or on any.
+    pub fn waiting_at(&self, team: usize, rack: Option<usize>) -> Size {
+        let racks = self.waiting.get(team);
+        let size = racks.and_then(|racks| racks.get(&rack));
+        size.copied().unwrap_or_default()
     }
 
     /// Adds a request, and tells whether it should be tried at once.
@@ -235,7 +247,7 @@
         };
         let fresh = line.push(size, head) || size != item.size;
         line.schedule.add(item.key.deadline, &item.work);
-        let sum = &mut self.waiting[item.team];
+        let sum = self.waiting[item.team].entry(item.rack).or_default();
         *sum = sum.plus(&item.size);
         self.spots
             .insert(item.id, Box::new(Waiting { item, lane: size }));
@@ -252,8 +264,11 @@
                 lines.remove(&item.rack);
             }
         }
-        let sum = &mut self.waiting[item.team];
+        let sum = self.waiting[item.team].entry(item.rack).or_default();
         *sum = sum.minus(&item.size);
+        if sum.is_zero() {
+            self.waiting[item.team].remove(&item.rack);
+        }
         Some(item)
     }
 
