Workers that are not seen yet may hide work of a team

What an unseen worker holds now counts as in use.

Seen failing with one change each: offers that do not bind, or bind for ever; unseen workers that hide nothing, gone ones that do; demands up to free room only; requests over the limit waiting; no pause after waking; orders preempted; orders interrupted.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -107,6 +107,7 @@
     dirty: BTreeSet<usize>,
     arrivals: u64,
     asked: Option<Time>,
+    short: bool,
     rng: ChaCha8Rng,
     out: Vec<Action>,
 }
@@ -139,6 +140,7 @@
             dirty: BTreeSet::new(),
             arrivals: 0,
             asked: None,
+            short: false,
             rng,
             setup,
             out: Vec::new(),
--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -69,7 +69,7 @@
     fn take_allotments(&mut self, rack: usize, allotments: &crate::rack::Allotments) {
         let teams = &mut self.teams;
         self.ledger
-            .allot(rack, allotments, |name| teams.index(name));
+            .allot(rack, allotments, self.now, |name| teams.index(name));
         self.dirty.extend(self.room.rack(rack));
     }
 
@@ -210,6 +210,7 @@
         }
         let known = self.room.get_mut(worker);
         known.hold = Hold::Claimed;
+        known.seen = inventory.epoch;
         known.silent = 0;
         for running in &inventory.running {
             self.found_running(worker, running);
@@ -356,8 +357,13 @@
             Circuit::Open => true,
             Circuit::Trial => !known.attempts.is_empty(),
         };
-        let owned = self.ledger.rack(known.rack).owned;
+        let rack = known.rack;
+        let owned = self.ledger.rack(rack).owned;
         self.room.refresh(worker, owned);
+        let unseen = self.room.unseen(rack, self.ledger.rack(rack).epoch);
+        if self.ledger.hide(rack, unseen) {
+            self.dirty.extend(self.room.rack(rack));
+        }
         self.dirty.insert(worker);
     }
 
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -10,9 +10,12 @@
 
 use super::Cell;
 
-/// The shortest time between two asks.
+/// The time between two asks.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// The time between two asks where work was passed over for lack of allotment since.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
+
 impl Cell {
     /// Bounds what a rack uses of a lowered limit and offers the rest.
     pub(super) fn reclaim(&mut self, demand: &Demand) {
@@ -32,11 +35,13 @@
     }
 
     pub(super) fn ask(&mut self) {
-        let due = self.asked.is_none_or(|at| self.now.since(at) >= PAUSE);
+        let pause = if self.short { SHORT_PAUSE } else { PAUSE };
+        let due = self.asked.is_none_or(|at| self.now.since(at) >= pause);
         if !due || self.ledger.owned().next().is_none() {
             return;
         }
         self.asked = Some(self.now);
+        self.short = false;
         let mut demands = Vec::new();
         let room = |rack| Room {
             free: rack_free(&self.room, rack),
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -50,7 +50,7 @@
             if item.avoid.contains(worker.index) {
                 return false;
             }
-            let rest = ledger.account(worker.rack, item.team).rest();
+            let rest = ledger.rest(worker.rack, item.team);
             size.fits(&rest)
         };
         let find = match (self.setup.policy, item.class) {
@@ -80,9 +80,7 @@
             worker.is_open()
                 && item.rack.is_none_or(|rack| rack == worker.rack)
                 && item.size.fits(&worker.free())
-                && item
-                    .size
-                    .fits(&self.ledger.account(worker.rack, item.team).rest())
+                && item.size.fits(&self.ledger.rest(worker.rack, item.team))
         };
         let open: Vec<usize> = self
             .room
@@ -102,6 +100,7 @@
 
     /// Notes that work of a team found no place, so that it is tried again as allotments grow.
     fn pass(&mut self, team: usize) {
+        self.short = true;
         for rack in self.ledger.owned().collect::<Vec<_>>() {
             self.ledger.pass(rack, team);
         }
@@ -155,7 +154,7 @@
                 if !self.queue.has(class, team) {
                     continue;
                 }
-                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
+                let room = Size::min(&free, &self.ledger.rest(rack, team));
                 let spot = Spot { rack, worker, room };
                 if let Some((_, id)) = self.queue.first(class, team, &spot) {
                     return Some(id);
@@ -175,7 +174,7 @@
         let mut best = None;
         for class in Class::iter() {
             for team in 0..self.teams.len() {
-                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
+                let room = Size::min(&free, &self.ledger.rest(rack, team));
                 let spot = Spot { rack, worker, room };
                 if let Some(head) = self.queue.first(class, team, &spot) {
                     best = best.map_or(Some(head), |best| Some(head.min(best)));
--- a/crates/decide/src/cell/preempt.rs
+++ b/crates/decide/src/cell/preempt.rs
@@ -18,6 +18,9 @@
 /// How long a preempted attempt may take to save its state before it is stopped.
 const CHECKPOINT: Duration = Duration::from_secs(2);
 
+/// How long an urgent request that nothing can make room for waits before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+
 /// How many workers are compared.
 const COMPARED: usize = 32;
 
@@ -43,10 +46,11 @@
             return;
         }
         self.unpress(id);
-        self.at(self.now.after(CHECKPOINT), Timer::Press(id));
         let Some(victims) = self.cheapest(&item) else {
+            self.at(self.now.after(LOOK_AGAIN), Timer::Press(id));
             return;
         };
+        self.at(self.now.after(CHECKPOINT), Timer::Press(id));
         self.room.get_mut(victims.worker).promised =
             self.room.get(victims.worker).promised.plus(&item.size);
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -88,9 +92,7 @@
             worker.is_open()
                 && item.rack.is_none_or(|rack| rack == worker.rack)
                 && worker.promised.plus(&item.size).fits(&all)
-                && item
-                    .size
-                    .fits(&self.ledger.account(worker.rack, item.team).rest())
+                && item.size.fits(&self.ledger.rest(worker.rack, item.team))
         });
         may_yield
             .take(COMPARED)
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -58,9 +58,10 @@
     }
 
     /// Takes what is held.
-    fn allot(&mut self, allotted: Size) {
+    fn allot(&mut self, allotted: Size, now: Time) {
         if !allotted.fits(&self.allotted) {
             self.earlier = Size::max(&self.earlier, &allotted);
+            self.since = now;
         }
         self.allotted = allotted;
         self.cap = self.cap.filter(|cap| !allotted.fits(cap));
@@ -72,12 +73,14 @@
         Size::max(&self.used, &Size::min(&wanted, &self.allotted))
     }
 
-    /// Returns what may still be started.
-    pub fn rest(&self) -> Size {
+    /// Returns what may still be started where workers may hide `hidden` of the team's work.
+    fn rest(&self, hidden: &Size) -> Size {
         let cap = self.cap.unwrap_or(Size::MAX);
         let offer = self.offer.unwrap_or(Size::MAX);
         let bound = Size::min(&cap, &offer);
-        Size::min(&self.allotted, &bound).minus(&self.used)
+        Size::min(&self.allotted, &bound)
+            .minus(&self.used)
+            .minus(hidden)
     }
 }
 
@@ -111,6 +114,8 @@
     pub epoch: u64,
     /// Whether this process owns it and may place there.
     pub owned: bool,
+    /// What may run on workers of which no inventory has been seen under this epoch.
+    hidden: Size,
     /// What it holds, by the index of the team.
     accounts: Vec<Account>,
 }
@@ -134,6 +139,7 @@
             name: name.clone(),
             epoch: 0,
             owned: false,
+            hidden: Size::ZERO,
             accounts: Vec::new(),
         });
         rack
@@ -164,6 +170,7 @@
         &mut self,
         rack: usize,
         allotments: &Allotments,
+        now: Time,
         mut team: impl FnMut(&Name) -> usize,
     ) {
         let mut held: BTreeMap<usize, Size> = BTreeMap::new();
@@ -172,7 +179,7 @@
         let teams: BTreeSet<usize> = known.chain(held.keys().copied()).collect();
         for team in teams {
             let size = held.get(&team).copied().unwrap_or(Size::ZERO);
-            self.account_mut(rack, team).allot(size);
+            self.account_mut(rack, team).allot(size, now);
         }
     }
 
@@ -183,6 +190,18 @@
         account.floor(cap)
     }
 
+    /// Sets what may run on workers of a rack that are not known, and tells whether it shrank.
+    pub fn hide(&mut self, rack: usize, hidden: Size) -> bool {
+        let before = std::mem::replace(&mut self.racks[rack].hidden, hidden);
+        before != hidden && hidden.fits(&before)
+    }
+
+    /// Returns what may still be started on a rack for a team.
+    pub fn rest(&self, rack: usize, team: usize) -> Size {
+        let hidden = &self.racks[rack].hidden;
+        self.account(rack, team).rest(hidden)
+    }
+
     /// Returns what a rack holds for a team.
     pub fn account(&self, rack: usize, team: usize) -> Account {
         let accounts = &self.racks[rack].accounts;
@@ -244,8 +263,14 @@
             *wanted = wanted.plus(&part);
         }
         let demand = |(rack, wanted): (usize, Size)| {
+            let hides = !self.racks[rack].hidden.is_zero();
             let account = self.account_mut(rack, need.team);
             let want = account.want(&wanted, now)?;
+            if hides && !account.allotted.fits(&want) {
+                // What runs on a worker that is not known must stay covered.
+                account.offer = None;
+                return None;
+            }
             Some(Demand {
                 rack: self.racks[rack].name.clone(),
                 team: need.name.clone(),
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -31,6 +31,8 @@
     pub rack: usize,
     /// How far it obeys.
     pub hold: Hold,
+    /// The epoch under which its inventory was last seen.
+    pub seen: u64,
     /// Whether it takes nothing new.
     pub leaving: bool,
     /// Whether it is surely gone.
@@ -130,6 +132,7 @@
             index: worker,
             rack,
             hold: Hold::Free,
+            seen: 0,
             leaving: false,
             gone: false,
             broken: false,
@@ -173,6 +176,14 @@
             .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
     }
 
+    /// Returns what a rack's workers hold of which no inventory has been seen under an epoch.
+    pub fn unseen(&self, rack: usize, epoch: u64) -> Size {
+        let workers = self.rack(rack).iter().map(|&worker| self.get(worker));
+        workers
+            .filter(|worker| !worker.gone && worker.seen != epoch)
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
+    }
+
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
         self.workers.iter().enumerate()
--- a/crates/decide/tests/epochs.rs
+++ b/crates/decide/tests/epochs.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use azurepath_decide::attempt::{Outcome, Refusal};
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
@@ -148,3 +150,17 @@
     assert_eq!(starts(&bench.claimed("w0", 1)).len(), 1);
     assert_eq!(Id(1).to_string().len(), 32);
 }
+
+#[test]
+fn waking_owner_listens() {
+    let mut bench = Bench::ready(1, machine());
+    bench.now = bench.now.after(Duration::from_secs(30));
+    assert!(starts(&bench.submit(request(1, "a", cores(1)))).is_empty());
+    bench.send(Event::Leave {
+        worker: "w0".into(),
+    });
+    assert!(starts(&bench.wait(2_000)).is_empty());
+    let mut joined = bench.add("w1", "r1", machine());
+    joined.extend(bench.wait(1_500));
+    assert_eq!(starts(&joined).len(), 1);
+}
--- a/crates/decide/tests/health.rs
+++ b/crates/decide/tests/health.rs
@@ -157,6 +157,7 @@
         let actions = bench.submit(kind(id));
         play(&mut bench, actions, bad_first_worker);
     }
+    bench.replenish();
     let other = Size {
         slots: 8,
         ..cores(32)
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -7,7 +7,10 @@
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
 use azurepath_decide::rack::{Allotted, Demand};
+use azurepath_decide::request::{Request, Target};
+use azurepath_decide::resource::Team;
 use azurepath_decide::size::Size;
+use azurepath_decide::verdict::Reason;
 use support::*;
 
 fn demands(actions: &[Action]) -> Vec<Demand> {
@@ -108,3 +111,79 @@
     assert!(of_a.peek().is_some());
     assert!(of_a.all(|demand| demand.want == cores(8).plus(&cores(1))));
 }
+
+#[test]
+fn offer_binds_at_once() {
+    let mut bench = bench(cores(8).plus(&cores(8)));
+    bench.submit(request(1, "a", cores(2)));
+    let offers = demands(&bench.wait(6_000));
+    assert!(offers.iter().any(|offer| offer.want == cores(2)));
+    assert!(starts(&bench.submit(request(2, "a", cores(2)))).is_empty());
+    bench.wait(2_000);
+    assert!(starts(&bench.send(allotted(1, cores(2)))).is_empty());
+    let asked = demands(&bench.wait(1_500));
+    let want = cores(2).plus(&cores(2));
+    assert!(asked.iter().any(|demand| demand.want == want));
+    assert_eq!(starts(&bench.send(allotted(1, want))).len(), 1);
+}
+
+#[test]
+fn unseen_work_counts() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    bench.gain("r1", 2, cores(4));
+    bench.join("w0", "r1", machine());
+    bench.join("w1", "r1", machine());
+    bench.submit(request(1, "a", cores(4)));
+    assert!(starts(&bench.claimed("w0", 2)).is_empty());
+    let mut found = inventory("w1", 2);
+    found.running.push(running(&request(9, "a", cores(4)), 1));
+    assert!(starts(&bench.send(Event::Claimed(found))).is_empty());
+    let ended = bench.ended(attempt(9, 1), "w1", Outcome::Done);
+    assert_eq!(starts(&ended).len(), 1);
+}
+
+#[test]
+fn gone_worker_hides_nothing() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    bench.gain("r1", 2, cores(4));
+    bench.join("w0", "r1", machine());
+    bench.join("w1", "r1", machine());
+    bench.submit(request(1, "a", cores(4)));
+    assert!(starts(&bench.claimed("w0", 2)).is_empty());
+    let worker = "w1".into();
+    assert_eq!(starts(&bench.send(Event::Gone { worker })).len(), 1);
+}
+
+#[test]
+fn demand_for_full_rack() {
+    let mut bench = bench(PLENTY);
+    bench.submit(request(1, "b", cores(32)));
+    bench.submit(request(2, "b", cores(32)));
+    bench.send(allotted(1, cores(1)));
+    let target = Some(Target {
+        rack: "r1".into(),
+        epoch: 1,
+    });
+    bench.submit(Request {
+        target,
+        ..request(3, "a", cores(4))
+    });
+    let asked = demands(&bench.wait(1_000));
+    let mut of_a = asked.iter().filter(|demand| &*demand.team == "a");
+    assert!(of_a.any(|demand| cores(4).fits(&demand.want)));
+}
+
+#[test]
+fn over_limit_refused() {
+    let mut bench = bench(PLENTY);
+    let small = Team {
+        limit: cores(2),
+        ..team("c", 1)
+    };
+    let teams = vec![team("a", 1), small];
+    bench.send(Event::Configure { revision: 2, teams });
+    let refused = bench.submit(request(1, "c", cores(3)));
+    assert_eq!(answers(&refused), [(1, not_run(Reason::Limit))]);
+}
--- a/crates/decide/tests/preemption.rs
+++ b/crates/decide/tests/preemption.rs
@@ -86,6 +86,7 @@
     bench.submit(request(2, "a", cores(24)));
     bench.wait(60_000);
     bench.submit(order);
+    bench.replenish();
     let pressed = interrupts(&bench.submit(urgent(9, 4)));
     assert_eq!(pressed, [(attempt(2, 1), Interrupt::Checkpoint)]);
 }
--- a/crates/decide/tests/summaries.rs
+++ b/crates/decide/tests/summaries.rs
@@ -60,6 +60,7 @@
 #[test]
 fn lowered_limit_offered() {
     let mut bench = Bench::ready(1, machine());
+    bench.table = None;
     bench.submit(request(1, "a", cores(4)));
     let demand = |want| Demand {
         rack: "r1".into(),
--- a/crates/decide/tests/support/mod.rs
+++ b/crates/decide/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use azurepath_decide::event::Event;
 use azurepath_decide::name::Name;
 use azurepath_decide::policy::Policy;
-use azurepath_decide::rack::{Allotments, Grant};
+use azurepath_decide::rack::{Allotments, Allotted, Grant};
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::resource::Team;
 use azurepath_decide::size::Size;
@@ -110,9 +110,25 @@
     }
 }
 
+fn plenty() -> Allotments {
+    ["a", "b", "c"]
+        .map(|team| (Name::from(team), PLENTY))
+        .into()
+}
+
+fn allotted(allotments: Allotments) -> Event {
+    Event::Allot(Allotted {
+        rack: "r1".into(),
+        epoch: 1,
+        allotments,
+    })
+}
+
 pub struct Bench {
     pub cell: Cell,
     pub now: Time,
+    /// What the table holds for `r1`, where it grants all demands at once.
+    pub table: Option<Allotments>,
 }
 
 impl Bench {
@@ -126,6 +142,7 @@
         Bench {
             cell: Cell::new(setup),
             now: Time::from_millis(1_000),
+            table: None,
         }
     }
 
@@ -134,6 +151,7 @@
         let mut bench = Bench::new(Policy::Fair);
         bench.teams(&[team("a", 1), team("b", 1)]);
         bench.gain("r1", 1, PLENTY);
+        bench.table = Some(plenty());
         for index in 0..count {
             bench.add(&format!("w{index}"), "r1", capacity);
         }
@@ -143,9 +161,35 @@
     pub fn send(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.cell.handle(self.now, event, &mut actions);
+        if let Some(event) = self.grant(&actions) {
+            self.cell.handle(self.now, event, &mut actions);
+        }
         actions
     }
 
+    /// Lets the table take all demands.
+    fn grant(&mut self, actions: &[Action]) -> Option<Event> {
+        let table = self.table.as_mut()?;
+        let demands = actions.iter().filter_map(|action| match action {
+            Action::Allot { demands } => Some(demands),
+            _ => None,
+        });
+        let demands: Vec<_> = demands.flatten().cloned().collect();
+        if demands.is_empty() {
+            return None;
+        }
+        for demand in demands {
+            table.insert(demand.team, demand.want);
+        }
+        Some(allotted(table.clone()))
+    }
+
+    /// Lets the table hold plenty for all teams again.
+    pub fn replenish(&mut self) -> Vec<Action> {
+        self.table = Some(plenty());
+        self.send(allotted(plenty()))
+    }
+
     /// Lets time pass with a tick every half second.
     pub fn wait(&mut self, millis: u64) -> Vec<Action> {
         let mut actions = Vec::new();
