Summaries between servers as differences, within a budget of bytes

Cause: each owner told each peer its whole summary as JSON up to five times a second. Ruled out: a slower pace alone, which leaves 20 KB a summary and makes shares stale; a document for the whole fleet, which some instance would have to gather. Not measured: what the slower pace to far peers costs in distance to share.

--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -1,6 +1,6 @@
 //! The side that other servers connect to.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use azurepath_decide::event::Event;
@@ -10,6 +10,7 @@
 use azurepath_decide::time::Time;
 use azurepath_decide::verdict::Verdict;
 use azurepath_wire::frame::{self, Document, Fault, Frame, Task};
+use azurepath_wire::summary as wire;
 use bytes::Bytes;
 use h2::RecvStream;
 use h2::server::{Builder, Connection, SendResponse};
@@ -55,6 +56,8 @@
     pub pace: Pace,
     /// The longest payload that is taken, in bytes.
     pub limit: u64,
+    /// The last summary that came over the connection.
+    pub last: Arc<Mutex<Option<Summary>>>,
     /// The logger.
     pub log: Logger,
     /// The instruments.
@@ -99,6 +102,10 @@
     let Some(pings) = connection.ping_pong() else {
         return;
     };
+    let service = Service {
+        last: Arc::default(),
+        ..service
+    };
     let mut streams = JoinSet::new();
     let watch = ping::watch(pings, service.pace, Arc::new(Notify::new()));
     tokio::pin!(watch);
@@ -175,13 +182,7 @@
                 self.engine.cancel(Id::from(target));
                 Frame::Done
             }
-            Frame::Summary(document) => {
-                let summary: Summary = parse(&document)?;
-                self.engine.event(Event::Peer(summary.clone()));
-                self.jobs.summary(summary.clone());
-                self.router.summary(summary);
-                Frame::Done
-            }
+            Frame::Summary(summary) => self.summary(summary)?,
             Frame::Reserve(document) => self.reserve(&document).await?,
             Frame::Commit(target) => {
                 let gang = Id::from(target);
@@ -245,6 +246,20 @@
         }
     }
 
+    fn summary(&self, summary: wire::Summary) -> Result<Frame, Error> {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let summary = summary.onto(last.as_ref()).map_err(|gap| {
+            Error::Fault(Fault {
+                kind: "gap".to_owned(),
+                remedy: gap.to_string(),
+            })
+        })?;
+        *last = Some(summary.clone());
+        self.engine.event(Event::Peer(summary.clone()));
+        self.router.summary(summary);
+        Ok(Frame::Done)
+    }
+
     async fn reserve(&self, document: &Document) -> Result<Frame, Error> {
         let mut ask: Ask = parse(document)?;
         // Clocks differ, so the time that is left has come.
--- a/crates/server/src/connection/mod.rs
+++ b/crates/server/src/connection/mod.rs
@@ -6,6 +6,7 @@
 pub mod listener;
 pub mod ping;
 pub mod pool;
+pub mod publish;
 pub mod stream;
 pub mod tuning;
 
--- a/crates/server/src/connection/pool.rs
+++ b/crates/server/src/connection/pool.rs
@@ -8,7 +8,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::request::Id;
 use azurepath_decide::share::Summary;
-use azurepath_wire::frame::{Document, Frame, Target, Task};
+use azurepath_wire::frame::{Frame, Target, Task};
 use serde_json::{Value, json};
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -18,6 +18,7 @@
 use super::call::{self, Broken, Call};
 use super::link::{self, Link};
 use super::ping::Pace;
+use super::publish::{Budget, Publisher};
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
 use crate::process::engine::{Reply, Submission};
@@ -25,12 +26,6 @@
 /// How long a cancellation may take.
 const CANCEL_WAIT: Duration = Duration::from_secs(2);
 
-/// How long a summary may take to a peer.
-const SUMMARY_WAIT: Duration = Duration::from_secs(2);
-
-/// The shortest pause between two summaries to the same peer.
-const SUMMARY_PAUSE: Duration = Duration::from_millis(200);
-
 /// A message to the pool.
 #[derive(Debug)]
 enum Message {
@@ -123,6 +118,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// The newest summary of the own racks, which all peers are told.
     pub summary: watch::Receiver<Option<Arc<Summary>>>,
+    /// What summaries may cost.
+    pub budget: Budget,
     /// The logger.
     pub log: Logger,
     /// The instruments.
@@ -237,9 +234,13 @@
             log: self.pool.log.clone(),
         };
         self.tasks.spawn(link.run(halt.clone()));
-        let summary = self.pool.summary.clone();
-        self.tasks
-            .spawn(publish(handle.clone(), summary, halt.clone()));
+        let publisher = Publisher {
+            link: handle.clone(),
+            summary: self.pool.summary.clone(),
+            budget: self.pool.budget.clone(),
+            peer: server.clone(),
+        };
+        self.tasks.spawn(publisher.run(halt.clone()));
         let entry = Entry {
             server: server.clone(),
             handle: handle.clone(),
@@ -267,28 +268,3 @@
         json!(links)
     }
 }
-
-/// Tells one peer each summary, skipping those that a newer one has replaced.
-async fn publish(
-    link: link::Handle,
-    mut summary: watch::Receiver<Option<Arc<Summary>>>,
-    halt: CancellationToken,
-) {
-    summary.mark_changed();
-    loop {
-        tokio::select! {
-            () = halt.cancelled() => return,
-            changed = summary.changed() => if changed.is_err() { return },
-        }
-        let newest = summary.borrow_and_update().clone();
-        if let Some(json) = newest.and_then(|newest| serde_json::to_string(&*newest).ok()) {
-            let frame = Frame::Summary(Document { json });
-            // The next summary replaces one that is lost.
-            let _ = call::control(&link, &frame, SUMMARY_WAIT).await;
-        }
-        tokio::select! {
-            () = halt.cancelled() => return,
-            () = tokio::time::sleep(SUMMARY_PAUSE) => {}
-        }
-    }
-}
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -22,6 +22,7 @@
     Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
 };
 use crate::connection::ping::Pace;
+use crate::connection::publish::Budget;
 use crate::connection::{listener, pool};
 use crate::metrics::Metrics;
 use crate::request::{http as entry, intent};
@@ -229,6 +230,12 @@
             pace,
             view: process.view.clone(),
             summary: summary.subscribe(),
+            budget: Budget {
+                name: name.clone(),
+                failure_domain: process.settings.server.failure_domain.clone(),
+                region: process.settings.server.region.clone(),
+                view: process.view.clone(),
+            },
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
@@ -259,6 +266,7 @@
             inflight: process.inflight.clone(),
             pace,
             limit,
+            last: Arc::default(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
--- a/crates/server/tests/silent_connection.rs
+++ b/crates/server/tests/silent_connection.rs
@@ -16,6 +16,7 @@
 use azurepath_server::connection::call::Broken;
 use azurepath_server::connection::ping::Pace;
 use azurepath_server::connection::pool::{self, Handle, Pool};
+use azurepath_server::connection::publish::Budget;
 use azurepath_server::metrics::Metrics;
 use azurepath_server::process::clock::Clock;
 use azurepath_server::process::engine::Submission;
@@ -48,6 +49,12 @@
             },
             view: watch::Sender::new(Arc::default()).subscribe(),
             summary: watch::Sender::new(None).subscribe(),
+            budget: Budget {
+                name: "entry".into(),
+                failure_domain: "zrh-a".into(),
+                region: "ch-north".into(),
+                view: watch::Sender::new(Arc::default()).subscribe(),
+            },
             log: slog::Logger::root(slog::Discard, slog::o!()),
             metrics: metrics.clone(),
         };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::summary::Summary;
+
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -26,8 +28,8 @@
     End(End),
     /// What became of a request.
     Verdict(Verdict),
-    /// A summary of an owner's racks, as JSON of `share::Summary`.
-    Summary(Document),
+    /// A summary of an owner's racks.
+    Summary(Summary),
     /// Configuration changes, as JSON.
     Change(Document),
     /// Evidence of the newest revision that a server knows.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod codec;
 mod convert;
 pub mod frame;
+pub mod summary;
 
 pub use convert::Mismatch;
 
--- a/crates/wire/tests/frame_codec.rs
+++ b/crates/wire/tests/frame_codec.rs
@@ -5,6 +5,7 @@
 use azurepath_wire::VERSION;
 use azurepath_wire::codec::{self, BODY_LIMIT, Decoder, Error, HEAD_LENGTH};
 use azurepath_wire::frame::{Beat, Chunk, Document, End, Fate, Frame, Target, Task, Verdict};
+use azurepath_wire::summary::{Room, Summary, Tally};
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -58,6 +59,26 @@
     ]
 }
 
+prop_compose! {
+    fn summary()(
+        server in ".{0,20}",
+        numbers in any::<(u64, u64, u64)>(),
+        racks in any::<Option<Vec<String>>>(),
+        room in proptest::option::of([size(), size(), size(), size()]),
+        teams in proptest::collection::vec((".{0,9}", [size(), size(), size()]), 0..4),
+        gone in any::<Vec<String>>(),
+    ) -> Summary {
+        let (sequence, base, wait_us) = numbers;
+        let room = room.map(|[capacity, free, largest, ceiling]| Room {
+            capacity, free, largest, ceiling,
+        });
+        let teams = teams.into_iter().map(|(team, [running, waiting, allotted])| Tally {
+            team, running, waiting, allotted,
+        });
+        Summary { server, sequence, base, racks, room, wait_us, teams: teams.collect(), gone }
+    }
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     prop_oneof![
         task().prop_map(Frame::Submit),
@@ -76,7 +97,8 @@
             })
         ),
         (any::<u128>(), fate()).prop_map(|(id, fate)| Frame::Verdict(Verdict { id, fate })),
-        ".{0,200}".prop_map(|json| Frame::Summary(Document { json })),
+        ".{0,200}".prop_map(|json| Frame::Change(Document { json })),
+        summary().prop_map(Frame::Summary),
         (".{0,20}", any::<u64>(), any::<u64>()).prop_map(|(server, incarnation, revision)| {
             Frame::Beat(Beat {
                 server,
