An owner that knows no worker yet refuses nothing as too large

Cause: an owner told its first summary on gaining a rack, before the instance list had named a worker; its zero ceiling made the entry answer too_large. Ruled out: the owner's own check, which treats an empty list of workers as unknown already. A list of workers that is only half read could still refuse; not seen.

--- a/crates/decide/src/candidate.rs
+++ b/crates/decide/src/candidate.rs
@@ -139,9 +139,11 @@
         }
     }
 
+    /// Tells whether the owner's workers could never hold a size; an owner that knows none of them
+    /// yet can't say.
     fn too_small(&self, size: &Size) -> bool {
         let ceiling = self.summary.as_ref().map(|summary| summary.ceiling);
-        ceiling.is_some_and(|ceiling| !size.fits(&ceiling))
+        ceiling.is_some_and(|ceiling| !ceiling.is_zero() && !size.fits(&ceiling))
     }
 }
 
--- a/crates/decide/tests/route.rs
+++ b/crates/decide/tests/route.rs
@@ -512,6 +512,23 @@
     assert_eq!(entry.answers[&Id(2)], refuse(Reason::TooLarge));
 }
 
+#[test]
+fn workers_unknown() {
+    let mut entry = TestEntry::new(19);
+    for index in 0..7 {
+        let early = Summary {
+            ceiling: Size::ZERO,
+            ..summary(index, 1, 500)
+        };
+        entry.tell(Event::Summary(early));
+    }
+    entry.submit(request(1, Duration::from_secs(60)));
+    assert!(
+        entry.answers.is_empty(),
+        "an owner that knows no worker yet"
+    );
+}
+
 #[test]
 fn over_limit() {
     let mut entry = TestEntry::new(20);
