--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -15,6 +15,7 @@
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::share::Summary;
 use azurepath_decide::time::Time;
+use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
 use azurepath_platform::instance::Instance;
 use azurepath_platform::worker::{Answer, Claim, Error, Order, Worker};
@@ -31,6 +32,8 @@
 use super::{Handle, Message, Reply, Submission};
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
+use crate::process::membership;
+use crate::process::recorder;
 use crate::process::renewal::Renewer;
 use crate::settings::Timing;
 
@@ -50,6 +53,8 @@
     pub demands: mpsc::UnboundedSender<Vec<Demand>>,
     /// The newest summary of the own racks.
     pub summary: watch::Sender<Option<Arc<Summary>>>,
+    /// Who is told of answered claims, and of refusals of a former owner.
+    pub membership: membership::Handle,
 }
 
 /// A request that is not answered yet.
@@ -88,6 +93,8 @@
     pub instances: watch::Receiver<Arc<Vec<Instance>>>,
     /// Where other tasks are told.
     pub outputs: Outputs,
+    /// The recorder.
+    pub recorder: recorder::Handle,
     /// The engine's own handle, for tasks that it spawns.
     pub handle: Handle,
     /// The logger.
@@ -231,6 +238,8 @@
                 self.end_leases(rack);
             }
             let now = self.engine.clock.now();
+            let recorder = &self.engine.recorder;
+            recorder.note(now, || Input::Cell(event.clone()));
             let mut actions = std::mem::take(&mut self.actions);
             self.cell.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
@@ -395,10 +404,14 @@
     ) {
         match result {
             Ok(inventory) => {
-                self.renew(worker, epoch);
+                self.renew(worker.clone(), epoch);
                 self.tell(Event::Claimed(inventory));
+                self.engine.outputs.membership.claimed(worker, epoch);
             }
             Err(error) => {
+                if error == Error::Refused(Refusal::StaleEpoch) {
+                    self.engine.outputs.membership.hint();
+                }
                 debug!(self.engine.log, "claim failed";
                     "worker" => %worker, "epoch" => epoch, "error" => %error);
                 self.tell(Event::Unreachable { worker });
--- a/crates/server/src/process/router.rs
+++ b/crates/server/src/process/router.rs
@@ -10,6 +10,7 @@
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::route::{Action, Call, Event, Router, Setup};
 use azurepath_decide::share::Summary;
+use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
 use azurepath_platform::instance::Instance;
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 
 use super::clock::Clock;
 use super::engine::{self, Reply, Stopped, Submission};
+use super::recorder;
 use crate::connection::call::Broken;
 use crate::connection::pool;
 
@@ -101,6 +103,8 @@
     pub setup: Setup,
     /// The clock.
     pub clock: Clock,
+    /// The recorder.
+    pub recorder: recorder::Handle,
     /// The own owner's machine.
     pub engine: engine::Handle,
     /// Connections to other servers.
@@ -255,6 +259,8 @@
 
     fn tell(&mut self, event: Event) {
         let now = self.task.clock.now();
+        let recorder = &self.task.recorder;
+        recorder.note(now, || Input::Router(event.clone()));
         let mut actions = std::mem::take(&mut self.actions);
         self.router.handle(now, event, &mut actions);
         actions.drain(..).for_each(|action| self.act(action));
