--- a/crates/decide/tests/usage.rs
+++ b/crates/decide/tests/usage.rs
@@ -70,6 +70,19 @@
     assert_eq!(bill(repeated, ALL), once);
 }
 
+#[test]
+fn seals_within_interval() {
+    let worker: Name = "w1".into();
+    let run = running(1, "plans");
+    let mut ledger = Ledger::default();
+    ledger.begin(1_000, &worker, &run);
+    let mut entries = ledger.take(5_000);
+    ledger.end(9_000, run.attempt);
+    entries.extend(ledger.take(10_000));
+    assert_eq!(bill(&entries, ALL).millicore_ms, 8_000 * 1_000);
+    assert_eq!(bill(entries.iter().rev(), ALL).millicore_ms, 8_000 * 1_000);
+}
+
 #[test]
 fn entries_keep_to_intervals() {
     for entry in entries() {
