--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -26,6 +26,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
+use super::super::ledger::{self, Note};
 use super::calls::{Calls, Place, Returned};
 use super::replies::Replies;
 use super::{Handle, Message, Reply, Submission};
@@ -50,6 +51,8 @@
     pub demands: mpsc::UnboundedSender<Vec<Demand>>,
     /// The newest summary of the own racks.
     pub summary: watch::Sender<Option<Arc<Summary>>>,
+    /// What is noted for the bill.
+    pub usage: ledger::Notes,
 }
 
 /// A request that is not answered yet.
@@ -227,6 +230,7 @@
     fn tell(&mut self, event: Event) {
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
+            self.note(&event);
             if let Event::Lose { rack } = &event {
                 self.end_leases(rack);
             }
@@ -238,6 +242,30 @@
         }
     }
 
+    /// Notes for the bill what an event says.
+    fn note(&self, event: &Event) {
+        match event {
+            Event::Claimed(inventory) => self.bill(Note::Only {
+                worker: inventory.worker.clone(),
+                running: inventory.running.clone(),
+            }),
+            Event::Gone { worker } => self.bill(Note::free(worker)),
+            Event::Refused { attempt, .. } => self.bill(Note::Cancel(*attempt)),
+            Event::Ended { attempt, .. } => self.bill(Note::End(*attempt)),
+            Event::Report(report) => self.bill(Note::Report(report.clone())),
+            Event::Lose { rack } => {
+                let lost = self.leases.iter().filter(|(_, lease)| lease.rack == *rack);
+                lost.for_each(|(worker, _)| self.bill(Note::free(worker)));
+            }
+            _ => {}
+        }
+    }
+
+    fn bill(&self, note: Note) {
+        // The ledger ends after the engine.
+        let _ = self.engine.outputs.usage.send(note);
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Claim { worker, epoch } => self.claim(worker, epoch),
@@ -323,6 +351,10 @@
         };
         let payload = pending.submission.payload.clone();
         let patience = self.patience(request.deadline);
+        self.bill(Note::Begin {
+            worker: worker.clone(),
+            running: order.running.clone(),
+        });
         self.engine.metrics.attempts.add(1, &[]);
         self.calls
             .start(Place { worker, address }, order, payload, patience);
@@ -350,6 +382,9 @@
     }
 
     fn answer(&mut self, request: Id, verdict: Verdict) {
+        if let Verdict::Unknown { attempt } = &verdict {
+            self.bill(Note::End(*attempt));
+        }
         let payload = match &verdict {
             Verdict::Ran { attempt, .. } => self.answers.remove(attempt).unwrap_or_default(),
             Verdict::NotRun { .. } | Verdict::Unknown { .. } => Bytes::new(),
--- /dev/null
+++ b/crates/server/src/process/ledger.rs
@@ -0,0 +1,195 @@
+//! The task that writes down what teams use, as sealed segments in the object store.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use azurepath_decide::attempt::{Attempt, Running};
+use azurepath_decide::name::Name;
+use azurepath_decide::usage::{Head, Ledger, Segment};
+use azurepath_decide::worker::Report;
+use azurepath_platform::object::Store;
+use azurepath_platform::table::{Table, Transaction, Write};
+use azurepath_platform::usage;
+use bytes::Bytes;
+use rand::Rng;
+use slog::{Logger, warn};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Process;
+
+/// How often entries are sealed; a process that dies loses no more than this of its own notes.
+const SEAL: Duration = Duration::from_secs(60);
+
+/// The bounds of the pause before a segment is put again.
+const PUT_PAUSE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+
+/// How often the last segment is put before the process ends without it.
+const LAST_TRIES: u32 = 3;
+
+/// The pause between these tries.
+const LAST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Something that the bill has to know.
+#[derive(Clone, Debug)]
+pub enum Note {
+    /// An attempt is about to begin.
+    Begin {
+        /// The worker.
+        worker: Name,
+        /// The attempt.
+        running: Running,
+    },
+    /// An attempt did not begin.
+    Cancel(Attempt),
+    /// An attempt has ended, or will not be heard of again.
+    End(Attempt),
+    /// Only these attempts run on a worker.
+    Only {
+        /// The worker.
+        worker: Name,
+        /// The attempts.
+        running: Vec<Running>,
+    },
+    /// A worker has reported what its attempts use.
+    Report(Report),
+}
+
+impl Note {
+    /// Notes that nothing that this process counts runs on a worker.
+    pub fn free(worker: &Name) -> Note {
+        Note::Only {
+            worker: worker.clone(),
+            running: Vec::new(),
+        }
+    }
+}
+
+/// Takes notes.
+pub type Notes = mpsc::UnboundedSender<Note>;
+
+/// The task.
+pub struct Task {
+    writer: String,
+    objects: Arc<dyn Store>,
+    table: Arc<dyn Table>,
+    log: Logger,
+    ledger: Ledger,
+    head: Head,
+    /// The segment that is not known to be stored.
+    pending: Option<Segment>,
+    failures: u32,
+}
+
+impl Task {
+    /// Makes the task of a process.
+    pub fn new(process: &Process) -> Task {
+        let server = &process.settings.server.name;
+        Task {
+            writer: format!("{server}-{:016x}", process.incarnation),
+            objects: process.platform.objects.clone(),
+            table: process.platform.table.clone(),
+            log: process.log.clone(),
+            ledger: Ledger::default(),
+            head: Head::default(),
+            pending: None,
+            failures: 0,
+        }
+    }
+
+    /// Runs until nobody is left to send notes, and then seals what is left.
+    pub async fn run(mut self, mut notes: mpsc::UnboundedReceiver<Note>) {
+        let first = rand::rng().random_range(SEAL / 2..SEAL);
+        let mut due = Instant::now() + first;
+        loop {
+            tokio::select! {
+                note = notes.recv() => match note {
+                    Some(note) => self.take(note),
+                    None => break,
+                },
+                () = tokio::time::sleep_until(due) => {
+                    due = Instant::now() + self.seal().await;
+                }
+            }
+        }
+        self.finish().await;
+    }
+
+    fn take(&mut self, note: Note) {
+        let now_ms = unix_ms();
+        match note {
+            Note::Begin { worker, running } => self.ledger.begin(now_ms, &worker, &running),
+            Note::Cancel(attempt) => self.ledger.cancel(attempt),
+            Note::End(attempt) => self.ledger.end(now_ms, attempt),
+            Note::Only { worker, running } => self.ledger.only(now_ms, &worker, &running),
+            Note::Report(report) => report
+                .usage
+                .iter()
+                .for_each(|usage| self.ledger.report(usage.attempt, &usage.used)),
+        }
+    }
+
+    /// Seals and stores what has been noted; returns when to go on.
+    async fn seal(&mut self) -> Duration {
+        if self.pending.is_none() {
+            let entries = self.ledger.take(unix_ms());
+            if entries.is_empty() {
+                return SEAL;
+            }
+            self.pending = Some(Segment::seal(&self.writer, &self.head, entries));
+        }
+        if self.store().await {
+            self.failures = 0;
+            return SEAL;
+        }
+        self.failures += 1;
+        let doublings = self.failures.min(16);
+        let bound = (PUT_PAUSE.0 * (1 << doublings)).min(PUT_PAUSE.1);
+        PUT_PAUSE.0 + rand::rng().random_range(Duration::ZERO..bound)
+    }
+
+    /// Stores the pending segment and then the head of the chain; both may be repeated.
+    async fn store(&mut self) -> bool {
+        let Some(segment) = &self.pending else {
+            return true;
+        };
+        let (name, head) = (segment.name(), segment.head());
+        let put = self.objects.put(&name, Bytes::from(segment.text())).await;
+        if let Err(error) = put {
+            warn!(self.log, "segment not stored"; "segment" => name, "error" => %error);
+            return false;
+        }
+        let write = Write {
+            key: usage::head_key(&self.writer),
+            value: serde_json::to_value(&head).ok(),
+        };
+        let transaction = Transaction {
+            checks: Vec::new(),
+            writes: vec![write],
+        };
+        if let Err(error) = self.table.transact(transaction).await {
+            warn!(self.log, "head of segments not written"; "segment" => name, "error" => %error);
+            return false;
+        }
+        self.head = head;
+        self.pending = None;
+        true
+    }
+
+    async fn finish(mut self) {
+        for _ in 0..LAST_TRIES {
+            self.seal().await;
+            if self.pending.is_none() && self.ledger.counts() == (0, 0) {
+                return;
+            }
+            if self.pending.is_some() {
+                tokio::time::sleep(LAST_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -17,9 +17,9 @@
 
 use super::clock::Clock;
 use super::engine::{self, Engine};
-use super::stop::{Inflight, Phase};
+use super::stop::{self, Inflight, Phase};
 use super::{
-    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+    Addresses, Platform, Process, allotment, instances, jobs, ledger, membership, platform, router,
 };
 use crate::connection::ping::Pace;
 use crate::connection::{listener, pool};
@@ -98,15 +98,9 @@
     /// Returns an error where a task has failed.
     pub async fn stop(mut self) -> anyhow::Result<()> {
         info!(self.process.log, "stopping");
-        self.phase.send_replace(Phase::Leaving);
         let linger = self.process.settings.timing.linger;
-        let handed_over = async {
-            // Where membership has ended, there is nothing left to hand over.
-            let _ = self.handed_over.wait_for(|done| *done).await;
-        };
-        tokio::join!(tokio::time::sleep(linger), handed_over);
-        self.phase.send_replace(Phase::Closing);
-        self.process.inflight.drained().await;
+        let inflight = &self.process.inflight;
+        stop::drain(&self.phase, &mut self.handed_over, inflight, linger).await;
         info!(self.process.log, "drained");
         self.entry.stop().await?;
         self.halt.cancel();
@@ -130,6 +124,7 @@
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
     jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
+    usage: (ledger::Notes, mpsc::UnboundedReceiver<ledger::Note>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
@@ -146,6 +141,7 @@
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
             jobs: jobs::Handle::channel(),
+            usage: mpsc::unbounded_channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
             snapshot: watch::Sender::new(Arc::default()),
@@ -250,12 +246,18 @@
             timing,
             workers: process.platform.workers.clone(),
             instances: process.instances.clone(),
-            outputs: engine::Outputs { demands, summary },
+            outputs: engine::Outputs {
+                demands,
+                summary,
+                usage: self.usage.0,
+            },
             handle: process.engine.clone(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
         tasks.spawn(engine.run(self.engine.1, halt.clone()));
+        let ledger = ledger::Task::new(&process);
+        writer.spawn(ledger.run(self.usage.1));
         let service = listener::Service {
             clock: process.clock,
             engine: process.engine.clone(),
--- a/crates/server/src/process/stop.rs
+++ b/crates/server/src/process/stop.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal as listen};
 use tokio::sync::watch;
@@ -69,6 +70,24 @@
     }
 }
 
+/// Turns unready, serves on until all racks are handed over and `linger` has passed, then takes
+/// nothing new and waits until nothing is in flight, however long that takes.
+pub async fn drain(
+    phase: &watch::Sender<Phase>,
+    handed_over: &mut watch::Receiver<bool>,
+    inflight: &Inflight,
+    linger: Duration,
+) {
+    phase.send_replace(Phase::Leaving);
+    let handover = async {
+        // Where membership has ended, there is nothing left to hand over.
+        let _ = handed_over.wait_for(|done| *done).await;
+    };
+    tokio::join!(tokio::time::sleep(linger), handover);
+    phase.send_replace(Phase::Closing);
+    inflight.drained().await;
+}
+
 /// Listens for the signals that ask the process to stop.
 ///
 /// # Errors
