--- /dev/null
+++ b/crates/server/tests/long_work.rs
@@ -0,0 +1,93 @@
+//! Batch jobs through a server.
+
+mod support;
+
+use azurepath_decide::job::State;
+use azurepath_decide::resource::{Job, Resource, Service};
+use azurepath_decide::size::Size;
+use azurepath_platform::table::{Client, Table};
+use support::TestEnv;
+
+const SIZE: Size = Size {
+    millicores: 1_000,
+    memory_mib: 256,
+    accelerators: 0,
+    slots: 1,
+};
+
+fn job(name: &str, gang: bool, payload: &str) -> Resource {
+    Resource::Job(Job {
+        name: name.into(),
+        team: "ice".into(),
+        tasks: 6,
+        size: SIZE,
+        estimate_ms: 50,
+        gang,
+        retries: 1,
+        idempotent: true,
+        payload: payload.to_owned(),
+    })
+}
+
+async fn finished(env: &TestEnv, name: &str) -> anyhow::Result<State> {
+    let table = Client::new(env.fleet.address());
+    loop {
+        let row = table.read(&format!("job/batch/{name}")).await?;
+        let state = row.map(|row| serde_json::from_value::<State>(row.value));
+        if let Some(state) = state.transpose()?.filter(|state| state.finished) {
+            return Ok(state);
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns how many attempts of a job the workers began.
+fn begun(env: &TestEnv, kind: &str) -> usize {
+    let records = env.fleet.records();
+    let begun = records.iter().flat_map(|(_, record)| &record.begun);
+    begun.filter(|begun| &*begun.kind == kind).count()
+}
+
+#[tokio::test]
+async fn batch_job() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut server = env.server("s1", "zrh-a", "ch-north").await?;
+    env.write(&[job("dawn", false, "")]).await?;
+    let state = finished(&env, "dawn").await?;
+    assert_eq!((state.done, state.failed), (6, 0));
+    assert_eq!(begun(&env, "dawn"), 6);
+    assert!(server.stop().await?.success());
+    Ok(())
+}
+
+#[tokio::test]
+async fn failing_job() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let server = env.server("s1", "zrh-a", "ch-north").await?;
+    env.write(&[job("broken", false, r#"{"run_ms":1,"fail":true}"#)])
+        .await?;
+    let state = finished(&env, "broken").await?;
+    assert_eq!((state.done, state.failed), (0, 6));
+    assert_eq!(begun(&env, "broken"), 12, "each is tried again once");
+    drop(server);
+    Ok(())
+}
+
+#[tokio::test]
+async fn service_outlives_server() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut first = env.server("s1", "zrh-a", "ch-north").await?;
+    let service = Service {
+        name: "audits".into(),
+        team: "ice".into(),
+        replicas: 3,
+        size: SIZE,
+        payload: String::new(),
+    };
+    env.write(&[Resource::Service(service)]).await?;
+    while begun(&env, "audits") < 3 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    assert!(first.stop().await?.success(), "a stop does not wait for it");
+    Ok(())
+}
