Members of a gang hear of places that are lost

A rack may place a member later that it had no place for, or take a place back for another gang. The home cancels what a rack did not hold at once, resumes the members after the commit, and the engine answers expected members that hold no place. Gangs have one order over all racks.

--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -230,15 +230,21 @@
     }
 
     /// Returns the id under which a rack holds the members of the gang that are placed there.
+    ///
+    /// Its upper half is the gang's, so that racks which favour the lowest id all favour the same
+    /// gang.
     pub fn part_id(&self, job: &str, rack: &str) -> request::Id {
-        id(&[
+        let gang = id(&[b"gang", job.as_bytes(), &self.born.to_be_bytes()]);
+        let part = id(&[
             b"part",
             job.as_bytes(),
             &self.born.to_be_bytes(),
             &self.round.to_be_bytes(),
             &self.salt.to_be_bytes(),
             rack.as_bytes(),
-        ])
+        ]);
+        let lower = u128::from(u64::MAX);
+        request::Id((gang.0 & !lower) | (part.0 & lower))
     }
 }
 
@@ -353,6 +359,13 @@
         /// The id of the ask.
         gang: request::Id,
     },
+    /// A commit has come back.
+    Committed {
+        /// The id of the ask.
+        gang: request::Id,
+        /// Whether the owner has surely taken it.
+        taken: bool,
+    },
     /// Time has passed.
     Tick,
 }
@@ -408,7 +421,7 @@
         /// The owner.
         server: Name,
     },
-    /// Start the members that an owner holds places for.
+    /// Start the members that an owner holds places for; `Committed` follows.
     Commit {
         /// The id of the ask.
         gang: request::Id,
--- a/crates/decide/src/job/gang.rs
+++ b/crates/decide/src/job/gang.rs
@@ -30,6 +30,14 @@
     members: Vec<u32>,
 }
 
+/// A commit that is not answered.
+#[derive(Clone, Debug)]
+pub(super) struct Commit {
+    job: Name,
+    members: Vec<request::Id>,
+    expires: Time,
+}
+
 /// The places that a gang is collecting.
 #[derive(Clone, Debug)]
 pub(super) struct Reserving {
@@ -164,6 +172,22 @@
         let id = |index: &u32| slot.state.task_id(&job, *index, round);
         part.members.retain(|index| members.contains(&id(index)));
         let placed = part.members.clone();
+        let asked = slot.reserving.as_ref().map(|known| known.missing.clone());
+        let rest = asked.unwrap_or_default();
+        let rest = rest.iter().filter(|index| !placed.contains(index));
+        let rest: Vec<request::Id> = rest.map(id).collect();
+        if placed.is_empty() {
+            actions.push(Action::Release {
+                gang,
+                server: server.clone(),
+            });
+        } else {
+            // Another rack is asked for these, so this one must not place them later.
+            actions.extend(rest.into_iter().map(|request| Action::Cancel {
+                request,
+                server: server.clone(),
+            }));
+        }
         let Some(reserving) = &mut slot.reserving else {
             return;
         };
@@ -251,7 +275,15 @@
             return self.fall_short(now, job, actions);
         }
         slot.shortfalls = 0;
+        let round = slot.state.round;
         for part in reserving.held {
+            let id = |index: &u32| slot.state.task_id(job, *index, round);
+            let commit = Commit {
+                job: job.clone(),
+                members: part.members.iter().map(id).collect(),
+                expires: reserving.expires,
+            };
+            self.commits.insert(part.gang, commit);
             actions.push(Action::Commit {
                 gang: part.gang,
                 server: part.server,
@@ -259,6 +291,33 @@
         }
     }
 
+    /// Has the members of a part resumed once their owner has taken the commit, or can't any more.
+    ///
+    /// The resumption finds members that lost their place before the commit.
+    pub(super) fn committed(
+        &mut self,
+        now: Time,
+        gang: request::Id,
+        taken: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(commit) = self.commits.remove(&gang) else {
+            return;
+        };
+        for member in commit.members {
+            let Some(call) = self.calls.remove(&member) else {
+                continue;
+            };
+            if let Some(slot) = self.slots.get_mut(&call.job)
+                && !taken
+            {
+                slot.not_before
+                    .insert(call.index, commit.expires.after(MARGIN));
+            }
+        }
+        self.advance(now, &commit.job, actions);
+    }
+
     /// Gives all places back and lets other gangs go first for a random while.
     fn fall_short(&mut self, now: Time, job: &Name, actions: &mut Vec<Action>) {
         self.give_back(job, actions);
--- a/crates/decide/src/job/home.rs
+++ b/crates/decide/src/job/home.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::gang::Commit;
 use super::slot::Slot;
 use super::store::Store;
 use super::{Action, Event, Setup, State, Work, home};
@@ -60,6 +61,8 @@
     pub(super) calls: BTreeMap<request::Id, Call>,
     /// The job and the owner of each reservation that is not answered.
     pub(super) asks: BTreeMap<request::Id, (Name, Name)>,
+    /// The members of each part whose commit is not answered.
+    pub(super) commits: BTreeMap<request::Id, Commit>,
     pub(super) store: Store,
     loads: BTreeMap<Name, Load>,
     revision: Option<u64>,
@@ -77,6 +80,7 @@
             slots: BTreeMap::new(),
             calls: BTreeMap::new(),
             asks: BTreeMap::new(),
+            commits: BTreeMap::new(),
             store: Store::default(),
             loads: BTreeMap::new(),
             revision: None,
@@ -118,6 +122,7 @@
             Event::Broken { request } => self.broken(now, request, false),
             Event::Held { gang, members } => self.held(now, gang, &members, actions),
             Event::Unheld { gang } => self.unheld(now, gang, actions),
+            Event::Committed { gang, taken } => self.committed(now, gang, taken, actions),
             Event::Tick => self.tick(now, actions),
         }
     }
--- a/crates/decide/tests/jobs.rs
+++ b/crates/decide/tests/jobs.rs
@@ -169,6 +169,17 @@
     assert_eq!(world.twice, []);
 }
 
+#[test]
+fn lost_commit() {
+    let mut world = World::new(2);
+    world.lose_commit = true;
+    world.configure(vec![job("sheets", 6, true)]);
+    world.run_for(secs(30));
+    assert!(world.row("batch/sheets").finished);
+    assert_eq!(world.row("batch/sheets").done, 6);
+    assert_eq!(world.twice, []);
+}
+
 #[test]
 fn failing_gang_ends() {
     let mut world = World::new(2);
--- a/crates/decide/tests/jobs/world.rs
+++ b/crates/decide/tests/jobs/world.rs
@@ -70,6 +70,8 @@
     pub(crate) outcome: Outcome,
     /// Members that the next commit fails to start.
     pub(crate) stillborn: usize,
+    /// Whether the next commit is lost.
+    pub(crate) lose_commit: bool,
     /// Whether the next server that writes dies before it hears of it.
     pub(crate) die_on_write: bool,
     /// How long each server waits for an answer to a reservation, in milliseconds.
@@ -97,6 +99,7 @@
             run: Duration::from_secs(2),
             outcome: Outcome::Done,
             stillborn: 0,
+            lose_commit: false,
             die_on_write: false,
             hold_delays: vec![0; 3],
             submitted: BTreeSet::new(),
@@ -292,7 +295,13 @@
                     .expect("known to the world");
                 rack.expected.insert(request.id, name.clone());
             }
-            Action::Commit { gang, .. } => self.commit(gang),
+            Action::Commit { gang, .. } => {
+                let taken = !std::mem::take(&mut self.lose_commit);
+                if taken {
+                    self.commit(gang);
+                }
+                self.tell(name, Event::Committed { gang, taken });
+            }
             Action::Release { gang, .. } => {
                 for rack in self.racks.values_mut() {
                     rack.holds.remove(&gang);
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -112,6 +112,7 @@
             replies: Replies::default(),
             answers: Map::default(),
             holds: BTreeMap::new(),
+            members: BTreeMap::new(),
             leases: BTreeMap::new(),
             contacts: Map::default(),
             renewals: JoinSet::new(),
@@ -132,6 +133,8 @@
     replies: Replies,
     answers: Map<Attempt, Bytes>,
     holds: BTreeMap<Id, oneshot::Sender<Hold>>,
+    /// The expected members of each gang that has not begun.
+    members: BTreeMap<Id, Vec<Id>>,
     leases: BTreeMap<Name, Lease>,
     contacts: Map<Name, Contact>,
     renewals: JoinSet<()>,
@@ -173,7 +176,7 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(event) => self.tell(event),
-            Message::Expect(submission, reply) => self.register(submission, reply),
+            Message::Expect(submission, reply) => self.expect(submission, reply),
             Message::Submit(submission, reply) => self.submit(submission, reply, Event::Submit),
             Message::Resume(submission, reply) => self.submit(submission, reply, Event::Resume),
             Message::Reserve(ask, reply) => {
@@ -200,8 +203,39 @@
         }
         let known = self.requests.contains_key(&request.id);
         self.register(submission, reply);
-        if !known {
-            self.tell(event(request));
+        let event = event(request);
+        // A member of a gang is known before the machine has it, or after it has dropped it.
+        if !known || matches!(event, Event::Resume(_)) {
+            self.tell(event);
+        }
+    }
+
+    /// Registers a member of a gang.
+    fn expect(&mut self, submission: Submission, reply: oneshot::Sender<Reply>) {
+        if let Some(gang) = submission.request.gang {
+            let members = self.members.entry(gang).or_default();
+            members.push(submission.request.id);
+        }
+        self.register(submission, reply);
+    }
+
+    /// Answers the expected members of a gang that hold no place any more.
+    fn dismiss(&mut self, gang: Id, held: &[Id]) {
+        let Some(members) = self.members.remove(&gang) else {
+            return;
+        };
+        let (stay, go): (Vec<Id>, Vec<Id>) = members
+            .into_iter()
+            .partition(|member| held.contains(member));
+        if !stay.is_empty() {
+            self.members.insert(gang, stay);
+        }
+        for member in go {
+            let verdict = Verdict::NotRun {
+                reason: Reason::Gang,
+                retry_after: None,
+            };
+            self.answer(member, verdict);
         }
     }
 
@@ -231,6 +265,13 @@
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
             self.note(&event);
+            if let Event::Release { gang } = &event {
+                self.dismiss(*gang, &[]);
+            }
+            let begun = match &event {
+                Event::Commit { gang } => Some(*gang),
+                _ => None,
+            };
             if let Event::Lose { rack } = &event {
                 self.end_leases(rack);
             }
@@ -239,6 +280,9 @@
             self.cell.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
+            if let Some(gang) = begun {
+                self.members.remove(&gang);
+            }
         }
     }
 
@@ -298,6 +342,8 @@
                 let _ = self.engine.outputs.demands.send(demands);
             }
             Action::Held(hold) => {
+                let held: Vec<Id> = hold.places.iter().map(|place| place.member).collect();
+                self.dismiss(hold.gang, &held);
                 if let Some(reply) = self.holds.remove(&hold.gang) {
                     let _ = reply.send(hold);
                 }
--- a/crates/server/src/process/jobs/calls.rs
+++ b/crates/server/src/process/jobs/calls.rs
@@ -58,9 +58,9 @@
             Action::Reserve { ask, server } => vec![self.reserve(ask, &server).await],
             Action::Commit { gang, server } => {
                 let commit = event::Event::Commit { gang };
-                self.tell(&server, commit, Frame::Commit(Target::from(gang)))
-                    .await;
-                Vec::new()
+                let frame = Frame::Commit(Target::from(gang));
+                let taken = self.tell(&server, commit, frame).await;
+                vec![Event::Committed { gang, taken }]
             }
             Action::Release { gang, server } => {
                 let release = event::Event::Release { gang };
@@ -157,19 +157,22 @@
         }
     }
 
-    async fn tell(&self, server: &Name, event: event::Event, frame: Frame) {
+    /// Tells an owner's machine an event, and returns whether it has surely taken it.
+    async fn tell(&self, server: &Name, event: event::Event, frame: Frame) -> bool {
         if self.is_self(server) {
-            return self.process.engine.event(event);
+            self.process.engine.event(event);
+            return true;
         }
         let Some(peer) = self.peer(server) else {
-            return;
+            return false;
         };
         for _ in 0..CONTROL_TRIES {
             let told = self.process.peers.control(&peer, &frame, CONTROL_WAIT);
-            if told.await.is_ok() {
-                return;
+            if matches!(told.await, Ok(Frame::Done)) {
+                return true;
             }
         }
+        false
     }
 }
 
--- a/crates/server/tests/long_work.rs
+++ b/crates/server/tests/long_work.rs
@@ -60,6 +60,25 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn gang_job() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut server = env.server("s1", "zrh-a", "ch-north").await?;
+    env.write(&[job("sheets", true, r#"{"run_ms":300}"#)])
+        .await?;
+    let state = finished(&env, "sheets").await?;
+    assert_eq!((state.done, state.failed), (6, 0));
+    let records = env.fleet.records();
+    let all = records.iter().map(|(_, record)| record);
+    let begun = all.clone().flat_map(|record| &record.begun);
+    let last = begun.map(|begun| begun.at_us).max();
+    let ended = all.flat_map(|record| &record.ended);
+    let first = ended.map(|ended| ended.at_us).min();
+    assert!(last < first, "all had begun before the first ended");
+    assert!(server.stop().await?.success());
+    Ok(())
+}
+
 #[tokio::test]
 async fn failing_job() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
