--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod instances;
 pub mod jobs;
+pub mod ledger;
 pub mod membership;
 pub mod platform;
 pub mod recorder;
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -20,7 +20,7 @@
 use super::recorder::{self, Recorder};
 use super::stop::{self, Inflight, Phase};
 use super::{
-    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+    Addresses, Platform, Process, allotment, instances, jobs, ledger, membership, platform, router,
 };
 use crate::connection::ping::Pace;
 use crate::connection::publish::Budget;
@@ -126,6 +126,7 @@
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
     jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
+    usage: (ledger::Notes, mpsc::UnboundedReceiver<ledger::Note>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
     membership: (membership::Handle, membership::Inbox),
@@ -144,6 +145,7 @@
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
             jobs: jobs::Handle::channel(),
+            usage: mpsc::unbounded_channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
             membership: membership::channel(),
@@ -279,12 +281,15 @@
                 demands,
                 summary,
                 membership: process.membership.clone(),
+                usage: self.usage.0,
             },
             handle: process.engine.clone(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
         tasks.spawn(engine.run(self.engine.1, halt.clone()));
+        let ledger = ledger::Task::new(&process);
+        writer.spawn(ledger.run(self.usage.1));
         let service = listener::Service {
             clock: process.clock,
             engine: process.engine.clone(),
