--- /dev/null
+++ b/crates/server/src/api/edit.rs
@@ -0,0 +1,214 @@
+//! Changes of resources.
+
+use azurepath_decide::config::{Condition, Proposal};
+use azurepath_decide::resource::{Kind, Resource};
+use http::{HeaderMap, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use rand::Rng;
+use serde_json::{Value, json};
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::problem::Problem;
+use super::{Call, check, item, query};
+use crate::process::Process;
+use crate::version::Accepted;
+use crate::version::key;
+
+/// The longest document in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// Creates or replaces a resource.
+pub(super) async fn put(
+    process: &Process,
+    kind: Kind,
+    name: String,
+    call: Call,
+) -> Result<Response, Problem> {
+    let condition = condition(&call.headers)?;
+    let dry_run = query(&call.uri, "dry_run").is_some_and(|value| value == "true");
+    let mut document = body(call.body).await?;
+    let snapshot = process.snapshot.borrow().clone();
+    let token = match kind {
+        Kind::Key => secure(&snapshot, &name, &mut document),
+        _ => None,
+    };
+    let resource = check::read(&snapshot, kind, &name, document).map_err(Problem::Faulty)?;
+    if dry_run {
+        return dry(&snapshot, condition, &resource);
+    }
+    let accepted = change(process, kind, &name, Some(resource), condition).await?;
+    Ok(answer(&accepted, token))
+}
+
+/// Deletes a resource.
+pub(super) async fn delete(
+    process: &Process,
+    kind: Kind,
+    name: String,
+    call: Call,
+) -> Result<Response, Problem> {
+    let condition = condition(&call.headers)?;
+    if kind == Kind::Team {
+        unused(process, &name)?;
+    }
+    let accepted = change(process, kind, &name, None, condition).await?;
+    Ok(answer(&accepted, None))
+}
+
+async fn change(
+    process: &Process,
+    kind: Kind,
+    name: &str,
+    resource: Option<Resource>,
+    condition: Condition,
+) -> Result<Accepted, Problem> {
+    let proposal = Proposal {
+        write: format!("{:032x}", rand::rng().random::<u128>()).into(),
+        kind,
+        name: name.into(),
+        resource,
+        condition,
+    };
+    Ok(process.config.edit(proposal).await?)
+}
+
+fn answer(accepted: &Accepted, token: Option<String>) -> Response {
+    let state = if accepted.is_accepted() {
+        "accepted"
+    } else {
+        "pending"
+    };
+    let change = &accepted.change;
+    let mut document = json!({
+        "revision": change.revision,
+        "state": state,
+        "resource": change.resource.as_ref().map(item::shown),
+    });
+    if !accepted.waiting.is_empty() {
+        document["waiting"] = json!(accepted.waiting);
+    }
+    if accepted.reclaiming {
+        document["reclaiming"] = json!(true);
+    }
+    if let Some(token) = token {
+        document["token"] = json!(token);
+    }
+    let status = if accepted.is_accepted() {
+        StatusCode::OK
+    } else {
+        StatusCode::ACCEPTED
+    };
+    let mut response = super::json(status, &document);
+    item::tag(&mut response, change.revision);
+    response
+}
+
+/// Answers what a change would do.
+fn dry(
+    snapshot: &azurepath_decide::config::Snapshot,
+    condition: Condition,
+    resource: &Resource,
+) -> Result<Response, Problem> {
+    let known = snapshot.get(resource.kind(), resource.name());
+    let current = known.map_or(0, |entry| entry.revision);
+    let holds = match condition {
+        Condition::Any => true,
+        Condition::Absent => current == 0,
+        Condition::Revision(revision) => revision == current,
+    };
+    if !holds {
+        let refusal = azurepath_decide::config::Refusal::Stale { current };
+        return Err(Problem::Refused(refusal));
+    }
+    let does = match known {
+        None => "create",
+        Some(entry) if entry.resource == *resource => "nothing",
+        Some(_) => "replace",
+    };
+    let document = json!({
+        "state": "dry_run",
+        "does": does,
+        "current": current,
+        "resource": item::shown(resource),
+    });
+    Ok(super::json(StatusCode::OK, &document))
+}
+
+/// Completes the document of a key: the hash stays as it is, and a new key gets a token, which is
+/// returned to be shown once.
+fn secure(
+    snapshot: &azurepath_decide::config::Snapshot,
+    name: &str,
+    document: &mut Value,
+) -> Option<String> {
+    let map = document.as_object_mut()?;
+    if map.contains_key("hash") {
+        return None;
+    }
+    if let Some(known) = snapshot.key(name) {
+        map.insert("hash".to_owned(), Value::String(known.hash.clone()));
+        return None;
+    }
+    let token = format!("{name}.{:032x}", rand::rng().random::<u128>());
+    map.insert("hash".to_owned(), Value::String(key::hash(&token)));
+    Some(token)
+}
+
+/// Refuses to delete a team that others name.
+fn unused(process: &Process, team: &str) -> Result<(), Problem> {
+    let snapshot = process.snapshot.borrow().clone();
+    let entries = snapshot.entries.values().flat_map(|kind| kind.values());
+    let faults: Vec<check::Fault> = entries
+        .map(|entry| &entry.resource)
+        .filter(|resource| names(resource, team))
+        .map(|resource| check::Fault {
+            path: format!("{}s/{}", resource.kind(), resource.name()),
+            message: "names the team; delete or change it first".to_owned(),
+        })
+        .collect();
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(Problem::Faulty(faults))
+}
+
+fn names(resource: &Resource, team: &str) -> bool {
+    let named = match resource {
+        Resource::Team(_) => None,
+        Resource::Key(key) => key.team.as_ref(),
+        Resource::Queue(queue) => queue.open_to.as_ref(),
+        Resource::Service(service) => Some(&service.team),
+        Resource::Job(job) => Some(&job.team),
+    };
+    named.is_some_and(|name| **name == *team)
+}
+
+/// Reads `If-Match` and `If-None-Match`.
+fn condition(headers: &HeaderMap) -> Result<Condition, Problem> {
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|value: &http::HeaderValue| value.to_str().ok())
+    };
+    if text(header::IF_NONE_MATCH) == Some("*") {
+        return Ok(Condition::Absent);
+    }
+    let Some(tag) = text(header::IF_MATCH) else {
+        return Ok(Condition::Any);
+    };
+    let revision = tag.trim().trim_matches('"').parse().ok();
+    revision.map(Condition::Revision).ok_or(Problem::Parameter {
+        name: "If-Match",
+        remedy: "send the revision that you have read, such as If-Match: \"17\"",
+    })
+}
+
+async fn body(body: Body) -> Result<Value, Problem> {
+    let wrong = |detail: String| Problem::Body { detail };
+    let collected = Limited::new(body, BODY_LIMIT).collect().await;
+    let bytes = collected
+        .map_err(|error| wrong(error.to_string()))?
+        .to_bytes();
+    serde_json::from_slice(&bytes).map_err(|error| wrong(error.to_string()))
+}
--- /dev/null
+++ b/crates/server/src/api/list.rs
@@ -0,0 +1,92 @@
+//! Resources of a kind, page by page.
+
+use azurepath_decide::config::Entry;
+use azurepath_decide::resource::Kind;
+use http::{StatusCode, Uri};
+use serde_json::{Value, json};
+use volo_http::response::Response;
+
+use super::problem::Problem;
+use super::{item, query};
+use crate::process::Process;
+
+/// The most resources of a page.
+const MOST: usize = 500;
+
+/// Answers with a page: `limit` at most, after the name `after`, those that match `selector`.
+pub(super) fn list(process: &Process, kind: Option<Kind>, uri: &Uri) -> Result<Response, Problem> {
+    let limit = limit(uri)?;
+    let after = query(uri, "after").unwrap_or_default();
+    let selector = selector(uri)?;
+    let snapshot = process.snapshot.borrow().clone();
+    let kinds = snapshot.entries.iter();
+    let mut found = kinds
+        .filter(|(each, _)| kind.is_none_or(|kind| kind == **each))
+        .flat_map(|(each, entries)| entries.iter().map(move |entry| (each, entry)))
+        .map(|(each, (name, entry))| {
+            let key = if kind.is_some() {
+                name.to_string()
+            } else {
+                format!("{each}:{name}")
+            };
+            (key, entry)
+        })
+        .filter(|(key, _)| *key > after)
+        .filter(|(_, entry)| matches(entry, &selector));
+    let page: Vec<(String, &Entry)> = found.by_ref().take(limit).collect();
+    let more = found.next().is_some();
+    let next = page.last().filter(|_| more).map(|(key, _)| key.clone());
+    let items: Vec<Value> = page
+        .iter()
+        .map(|(_, entry)| item::document(entry))
+        .collect();
+    let document = json!({"revision": snapshot.revision, "items": items, "next": next});
+    Ok(super::json(StatusCode::OK, &document))
+}
+
+fn limit(uri: &Uri) -> Result<usize, Problem> {
+    let Some(text) = query(uri, "limit") else {
+        return Ok(MOST);
+    };
+    let limit = text.parse().ok().filter(|limit| (1..=MOST).contains(limit));
+    limit.ok_or(Problem::Parameter {
+        name: "limit",
+        remedy: "send a whole number from 1 to 500",
+    })
+}
+
+/// A field and the value that it must have.
+type Term = (String, String);
+
+fn selector(uri: &Uri) -> Result<Vec<Term>, Problem> {
+    let text = query(uri, "selector").unwrap_or_default();
+    let terms = text.split(',').filter(|term| !term.is_empty());
+    terms
+        .map(|term| {
+            let pair = term.split_once('=');
+            let (field, value) = pair.ok_or(Problem::Parameter {
+                name: "selector",
+                remedy: "send field=value, several of them joined by commas",
+            })?;
+            Ok((field.to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+fn matches(entry: &Entry, selector: &[Term]) -> bool {
+    if selector.is_empty() {
+        return true;
+    }
+    let document = item::shown(&entry.resource);
+    selector.iter().all(|(field, value)| {
+        let mut found = &document;
+        for part in field.split('.') {
+            found = &found[part];
+        }
+        match found {
+            Value::String(text) => text == value,
+            Value::Null => value == "null",
+            other => serde_json::from_str::<Value>(value).is_ok_and(|value| value == *other),
+        }
+    })
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,5 +1,6 @@
 //! The server of azurepath, as a library so that a process can run several of them.
 
+pub mod api;
 pub mod cli;
 pub mod connection;
 pub mod logs;
--- a/crates/server/src/request/http.rs
+++ b/crates/server/src/request/http.rs
@@ -23,12 +23,13 @@
 use super::headers::{self, Headers};
 use super::problem::{Problem, Ran, insert};
 use super::submit::{self, Answer};
+use crate::api;
 use crate::process::stop::{Guard, Phase};
 use crate::process::{Process, dump};
 
 /// The routes of callers and of those who watch the process.
 pub fn routes(process: Process) -> Router {
-    Router::new()
+    api::routes(Router::new())
         .route("/v1/queues/{queue}/requests", post(take))
         .route("/healthz", get(health))
         .route("/readyz", get(ready))
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -305,7 +305,8 @@
     call(address, http::Method::POST, path, body, headers).await
 }
 
-async fn call(
+/// Sends a call over a connection of its own.
+pub async fn call(
     address: SocketAddr,
     method: http::Method,
     path: &str,
