A new owner leaves the allotments of a rack alone until its workers have shown what runs there

Cause: after a handover the new owner offered back a team's idle allotment before the claims were answered, and used allotments that work on unclaimed workers took up. It also went on using an allotment that it had offered back, until the table had taken the offer. What workers not yet claimed under the epoch could run now counts as used, and what has been offered back is used no more.

Ruled out: the fake's own table, whose plans check every revision.

--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -53,9 +53,24 @@
         for worker in self.room.rack(rack).to_vec() {
             self.claim(worker);
         }
+        self.count_hidden(rack);
         self.resize();
     }
 
+    /// Counts what workers of a rack hold on which an earlier owner may have started work unseen.
+    fn count_hidden(&mut self, rack: usize) {
+        let epoch = self.ledger.rack(rack).epoch;
+        let workers = self.room.rack(rack).iter();
+        let workers = workers.map(|&worker| self.room.get(worker));
+        let hidden = workers
+            .filter(|worker| !worker.gone && worker.epoch != epoch)
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity));
+        if hidden != self.ledger.rack(rack).hidden {
+            self.ledger.rack_mut(rack).hidden = hidden;
+            self.dirty.extend(self.room.rack(rack));
+        }
+    }
+
     pub(super) fn allot(&mut self, allotted: &Allotted) {
         let Some(rack) = self.ledger.find(&allotted.rack) else {
             return;
@@ -124,6 +139,7 @@
         if fresh && self.ledger.rack(rack).owned {
             self.claim(worker);
         }
+        self.count_hidden(rack);
         self.refresh(worker);
         self.resize();
     }
@@ -149,6 +165,8 @@
         let known = self.room.get_mut(worker);
         known.gone = true;
         known.hold = Hold::Free;
+        let rack = known.rack;
+        self.count_hidden(rack);
         self.refresh(worker);
         self.resize();
         self.unhold(worker);
@@ -210,7 +228,9 @@
         }
         let known = self.room.get_mut(worker);
         known.hold = Hold::Claimed;
+        known.epoch = inventory.epoch;
         known.silent = 0;
+        let rack = known.rack;
         for running in &inventory.running {
             self.found_running(worker, running);
         }
@@ -218,6 +238,7 @@
             self.found_ended(worker, *attempt);
         }
         self.settle_absent(worker, inventory);
+        self.count_hidden(rack);
         self.refresh(worker);
         self.settle_sought();
     }
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -38,13 +38,22 @@
         for team in 0..self.teams.len() {
             let waiting = self.queue.waiting(team);
             let name = &self.teams.get(team).name;
-            demands.extend(
-                self.ledger
-                    .demands(team, name, waiting, self.now, |rack| self.rack_free(rack)),
-            );
+            let free = |rack| self.rack_free(rack);
+            let wanted = self.ledger.demands(team, name, waiting, self.now, free);
+            self.keep_within(team, &wanted);
+            demands.extend(wanted);
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
         }
     }
+
+    /// Uses no more from now on than is demanded, since a demand may be met at any time.
+    fn keep_within(&mut self, team: usize, demands: &[Demand]) {
+        for demand in demands {
+            if let Some(rack) = self.ledger.find(&demand.rack) {
+                self.ledger.cap(rack, team, demand.want);
+            }
+        }
+    }
 }
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -19,6 +19,8 @@
     pub cap: Option<Size>,
     /// What is booked there for the team.
     pub used: Size,
+    /// What may run there unseen, since the rack's workers have not all been claimed.
+    pub hidden: Size,
     /// Whether work of the team was passed over there for lack of allotment.
     pub short: bool,
     /// When more was last in use than now, or work was passed over.
@@ -28,13 +30,16 @@
 impl Account {
     /// Returns the least that may be held within the present amount: `wanted`, or what is used.
     fn floor(&self, wanted: Size) -> Size {
-        Size::max(&self.used, &Size::min(&wanted, &self.allotted))
+        let needed = Size::min(&self.used.plus(&self.hidden), &self.allotted);
+        let needed = Size::max(&self.used, &needed);
+        Size::max(&needed, &Size::min(&wanted, &self.allotted))
     }
 
     /// Returns what may still be started.
     pub fn rest(&self) -> Size {
         let cap = self.cap.unwrap_or(Size::MAX);
-        Size::min(&self.allotted, &cap).minus(&self.used)
+        let rest = Size::min(&self.allotted, &cap).minus(&self.used);
+        rest.minus(&self.hidden)
     }
 }
 
@@ -47,6 +52,8 @@
     pub epoch: u64,
     /// Whether this process owns it and may place there.
     pub owned: bool,
+    /// All that workers hold which have not been claimed under the epoch.
+    pub hidden: Size,
     /// What it holds, by the index of the team.
     accounts: Vec<Account>,
 }
@@ -70,6 +77,7 @@
             name: name.clone(),
             epoch: 0,
             owned: false,
+            hidden: Size::ZERO,
             accounts: Vec::new(),
         });
         rack
@@ -118,13 +126,17 @@
     pub fn cap(&mut self, rack: usize, team: usize, cap: Size) -> Size {
         let account = self.account_mut(rack, team);
         account.cap = Some(cap).filter(|cap| !account.allotted.fits(cap));
-        account.floor(cap)
+        self.account(rack, team).floor(cap)
     }
 
     /// Returns what a rack holds for a team.
     pub fn account(&self, rack: usize, team: usize) -> Account {
-        let accounts = &self.racks[rack].accounts;
-        accounts.get(team).copied().unwrap_or_default()
+        let known = &self.racks[rack];
+        let account = known.accounts.get(team).copied().unwrap_or_default();
+        Account {
+            hidden: known.hidden,
+            ..account
+        }
     }
 
     fn account_mut(&mut self, rack: usize, team: usize) -> &mut Account {
@@ -163,8 +175,7 @@
     }
 
     /// Returns demands that spread `waiting` of a team over racks with room, and give back what
-    /// has lain idle.
-    ///
+    /// has lain idle.    ///
     /// `free` gives the free room of a rack, by its index.
     pub fn demands(
         &self,
@@ -185,6 +196,7 @@
             let idle = now.since(account.busy) >= IDLE;
             let want = match (raises, idle) {
                 _ if account.cap.is_some() => account.floor(account.cap.unwrap_or(Size::ZERO)),
+                _ if !account.hidden.is_zero() => account.allotted,
                 (true, _) => Size::max(&wanted, &account.allotted),
                 (false, true) if waiting.is_zero() => account.used,
                 _ => account.allotted,
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -47,6 +47,8 @@
     pub promised: Size,
     /// When it is probed next, in quarantine.
     pub probe_at: Time,
+    /// The epoch under which it was last claimed.
+    pub epoch: u64,
     /// How many claims in a row went unanswered.
     pub silent: u32,
     /// Whether attempts may be started there.
@@ -131,6 +133,7 @@
             ending: Size::ZERO,
             promised: Size::ZERO,
             probe_at: Time::default(),
+            epoch: 0,
             silent: 0,
             open: false,
         });
