--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -185,6 +185,10 @@
     lost_at: Time,
     tried: BTreeSet<Name>,
     refused: Option<Verdict>,
+    /// The epoch that it was last submitted under.
+    submitted: u64,
+    /// Whether it may have begun, though it surely runs nowhere now.
+    may_have_begun: bool,
     cancelled: bool,
 }
 
@@ -317,6 +321,8 @@
             lost_at: now,
             tried: BTreeSet::new(),
             refused: None,
+            submitted: 0,
+            may_have_begun: false,
             cancelled: false,
         };
         self.timers.insert((now, id));
@@ -389,6 +395,7 @@
             return;
         };
         flight.tried.insert(candidate.target.rack.clone());
+        flight.submitted = candidate.target.epoch;
         let request = flight.request.clone();
         self.field.note_sent(now, &candidate.server, &request);
         self.send(now, id, candidate, false, actions);
@@ -463,7 +470,10 @@
         }
     }
 
-    /// Routes a request anew that the resumed owner says has not begun and will not.
+    /// Handles a resumed owner's word that a request is not there and never will be.
+    ///
+    /// The owner that it was submitted to knows all that it started. A later owner knows only what
+    /// it finds on the workers, and a worker that has died since may have begun the request.
     fn resumed_not_run(
         &mut self,
         now: Time,
@@ -476,6 +486,15 @@
             return;
         };
         flight.lost = 0;
+        let State::Verdict { target, .. } = &flight.state else {
+            return;
+        };
+        if target.epoch != flight.submitted {
+            flight.may_have_begun = true;
+            if !flight.request.idempotent {
+                return self.answer(id, unknown(id), actions);
+            }
+        }
         if reason == Reason::Cancelled || reason == Reason::Expired {
             return self.answer(id, verdict, actions);
         }
@@ -675,6 +694,8 @@
         };
         self.timers.remove(&(flight.due, id));
         self.ownerless.remove(&id);
+        let untrue = flight.may_have_begun && matches!(verdict, Verdict::NotRun { .. });
+        let verdict = if untrue { unknown(id) } else { verdict };
         actions.push(Action::Answer {
             request: id,
             verdict,
