--- a/crates/decide/tests/config.rs
+++ b/crates/decide/tests/config.rs
@@ -623,10 +623,24 @@
     let mut evidence = Evidence::new(WINDOW);
     evidence.peers(BTreeSet::from([name(1), name(2)]));
     evidence.applied(1);
-    let now = Time::from_millis(1_000);
-    evidence.head(now, 1);
-    evidence.word(&name(1), now, Some(2));
-    assert_eq!(evidence.standing(now), Standing::Behind { newest: 2 });
+    let until = Time::from_millis(4_000);
+    evidence.head(Time::from_millis(1_000), 1);
+    evidence.head(Time::from_millis(2_000), 2);
+    evidence.word(&name(1), Time::from_millis(2_000), Some(2));
+    evidence.word(&name(2), Time::from_millis(2_000), Some(2));
+    // Words of something newer put nothing off; what was asked for before runs out.
+    assert_eq!(
+        evidence.standing(Time::from_millis(2_000)),
+        Standing::Current { until }
+    );
+    assert_eq!(evidence.standing(until), Standing::Behind { newest: 2 });
+    evidence.applied(2);
+    assert_eq!(
+        evidence.standing(until),
+        Standing::Current {
+            until: Time::from_millis(5_000)
+        }
+    );
 }
 
 #[test]
--- a/crates/server/src/process/dump.rs
+++ b/crates/server/src/process/dump.rs
@@ -10,6 +10,7 @@
     let router = process.router.dump().await.unwrap_or_default();
     let jobs = process.jobs.dump().await.unwrap_or_default();
     let peers = process.peers.dump().await.unwrap_or_default();
+    let config = process.config.dump().await;
     let server = &process.settings.server;
     json!({
         "server": server.name,
@@ -24,6 +25,7 @@
         "revision": process.snapshot.borrow().revision,
         "view": **process.view.borrow(),
         "instances": process.instances.borrow().len(),
+        "config": config,
         "engine": engine,
         "router": router,
         "jobs": jobs,
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -32,6 +32,7 @@
 use super::{Handle, Message, Reply, Submission};
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
+use crate::process::membership;
 use crate::process::renewal::Renewer;
 use crate::settings::Timing;
 
@@ -53,6 +54,8 @@
     pub summary: watch::Sender<Option<Arc<Summary>>>,
     /// What is noted for the bill.
     pub usage: ledger::Notes,
+    /// Who is told of answered claims, and of refusals of a former owner.
+    pub membership: membership::Handle,
 }
 
 /// A request that is not answered yet.
@@ -476,10 +479,14 @@
     ) {
         match result {
             Ok(inventory) => {
-                self.renew(worker, epoch);
+                self.renew(worker.clone(), epoch);
                 self.tell(Event::Claimed(inventory));
+                self.engine.outputs.membership.claimed(worker, epoch);
             }
             Err(error) => {
+                if error == Error::Refused(Refusal::StaleEpoch) {
+                    self.engine.outputs.membership.hint();
+                }
                 debug!(self.engine.log, "claim failed";
                     "worker" => %worker, "epoch" => epoch, "error" => %error);
                 self.tell(Event::Unreachable { worker });
--- /dev/null
+++ b/crates/server/src/process/rows.rs
@@ -0,0 +1,94 @@
+//! The rows of servers and racks in the table.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurepath_decide::name::Name;
+use azurepath_decide::ownership::{Heartbeat, Key, Outcome, Rack, Rows, Stored, Write};
+use azurepath_platform::table::{Error, Table, Transaction};
+use serde::de::DeserializeOwned;
+
+use crate::version::{rows, store};
+
+/// The beginning of the servers' rows.
+pub const SERVERS: &str = "server/";
+
+/// The beginning of the racks' rows.
+pub const RACKS: &str = "rack/";
+
+/// How many rows are read at a time.
+const PAGE_ROWS: u32 = 500;
+
+/// How long a call may take.
+const CALL_WAIT: Duration = Duration::from_secs(2);
+
+/// Reads all rows.
+///
+/// # Errors
+///
+/// Returns [`Error`] where the table can't be read in time.
+pub async fn read(table: &dyn Table) -> Result<Rows, Error> {
+    let both = async {
+        Ok(Rows {
+            servers: scan::<Heartbeat>(table, SERVERS).await?,
+            racks: scan::<Rack>(table, RACKS).await?,
+        })
+    };
+    let late = |_| Error::Unavailable {
+        detail: "no answer in time".to_owned(),
+    };
+    tokio::time::timeout(CALL_WAIT, both).await.map_err(late)?
+}
+
+async fn scan<T: DeserializeOwned>(
+    table: &dyn Table,
+    prefix: &str,
+) -> Result<BTreeMap<Name, Stored<T>>, Error> {
+    let mut read = BTreeMap::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = table.scan(prefix, after.as_deref(), PAGE_ROWS).await?;
+        for row in page.rows {
+            let name = Name::from(row.key.strip_prefix(prefix).unwrap_or(&row.key));
+            read.insert(name, rows::parse(row)?);
+        }
+        after = page.next;
+        if after.is_none() {
+            return Ok(read);
+        }
+    }
+}
+
+/// Writes one row.
+pub async fn write(table: &dyn Table, write: Write) -> (Key, Outcome) {
+    let mut transaction = Transaction::default();
+    let key = match write {
+        Write::Server {
+            name,
+            revision,
+            row,
+        } => {
+            let key = format!("{SERVERS}{name}");
+            rows::put(&mut transaction, key, revision, row.as_ref());
+            Key::Server(name)
+        }
+        Write::Rack {
+            name,
+            revision,
+            row,
+        } => {
+            let key = format!("{RACKS}{name}");
+            rows::put(&mut transaction, key, revision, Some(&row));
+            Key::Rack(name)
+        }
+    };
+    (key, transact(table, transaction).await)
+}
+
+/// Applies a transaction.
+pub async fn transact(table: &dyn Table, transaction: Transaction) -> Outcome {
+    match tokio::time::timeout(CALL_WAIT, table.transact(transaction)).await {
+        Ok(result) => store::outcome(&result.map(|commit| commit.revision)),
+        Err(_) => Outcome::Lost,
+    }
+}
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -127,6 +127,8 @@
     usage: (ledger::Notes, mpsc::UnboundedReceiver<ledger::Note>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
+    membership: (membership::Handle, membership::Inbox),
+    config: (version::Handle, version::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
     view: watch::Sender<Arc<View>>,
     instances: watch::Sender<Arc<Vec<instance::Instance>>>,
@@ -144,6 +146,8 @@
             usage: mpsc::unbounded_channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
+            membership: membership::channel(),
+            config: version::channel(),
             snapshot: watch::Sender::new(Arc::default()),
             view: watch::Sender::new(Arc::default()),
             instances: watch::Sender::new(Arc::default()),
@@ -172,6 +176,8 @@
             jobs: self.jobs.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
+            membership: self.membership.0.clone(),
+            config: self.config.0.clone(),
             snapshot: self.snapshot.subscribe(),
             view: self.view.subscribe(),
             instances: self.instances.subscribe(),
@@ -250,6 +256,7 @@
                 demands,
                 summary,
                 usage: self.usage.0,
+                membership: process.membership.clone(),
             },
             handle: process.engine.clone(),
             log: process.log.clone(),
@@ -284,11 +291,17 @@
             view: self.view,
             handed_over: self.handed_over,
         };
-        tasks.spawn(membership::run(process.clone(), outputs, halt.clone()));
+        tasks.spawn(membership::run(
+            process.clone(),
+            self.membership.1,
+            outputs,
+            halt.clone(),
+        ));
         tasks.spawn(allotment::run(process.clone(), demanded, halt.clone()));
         tasks.spawn(version::run(
             process.clone(),
             self.snapshot,
+            self.config.1,
             controlled,
             halt.clone(),
         ));
