--- a/crates/server/examples/quickstart.rs
+++ b/crates/server/examples/quickstart.rs
@@ -8,13 +8,14 @@
 use anyhow::{Context, Result, ensure};
 use azurepath_decide::job::State;
 use azurepath_decide::name::Name;
-use azurepath_decide::resource::Resource;
-use azurepath_platform::table::{self, Table, Transaction, Write};
+use azurepath_decide::usage::Period;
+use azurepath_platform::table::Table;
+use azurepath_platform::{object, table, usage};
 use azurepath_server::Server;
 use azurepath_server::settings::Settings;
+use azurepath_server::version::key;
 use azurepath_standin::fleet::{Fleet, Rack};
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 use volo_http::body::BodyConversion;
 use volo_http::client::Client;
 
@@ -37,6 +38,9 @@
     ("plans", "plans-1.9be2d355"),
 ];
 
+/// The token of the operator that hands the documents in.
+const OPERATOR: &str = "operator.5d41402abc4b2a76";
+
 #[tokio::main]
 async fn main() -> Result<()> {
     let fleet = Fleet::start(&Rack::both_owners())?;
@@ -45,10 +49,6 @@
         fleet.address(),
         fleet.workers.len()
     );
-    let table = table::Client::new(fleet.address());
-    for resource in resources() {
-        put(&table, resource).await?;
-    }
     let mut servers = Vec::new();
     for (name, failure_domain, region) in SERVERS {
         let settings = settings(name, failure_domain, region, fleet.address())?;
@@ -58,10 +58,13 @@
     }
     let client = Client::default();
     let entries: Vec<SocketAddr> = servers.iter().map(|it| it.addresses().http).collect();
-    requests(&client, &entries).await?;
-    for job in [batch("dawn-plans", 6, false), batch("load-sheets", 4, true)] {
-        put(&table, job).await?;
+    for (number, (path, document)) in documents().into_iter().enumerate() {
+        apply(&client, entries[number % entries.len()], path, &document).await?;
     }
+    requests(&client, &entries).await?;
+    apply(&client, entries[0], "jobs/dawn-plans", &job(6, false)).await?;
+    apply(&client, entries[1], "jobs/load-sheets", &job(4, true)).await?;
+    let table = table::Client::new(fleet.address());
     for name in ["dawn-plans", "load-sheets"] {
         finished(&table, name).await?;
     }
@@ -69,6 +72,7 @@
     for server in servers {
         server.stop().await?;
     }
+    usage(&fleet).await?;
     fleet.stop().await?;
     println!("stopped");
     Ok(())
@@ -79,56 +83,64 @@
         "[server]\nname = {name}\nregion = {region}\nfailure_domain = {domain}\n\
          http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
          [platform]\ntable = {platform}\nobjects = {platform}\ninstances = {platform}\n\
-         [timing]\nlinger = 200ms\n"
+         [operator]\nhash = {}\n[timing]\nlinger = 200ms\n",
+        key::hash(OPERATOR)
     );
     Settings::parse("quickstart", &text).context("the settings of the quickstart")
 }
 
 /// Returns the teams, their keys and a queue.
-fn resources() -> Vec<Value> {
-    let limit =
-        json!({"millicores": 128_000, "memory_mib": 262_144, "accelerators": 8, "slots": 32});
-    let team = |name: &str, account: &str, share: u32| json!({"kind": "team", "name": name, "account": account, "share": share, "limit": limit});
-    let key = |(team, token): (&str, &str)| {
-        let name = token.split('.').next();
-        let digest = Sha256::digest(token.as_bytes());
-        let hash: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
-        json!({"kind": "key", "name": name, "team": team, "hash": hash})
+fn documents() -> Vec<(&'static str, Value)> {
+    let team = |account: &str, share: u32| {
+        let limit = json!({
+            "millicores": 128_000, "memory_mib": 262_144, "accelerators": 8, "slots": 32,
+        });
+        json!({"account": account, "share": share, "limit": limit})
     };
+    let [pairing, plans] =
+        KEYS.map(|(team, token)| json!({"team": team, "hash": key::hash(token)}));
     let queue = json!({
-        "kind": "queue", "name": "checks", "class": "urgent", "estimate_ms": 20, "idempotent": true,
+        "class": "urgent", "estimate_ms": 20, "idempotent": true,
         "size": {"millicores": 1_000, "memory_mib": 256, "slots": 1},
     });
-    let mut all = vec![
-        team("pairing", "lumenbruecke", 60),
-        team("plans", "barafu-pwani", 40),
-        queue,
-    ];
-    all.extend(KEYS.map(key));
-    all
+    vec![
+        ("teams/pairing", team("lumenbruecke", 60)),
+        ("teams/plans", team("barafu-pwani", 40)),
+        ("keys/pairing-1", pairing),
+        ("keys/plans-1", plans),
+        ("queues/checks", queue),
+    ]
 }
 
-fn batch(name: &str, tasks: u32, gang: bool) -> Value {
+fn job(tasks: u32, gang: bool) -> Value {
     json!({
-        "kind": "job", "name": name, "team": "plans", "tasks": tasks, "gang": gang,
-        "estimate_ms": 300, "retries": 1,
+        "team": "plans", "tasks": tasks, "gang": gang, "estimate_ms": 300, "retries": 1,
         "size": {"millicores": 4_000, "memory_mib": 4_096, "slots": 1},
     })
 }
 
-async fn put(table: &table::Client, document: Value) -> Result<()> {
-    let resource: Resource = serde_json::from_value(document)?;
-    let write = Write {
-        key: format!("resource/{}/{}", resource.kind(), resource.name()),
-        value: Some(serde_json::to_value(&resource)?),
-    };
-    let transaction = Transaction {
-        checks: Vec::new(),
-        writes: vec![write],
-    };
-    table.transact(transaction).await?;
-    println!("{} {} is in the table", resource.kind(), resource.name());
-    Ok(())
+/// Hands a document in, again and again while the fleet comes up.
+async fn apply(client: &Client, entry: SocketAddr, path: &str, document: &Value) -> Result<()> {
+    let begun = Instant::now();
+    loop {
+        let response = client
+            .put(format!("http://{entry}/v1/{path}"))
+            .header("authorization", format!("Bearer {OPERATOR}"))
+            .data(document.to_string())
+            .send()
+            .await?;
+        let status = response.status();
+        let body = response.into_string().await?;
+        if status.is_success() {
+            println!("{path} is accepted");
+            return Ok(());
+        }
+        ensure!(
+            begun.elapsed() < PATIENCE,
+            "{path}: status {status}: {body}"
+        );
+        tokio::time::sleep(LOOK).await;
+    }
 }
 
 /// Sends requests of both teams through all servers.
@@ -189,6 +201,26 @@
     }
 }
 
+/// Prints the bill that both owners can recompute.
+async fn usage(fleet: &Fleet) -> Result<()> {
+    let objects = object::Client::new(fleet.address());
+    let table = table::Client::new(fleet.address());
+    let record = usage::read(&objects, &table).await?;
+    ensure!(record.faults.is_empty(), "{:?}", record.faults);
+    let period = Period {
+        from_ms: 0,
+        to_ms: u64::MAX,
+    };
+    for (team, amount) in record.bill.teams(period) {
+        let core_seconds = amount.millicore_ms as f64 / 1_000_000.0;
+        println!(
+            "{team}: {} attempts, {core_seconds:.1} core seconds",
+            amount.attempts
+        );
+    }
+    Ok(())
+}
+
 /// Prints who ran what where.
 fn report(fleet: &Fleet) {
     println!("{:<22} {:<10} {:<14} tasks", "worker", "team", "what");
