--- /dev/null
+++ b/crates/ctl/src/apply.rs
@@ -0,0 +1,152 @@
+//! `apply`.
+
+use std::io::Read;
+
+use azurepath_decide::resource::Kind;
+use http::Method;
+use serde_json::Value;
+
+use crate::cli;
+use crate::client::{Call, call};
+use crate::config::Config;
+use crate::exit::{Exit, Failure};
+use crate::output::Format;
+
+/// A document of the file.
+struct Document {
+    kind: Kind,
+    name: String,
+    revision: Option<u64>,
+    body: Value,
+}
+
+/// Creates or replaces the resources of a file, one after another.
+///
+/// Every document is checked before the first is written, so that a fault stops all of them.
+pub(crate) async fn run(config: &Config, options: &cli::Apply) -> Result<Exit, Failure> {
+    let documents = documents(&options.file)?;
+    let mut exit = Exit::Done;
+    if documents.len() > 1 || options.dry_run {
+        for document in &documents {
+            put(config, document, true, options.dry_run).await?;
+        }
+    }
+    if !options.dry_run {
+        for document in &documents {
+            let done = put(config, document, false, true).await?;
+            exit = if done == Exit::Done { exit } else { done };
+        }
+    }
+    Ok(exit)
+}
+
+async fn put(
+    config: &Config,
+    document: &Document,
+    dry_run: bool,
+    show: bool,
+) -> Result<Exit, Failure> {
+    let Document { kind, name, .. } = document;
+    let query = if dry_run { "?dry_run=true" } else { "" };
+    let tag = document.revision.map(|revision| format!("\"{revision}\""));
+    let body = document.body.to_string();
+    let answer = call(
+        config,
+        Call {
+            method: Method::PUT,
+            path: format!("/v1/{kind}s/{name}{query}"),
+            headers: tag.into_iter().map(|tag| ("if-match", tag)).collect(),
+            body: body.as_bytes(),
+        },
+    )
+    .await?;
+    // Documents that come later in the same file may bring what this one names.
+    let early = dry_run && !show && answer.status == http::StatusCode::UNPROCESSABLE_ENTITY;
+    if early && only_missing_teams(&answer.json()) {
+        return Ok(Exit::Done);
+    }
+    if !answer.status.is_success() {
+        eprintln!("azurectl: {kind}/{name}:");
+        return Err(answer.failure());
+    }
+    if show {
+        print(config, document, &answer.json());
+    }
+    Ok(Exit::of(answer.status))
+}
+
+fn only_missing_teams(problem: &Value) -> bool {
+    let faults = problem["faults"].as_array();
+    faults.is_some_and(|faults| {
+        faults.iter().all(|fault| {
+            let message = fault["message"].as_str().unwrap_or_default();
+            message.starts_with("there is no team")
+        })
+    })
+}
+
+fn print(config: &Config, document: &Document, answer: &Value) {
+    let Document { kind, name, .. } = document;
+    if config.format == Format::Json {
+        println!("{answer}");
+        return;
+    }
+    let state = answer["state"].as_str().unwrap_or_default();
+    match answer["does"].as_str() {
+        Some(does) => println!("{kind}/{name} {state}: {does}"),
+        None => println!("{kind}/{name} {state} at revision {}", answer["revision"]),
+    }
+    if let Some(token) = answer["token"].as_str() {
+        println!("key, shown only now: {token}");
+    }
+    if let Some(waiting) = answer["waiting"].as_array() {
+        let names: Vec<&str> = waiting.iter().filter_map(Value::as_str).collect();
+        println!("not yet in force on {}", names.join(", "));
+    }
+}
+
+/// Reads the documents: one, a list of them, or one after another.
+fn documents(file: &str) -> Result<Vec<Document>, Failure> {
+    let text = read(file)?;
+    let mut documents = Vec::new();
+    for value in serde_json::Deserializer::from_str(&text).into_iter::<Value>() {
+        let value = value.map_err(|error| {
+            Failure::new(
+                Exit::Faulty,
+                format!("{file}: {error}; write JSON documents"),
+            )
+        })?;
+        match value {
+            Value::Array(values) => documents.extend(values),
+            other => documents.push(other),
+        }
+    }
+    let numbered = documents.into_iter().enumerate();
+    numbered
+        .map(|(index, value)| document(file, index + 1, value))
+        .collect()
+}
+
+fn document(file: &str, number: usize, mut value: Value) -> Result<Document, Failure> {
+    let wrong =
+        |what: &str| Failure::new(Exit::Faulty, format!("{file}: document {number}: {what}"));
+    let kind = value["kind"].as_str().and_then(|kind| kind.parse().ok());
+    let name = value["name"].as_str().map(str::to_owned);
+    let revision = value.as_object_mut().and_then(|map| map.remove("revision"));
+    Ok(Document {
+        kind: kind.ok_or_else(|| wrong("write \"kind\": team, key, queue, service or job"))?,
+        name: name.ok_or_else(|| wrong("write \"name\""))?,
+        revision: revision.and_then(|revision| revision.as_u64()),
+        body: value,
+    })
+}
+
+fn read(file: &str) -> Result<String, Failure> {
+    let read = if file == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(file)
+    };
+    read.map_err(|error| Failure::usage(format!("{file}: {error}; give the path of a file")))
+}
--- /dev/null
+++ b/crates/ctl/src/get.rs
@@ -0,0 +1,76 @@
+//! `get` and `describe`.
+
+use serde_json::{Value, json};
+
+use crate::cli;
+use crate::client::{Call, call};
+use crate::config::Config;
+use crate::document;
+use crate::exit::{Exit, Failure};
+use crate::output::{self, Format};
+
+/// Lists resources, or shows one.
+pub(crate) async fn run(config: &Config, options: &cli::Get) -> Result<Exit, Failure> {
+    if let [kind] = options.target.as_slice()
+        && !kind.contains('/')
+    {
+        return list(config, &document::collection(kind)?, options).await;
+    }
+    let (collection, name) = document::one("get", &options.target)?;
+    let item = item(config, &collection, &name).await?;
+    print(config, &[item], None);
+    Ok(Exit::Done)
+}
+
+/// Shows one resource with all its fields.
+pub(crate) async fn describe(config: &Config, options: &cli::Describe) -> Result<Exit, Failure> {
+    let (collection, name) = document::one("describe", &options.target)?;
+    let item = item(config, &collection, &name).await?;
+    println!("{item:#}");
+    Ok(Exit::Done)
+}
+
+async fn item(config: &Config, collection: &str, name: &str) -> Result<Value, Failure> {
+    let answer = call(config, Call::get(format!("/v1/{collection}/{name}"))).await?;
+    if !answer.status.is_success() {
+        return Err(answer.failure());
+    }
+    Ok(answer.json())
+}
+
+async fn list(config: &Config, collection: &str, options: &cli::Get) -> Result<Exit, Failure> {
+    let mut items = Vec::new();
+    let mut after: Option<String> = None;
+    let selector = options.selector.as_deref().unwrap_or_default();
+    let revision = loop {
+        let mut path = format!("/v1/{collection}?selector={selector}");
+        if let Some(after) = &after {
+            path.push_str(&format!("&after={after}"));
+        }
+        let answer = call(config, Call::get(path)).await?;
+        if !answer.status.is_success() {
+            return Err(answer.failure());
+        }
+        let page = answer.json();
+        items.extend(page["items"].as_array().cloned().unwrap_or_default());
+        after = page["next"].as_str().map(str::to_owned);
+        if after.is_none() {
+            break page["revision"].clone();
+        }
+    };
+    print(config, &items, Some(revision));
+    Ok(Exit::Done)
+}
+
+fn print(config: &Config, items: &[Value], revision: Option<Value>) {
+    match (config.format, revision) {
+        (Format::Table, _) => {
+            let rows: Vec<Value> = items.iter().map(output::flat).collect();
+            print!("{}", output::table(&rows));
+        }
+        (Format::Json, Some(revision)) => {
+            println!("{}", json!({"revision": revision, "items": items}));
+        }
+        (Format::Json, None) => items.iter().for_each(|item| println!("{item}")),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/watch.rs
@@ -0,0 +1,113 @@
+//! `watch`.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use http_body_util::BodyExt;
+use serde_json::Value;
+
+use crate::cli;
+use crate::client::{self, Call};
+use crate::config::Config;
+use crate::document;
+use crate::exit::{Exit, Failure};
+use crate::output::Format;
+
+/// A watch that is silent for longer is cut: the server writes a line every two seconds.
+const SILENCE: Duration = Duration::from_secs(6);
+
+/// The pause before a watch is resumed.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Where a watch has come to.
+struct Progress {
+    after: u64,
+    left: Option<u64>,
+}
+
+/// Shows changes as they come, and resumes after a cut.
+pub(crate) async fn run(config: &Config, options: &cli::Watch) -> Result<Exit, Failure> {
+    let kind = options.target.first().map_or("resources", String::as_str);
+    let collection = document::collection(kind)?;
+    let after = match options.from {
+        Some(from) => from,
+        None => newest(config, &collection).await?,
+    };
+    let mut progress = Progress {
+        after,
+        left: options.count,
+    };
+    while progress.left != Some(0) {
+        follow(config, &collection, &mut progress).await?;
+        if progress.left != Some(0) {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    Ok(Exit::Done)
+}
+
+async fn newest(config: &Config, collection: &str) -> Result<u64, Failure> {
+    let answer = client::call(config, Call::get(format!("/v1/{collection}?limit=1"))).await?;
+    let revision = answer.json()["revision"].as_u64();
+    revision.ok_or_else(|| answer.failure())
+}
+
+/// Reads one watch until it is cut.
+async fn follow(config: &Config, collection: &str, progress: &mut Progress) -> Result<(), Failure> {
+    let path = format!("/v1/{collection}?watch={}", progress.after);
+    let response = match client::open(config, Call::get(path)).await {
+        Ok(response) => response,
+        Err(failure) => {
+            failure.report();
+            return Ok(());
+        }
+    };
+    let status = response.status();
+    let mut body = response.into_body();
+    if status != StatusCode::OK {
+        let bytes = body.collect().await.map(|body| body.to_bytes());
+        let body = bytes.unwrap_or_default();
+        let answer = client::Answer { status, body };
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return Err(answer.failure());
+        }
+        answer.failure().report();
+        return Ok(());
+    }
+    let mut text = Vec::new();
+    while progress.left != Some(0) {
+        let Ok(Some(Ok(frame))) = tokio::time::timeout(SILENCE, body.frame()).await else {
+            return Ok(());
+        };
+        text.extend_from_slice(&frame.into_data().unwrap_or_default());
+        while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = text.drain(..=end).collect();
+            take(config, progress, &line);
+        }
+    }
+    Ok(())
+}
+
+fn take(config: &Config, progress: &mut Progress, line: &[u8]) {
+    let Ok(change) = serde_json::from_slice::<Value>(line) else {
+        return;
+    };
+    let revision = change["revision"].as_u64().unwrap_or_default();
+    progress.after = progress.after.max(revision);
+    if change.get("name").is_none() || progress.left == Some(0) {
+        return;
+    }
+    progress.left = progress.left.map(|left| left - 1);
+    match config.format {
+        Format::Json => println!("{change}"),
+        Format::Table => {
+            let part = |name: &str| change[name].as_str().unwrap_or_default().to_owned();
+            let does = if change["resource"].is_null() {
+                "deleted"
+            } else {
+                "changed"
+            };
+            println!("{revision} {}/{} {does}", part("kind"), part("name"));
+        }
+    }
+}
