--- /dev/null
+++ b/crates/server/src/process/recorder.rs
@@ -0,0 +1,80 @@
+//! The recorder of what the machines are told, bounded in size.
+
+use std::fs::File;
+use std::io::BufWriter;
+
+use anyhow::Context;
+use azurepath_decide::time::Time;
+use azurepath_decide::trace::{Header, Input, Record, Writer};
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
+
+use crate::settings::Trace;
+
+/// A way to record; does nothing where recording is off or the trace is full.
+#[derive(Clone, Debug, Default)]
+pub struct Handle {
+    sender: Option<mpsc::UnboundedSender<Record>>,
+}
+
+impl Handle {
+    /// Records an input, which is only made where it is recorded.
+    pub fn note(&self, at: Time, input: impl FnOnce() -> Input) {
+        let open = self.sender.as_ref().filter(|sender| !sender.is_closed());
+        if let Some(sender) = open {
+            // The trace may have become full meanwhile.
+            let _ = sender.send(Record { at, input: input() });
+        }
+    }
+}
+
+/// The task that writes the trace.
+pub struct Recorder {
+    writer: Writer<BufWriter<File>>,
+    records: mpsc::UnboundedReceiver<Record>,
+    log: Logger,
+}
+
+impl Recorder {
+    /// Opens the trace and writes its header.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the file can't be written.
+    pub fn open(
+        settings: &Trace,
+        header: &Header,
+        log: Logger,
+    ) -> anyhow::Result<(Handle, Recorder)> {
+        let path = settings.file.display();
+        let file = File::create(&settings.file)
+            .with_context(|| format!("{path} can't be written; give another [trace] file"))?;
+        let writer = Writer::new(BufWriter::new(file), settings.max_size, header)
+            .with_context(|| format!("{path} can't be written; raise [trace] max_size"))?;
+        let (sender, records) = mpsc::unbounded_channel();
+        let recorder = Recorder {
+            writer,
+            records,
+            log,
+        };
+        let sender = Some(sender);
+        Ok((Handle { sender }, recorder))
+    }
+
+    /// Writes until the trace is full or every handle is gone; blocks its thread.
+    pub fn run(mut self) {
+        while let Some(record) = self.records.blocking_recv() {
+            let written = self.writer.write(&record);
+            if let Err(error) = &written {
+                warn!(self.log, "trace failed"; "error" => %error);
+            }
+            if written.is_err() || self.writer.dropped() > 0 {
+                break;
+            }
+        }
+        match self.writer.flush() {
+            Ok(()) => info!(self.log, "trace ended"; "full" => self.writer.dropped() > 0),
+            Err(error) => warn!(self.log, "trace failed"; "error" => %error),
+        }
+    }
+}
