--- a/crates/decide/src/ownership/member.rs
+++ b/crates/decide/src/ownership/member.rs
@@ -86,6 +86,11 @@
         &self.racks
     }
 
+    /// Returns the names of all other servers that have a row, dead ones included.
+    pub fn others(&self) -> BTreeSet<Name> {
+        self.peers.names().cloned().collect()
+    }
+
     /// Returns the fleet as last seen.
     pub fn view(&self) -> &View {
         &self.view
--- a/crates/decide/src/ownership/peer.rs
+++ b/crates/decide/src/ownership/peer.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns the names of all servers that have a row.
+    pub(super) fn names(&self) -> impl Iterator<Item = &Name> {
+        self.peers.keys()
+    }
+
     /// Returns the live servers.
     pub(super) fn live(&self) -> impl Iterator<Item = &Server> {
         self.peers
--- a/crates/server/src/process/membership.rs
+++ b/crates/server/src/process/membership.rs
@@ -76,6 +76,7 @@
 pub struct Handle {
     sender: mpsc::UnboundedSender<Message>,
     owned: watch::Receiver<Arc<Owned>>,
+    others: watch::Receiver<BTreeSet<Name>>,
 }
 
 /// The end that the task reads from.
@@ -83,17 +84,25 @@
 pub struct Inbox {
     messages: mpsc::UnboundedReceiver<Message>,
     owned: watch::Sender<Arc<Owned>>,
+    others: watch::Sender<BTreeSet<Name>>,
 }
 
 /// Makes a handle and the end that the task reads from.
 pub fn channel() -> (Handle, Inbox) {
     let (sender, messages) = mpsc::unbounded_channel();
     let owned = watch::Sender::new(Arc::default());
+    let others = watch::Sender::new(BTreeSet::new());
     let handle = Handle {
         sender,
         owned: owned.subscribe(),
+        others: others.subscribe(),
     };
-    (handle, Inbox { messages, owned })
+    let inbox = Inbox {
+        messages,
+        owned,
+        others,
+    };
+    (handle, inbox)
 }
 
 impl Handle {
@@ -121,6 +130,11 @@
         self.owned.borrow().clone()
     }
 
+    /// Returns the names of all other servers that have a row, dead ones included.
+    pub fn others(&self) -> BTreeSet<Name> {
+        self.others.borrow().clone()
+    }
+
     fn tell(&self, message: Message) {
         // The task ends only when the process does.
         let _ = self.sender.send(message);
@@ -139,6 +153,7 @@
     process: Process,
     outputs: Outputs,
     owned: watch::Sender<Arc<Owned>>,
+    others: watch::Sender<BTreeSet<Name>>,
     member: Member,
     actions: Vec<Action>,
     calls: JoinSet<Option<ownership::Event>>,
@@ -155,6 +170,7 @@
         process,
         outputs,
         owned: inbox.owned,
+        others: inbox.others,
         actions: Vec::new(),
         calls: JoinSet::new(),
         claiming: BTreeMap::new(),
@@ -284,8 +300,14 @@
         }
     }
 
-    /// Publishes the rows of the owned racks.
+    /// Publishes the rows of the owned racks and the names of other servers.
     fn show(&self) {
+        let others = self.member.others();
+        self.others.send_if_modified(|last| {
+            let changed = *last != others;
+            *last = others;
+            changed
+        });
         let rows = self.member.racks().iter();
         let owned: Owned = rows
             .filter(|(name, _)| self.member.holds(name))
--- a/crates/server/src/version/push.rs
+++ b/crates/server/src/version/push.rs
@@ -45,7 +45,9 @@
 /// Pushes a change to all servers until it is accepted, for a bounded time.
 async fn spread(process: &Process, change: Change) -> Accepted {
     let others = others(process);
-    let names: BTreeSet<Name> = others.iter().map(|server| server.name.clone()).collect();
+    // A server that is taken to be dead may still act on the older revision for a while.
+    let mut names = process.membership.others();
+    names.extend(others.iter().map(|server| server.name.clone()));
     let mut acceptance = Acceptance::new(process.clock.now(), LAPSE, names);
     let mut pushes = JoinSet::new();
     for server in others {
--- a/crates/server/src/version/task.rs
+++ b/crates/server/src/version/task.rs
@@ -47,7 +47,7 @@
     /// All resources.
     Snapshot(Result<Box<Snapshot>, Missing>),
     /// Another server's word.
-    Word(Box<Server>, Time, Result<Frame, Broken>),
+    Word(Box<Server>, Time, Box<Result<Frame, Broken>>),
     /// Nothing that this task needs.
     Nothing,
 }
@@ -157,7 +157,7 @@
             let frame = Frame::Beat(self.beat());
             self.calls.spawn(async move {
                 let word = process.peers.control(&server, &frame, WORD_WAIT).await;
-                Returned::Word(Box::new(server), now, word)
+                Returned::Word(Box::new(server), now, Box::new(word))
             });
         }
     }
@@ -214,7 +214,7 @@
                     }
                 }
             }
-            Returned::Word(server, asked, reply) => self.word(&server, asked, reply),
+            Returned::Word(server, asked, reply) => self.word(&server, asked, *reply),
             Returned::Nothing => {}
         }
     }
@@ -260,7 +260,7 @@
         self.calls.spawn(async move {
             let frame = Frame::Change(Document { json });
             let reply = process.peers.control(&server, &frame, WORD_WAIT).await;
-            Returned::Word(Box::new(server), now, reply)
+            Returned::Word(Box::new(server), now, Box::new(reply))
         });
     }
 
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -140,8 +140,14 @@
         region: &str,
         more: &str,
     ) -> Result<Process> {
+        self.server_from(name, &self.settings(name, domain, region, more))
+            .await
+    }
+
+    /// Starts a server process with whole settings.
+    pub async fn server_from(&self, name: &str, settings: &str) -> Result<Process> {
         let path = self.directory.join(format!("{name}.ini"));
-        std::fs::write(&path, self.settings(name, domain, region, more))?;
+        std::fs::write(&path, settings)?;
         Process::start(&path).await
     }
 }
