--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -25,6 +25,8 @@
 pub struct Worker {
     /// What the instance list says.
     pub spec: Spec,
+    /// Its own index.
+    pub index: usize,
     /// The index of its rack.
     pub rack: usize,
     /// How far it obeys.
@@ -47,6 +49,8 @@
     pub promised: Size,
     /// When it is probed next, in quarantine.
     pub probe_at: Time,
+    /// The epoch under which it was last claimed.
+    pub epoch: u64,
     /// How many claims in a row went unanswered.
     pub silent: u32,
     /// Whether attempts may be started there.
@@ -59,6 +63,11 @@
         self.spec.capacity.minus(&self.booked)
     }
 
+    /// Tells whether an attempt may be started there that needs hardly anything.
+    pub fn has_slot(&self) -> bool {
+        self.open && self.booked.slots < self.spec.capacity.slots
+    }
+
     /// Tells whether attempts may be started there.
     pub fn is_open(&self) -> bool {
         self.open
@@ -120,6 +129,7 @@
         self.racks[rack].push(worker);
         self.workers.push(Worker {
             spec,
+            index: worker,
             rack,
             hold: Hold::Free,
             leaving: false,
@@ -131,6 +141,7 @@
             ending: Size::ZERO,
             promised: Size::ZERO,
             probe_at: Time::default(),
+            epoch: 0,
             silent: 0,
             open: false,
         });
@@ -170,6 +181,13 @@
         self.workers.iter().enumerate()
     }
 
+    /// Returns all workers, beginning with the one that `start` falls on.
+    pub fn iter_from(&self, start: usize) -> impl Iterator<Item = (usize, &Worker)> {
+        let count = self.workers.len();
+        let indexes = (0..count).map(move |index| (index + start % count) % count);
+        indexes.map(|index| (index, &self.workers[index]))
+    }
+
     /// Books an amount for an attempt.
     pub fn book(&mut self, worker: usize, attempt: Attempt, size: &Size) {
         let known = &mut self.workers[worker];
--- a/crates/decide/tests/route.rs
+++ b/crates/decide/tests/route.rs
@@ -369,6 +369,40 @@
     assert_eq!(entry.answers[&Id(1)], ran(1));
 }
 
+/// A request that was lost with its owner, resumed at the successor, which does not know it.
+fn unknown_to_successor(idempotent: bool) -> TestEntry {
+    let mut entry = TestEntry::new(24);
+    let mut lost = request(1, Duration::from_secs(10));
+    lost.idempotent = idempotent;
+    let sent = entry.submit(lost);
+    entry.view.servers.remove(&sent.server);
+    entry.view.racks.insert(sent.rack, owner(6, 2));
+    entry.show();
+    entry.tell(Event::Broken { call: sent.call });
+    entry.pass(Duration::from_secs(1));
+    let again = entry.last();
+    assert!(again.resume);
+    entry.answer(again.call, refuse(Reason::Refused));
+    entry
+}
+
+#[test]
+fn successor_is_unsure() {
+    let entry = unknown_to_successor(false);
+    assert!(matches!(entry.answers[&Id(1)], Verdict::Unknown { .. }));
+    assert_eq!(entry.sends.len(), 2);
+}
+
+#[test]
+fn refused_after_loss() {
+    let mut entry = unknown_to_successor(true);
+    entry.step();
+    let anew = entry.last();
+    assert!(!anew.resume);
+    entry.answer(anew.call, refuse(Reason::Expired));
+    assert!(matches!(entry.answers[&Id(1)], Verdict::Unknown { .. }));
+}
+
 #[test]
 fn wrong_owner_is_unsure() {
     let mut entry = TestEntry::new(10);
