--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -187,7 +187,11 @@
     pub fn cap(&mut self, rack: usize, team: usize, cap: Size) -> Size {
         let account = self.account_mut(rack, team);
         account.cap = Some(cap).filter(|cap| !account.allotted.fits(cap));
-        account.floor(cap)
+        let floor = account.floor(cap);
+        let allotted = account.allotted;
+        // What runs on a worker that is not known must stay covered.
+        let hidden = Size::min(&floor.plus(&self.racks[rack].hidden), &allotted);
+        Size::max(&floor, &hidden)
     }
 
     /// Sets what may run on workers of a rack that are not known, and tells whether it shrank.
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -78,6 +78,27 @@
     assert_eq!(starts(&taken).len(), 2);
 }
 
+#[test]
+fn demand_for_bound_work() {
+    // Two racks without allotments; the work may run on the second one only.
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1)]);
+    for rack in ["r1", "r2"] {
+        bench.gain(rack, 1, Size::ZERO);
+        bench.add(&format!("{rack}-w"), rack, machine());
+    }
+    let mut bound = request(1, "a", cores(4));
+    bound.target = Some(Target {
+        rack: "r2".into(),
+        epoch: 1,
+    });
+    let mut asked = demands(&bench.submit(bound));
+    asked.extend(demands(&bench.wait(1_000)));
+    let racks: Vec<&str> = asked.iter().map(|demand| &*demand.rack).collect();
+    assert!(!racks.is_empty() && racks.iter().all(|rack| *rack == "r2"));
+    assert!(asked.iter().all(|demand| demand.want == cores(4)));
+}
+
 #[test]
 fn old_allotment_ignored() {
     let mut bench = bench(cores(1));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod instance;
 pub mod object;
 pub mod table;
+pub mod usage;
 pub mod worker;
 
 pub use http::CHECKSUM;
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -15,6 +15,7 @@
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::share::Summary;
 use azurepath_decide::time::Time;
+use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
 use azurepath_platform::instance::Instance;
 use azurepath_platform::worker::{Answer, Claim, Error, Order, Worker};
@@ -26,11 +27,14 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
+use super::super::ledger::{self, Note};
 use super::calls::{Calls, Place, Returned};
 use super::replies::Replies;
 use super::{Handle, Message, Reply, Submission};
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
+use crate::process::membership;
+use crate::process::recorder;
 use crate::process::renewal::Renewer;
 use crate::settings::Timing;
 
@@ -50,6 +54,10 @@
     pub demands: mpsc::UnboundedSender<Vec<Demand>>,
     /// The newest summary of the own racks.
     pub summary: watch::Sender<Option<Arc<Summary>>>,
+    /// Who is told of answered claims, and of refusals of a former owner.
+    pub membership: membership::Handle,
+    /// What is noted for the bill.
+    pub usage: ledger::Notes,
 }
 
 /// A request that is not answered yet.
@@ -88,6 +96,8 @@
     pub instances: watch::Receiver<Arc<Vec<Instance>>>,
     /// Where other tasks are told.
     pub outputs: Outputs,
+    /// The recorder.
+    pub recorder: recorder::Handle,
     /// The engine's own handle, for tasks that it spawns.
     pub handle: Handle,
     /// The logger.
@@ -109,6 +119,7 @@
             replies: Replies::default(),
             answers: Map::default(),
             holds: BTreeMap::new(),
+            members: BTreeMap::new(),
             leases: BTreeMap::new(),
             contacts: Map::default(),
             renewals: JoinSet::new(),
@@ -129,6 +140,8 @@
     replies: Replies,
     answers: Map<Attempt, Bytes>,
     holds: BTreeMap<Id, oneshot::Sender<Hold>>,
+    /// The expected members of each gang that has not begun.
+    members: BTreeMap<Id, Vec<Id>>,
     leases: BTreeMap<Name, Lease>,
     contacts: Map<Name, Contact>,
     renewals: JoinSet<()>,
@@ -170,7 +183,7 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(event) => self.tell(event),
-            Message::Expect(submission, reply) => self.register(submission, reply),
+            Message::Expect(submission, reply) => self.expect(submission, reply),
             Message::Submit(submission, reply) => self.submit(submission, reply, Event::Submit),
             Message::Resume(submission, reply) => self.submit(submission, reply, Event::Resume),
             Message::Reserve(ask, reply) => {
@@ -197,8 +210,39 @@
         }
         let known = self.requests.contains_key(&request.id);
         self.register(submission, reply);
-        if !known {
-            self.tell(event(request));
+        let event = event(request);
+        // A member of a gang is known before the machine has it, or after it has dropped it.
+        if !known || matches!(event, Event::Resume(_)) {
+            self.tell(event);
+        }
+    }
+
+    /// Registers a member of a gang.
+    fn expect(&mut self, submission: Submission, reply: oneshot::Sender<Reply>) {
+        if let Some(gang) = submission.request.gang {
+            let members = self.members.entry(gang).or_default();
+            members.push(submission.request.id);
+        }
+        self.register(submission, reply);
+    }
+
+    /// Answers the expected members of a gang that hold no place any more.
+    fn dismiss(&mut self, gang: Id, held: &[Id]) {
+        let Some(members) = self.members.remove(&gang) else {
+            return;
+        };
+        let (stay, go): (Vec<Id>, Vec<Id>) = members
+            .into_iter()
+            .partition(|member| held.contains(member));
+        if !stay.is_empty() {
+            self.members.insert(gang, stay);
+        }
+        for member in go {
+            let verdict = Verdict::NotRun {
+                reason: Reason::Gang,
+                retry_after: None,
+            };
+            self.answer(member, verdict);
         }
     }
 
@@ -227,17 +271,54 @@
     fn tell(&mut self, event: Event) {
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
+            self.note(&event);
+            if let Event::Release { gang } = &event {
+                self.dismiss(*gang, &[]);
+            }
+            let begun = match &event {
+                Event::Commit { gang } => Some(*gang),
+                _ => None,
+            };
             if let Event::Lose { rack } = &event {
                 self.end_leases(rack);
             }
             let now = self.engine.clock.now();
+            let recorder = &self.engine.recorder;
+            recorder.note(now, || Input::Cell(event.clone()));
             let mut actions = std::mem::take(&mut self.actions);
             self.cell.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
+            if let Some(gang) = begun {
+                self.members.remove(&gang);
+            }
+        }
+    }
+
+    /// Notes for the bill what an event says.
+    fn note(&self, event: &Event) {
+        match event {
+            Event::Claimed(inventory) => self.bill(Note::Only {
+                worker: inventory.worker.clone(),
+                running: inventory.running.clone(),
+            }),
+            Event::Gone { worker } => self.bill(Note::free(worker)),
+            Event::Refused { attempt, .. } => self.bill(Note::Cancel(*attempt)),
+            Event::Ended { attempt, .. } => self.bill(Note::End(*attempt)),
+            Event::Report(report) => self.bill(Note::Report(report.clone())),
+            Event::Lose { rack } => {
+                let lost = self.leases.iter().filter(|(_, lease)| lease.rack == *rack);
+                lost.for_each(|(worker, _)| self.bill(Note::free(worker)));
+            }
+            _ => {}
         }
     }
 
+    fn bill(&self, note: Note) {
+        // The ledger ends after the engine.
+        let _ = self.engine.outputs.usage.send(note);
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Claim { worker, epoch } => self.claim(worker, epoch),
@@ -270,6 +351,8 @@
                 let _ = self.engine.outputs.demands.send(demands);
             }
             Action::Held(hold) => {
+                let held: Vec<Id> = hold.places.iter().map(|place| place.member).collect();
+                self.dismiss(hold.gang, &held);
                 if let Some(reply) = self.holds.remove(&hold.gang) {
                     let _ = reply.send(hold);
                 }
@@ -323,6 +406,10 @@
         };
         let payload = pending.submission.payload.clone();
         let patience = self.patience(request.deadline);
+        self.bill(Note::Begin {
+            worker: worker.clone(),
+            running: order.running.clone(),
+        });
         self.engine.metrics.attempts.add(1, &[]);
         self.calls
             .start(Place { worker, address }, order, payload, patience);
@@ -350,6 +437,9 @@
     }
 
     fn answer(&mut self, request: Id, verdict: Verdict) {
+        if let Verdict::Unknown { attempt } = &verdict {
+            self.bill(Note::End(*attempt));
+        }
         let payload = match &verdict {
             Verdict::Ran { attempt, .. } => self.answers.remove(attempt).unwrap_or_default(),
             Verdict::NotRun { .. } | Verdict::Unknown { .. } => Bytes::new(),
@@ -395,10 +485,14 @@
     ) {
         match result {
             Ok(inventory) => {
-                self.renew(worker, epoch);
+                self.renew(worker.clone(), epoch);
                 self.tell(Event::Claimed(inventory));
+                self.engine.outputs.membership.claimed(worker, epoch);
             }
             Err(error) => {
+                if error == Error::Refused(Refusal::StaleEpoch) {
+                    self.engine.outputs.membership.hint();
+                }
                 debug!(self.engine.log, "claim failed";
                     "worker" => %worker, "epoch" => epoch, "error" => %error);
                 self.tell(Event::Unreachable { worker });
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -24,6 +24,8 @@
     pub limits: Limits,
     /// How often things happen.
     pub timing: Timing,
+    /// The SHA-256 of the first operator's token as hexadecimal digits, if there is one.
+    pub operator: Option<String>,
     /// The recorder of events, if it is on.
     pub trace: Option<Trace>,
 }
@@ -74,6 +76,8 @@
     pub renewal: Duration,
     /// How often the owner's machine is told the time.
     pub tick: Duration,
+    /// How often the server's row in the table is renewed.
+    pub heartbeat: Duration,
     /// How often the instance list is read.
     pub instances: Duration,
     /// How often a connection between servers is pinged.
@@ -136,11 +140,13 @@
                 lease: document.span("timing", "lease", Duration::from_secs(10)),
                 renewal: document.span("timing", "renewal", Duration::from_secs(2)),
                 tick: document.span("timing", "tick", Duration::from_millis(20)),
+                heartbeat: document.span("timing", "heartbeat", Duration::from_secs(1)),
                 instances: document.span("timing", "instances", Duration::from_secs(1)),
                 ping: document.span("timing", "ping", Duration::from_secs(1)),
                 ping_timeout: document.span("timing", "ping_timeout", Duration::from_secs(2)),
                 linger: document.span("timing", "linger", Duration::from_secs(2)),
             },
+            operator: document.hash("operator", "hash"),
             trace: document.present("trace").then(|| Trace {
                 file: document.path("trace", "file"),
                 max_size: document.bytes("trace", "max_size", 64 << 20),
@@ -167,6 +173,7 @@
             ("lease", timing.lease),
             ("renewal", timing.renewal),
             ("tick", timing.tick),
+            ("heartbeat", timing.heartbeat),
             ("instances", timing.instances),
             ("ping", timing.ping),
             ("ping_timeout", timing.ping_timeout),
