Small limits reach the racks where work waits

Ruled out: learnt sizes beyond the limit, full workers. An owner now gives back at once what it does not use while work of the team waits anywhere, feeds an owner that holds nothing while all of the limit is held, and gives a part back in which nothing has fitted for two seconds.

--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -17,6 +17,16 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(200);
 
 impl Cell {
+    /// Returns what waits for a team where nothing of its limit is held, here or elsewhere.
+    fn starved(&self, team: usize) -> Size {
+        let bare = |&rack: &usize| self.ledger.account(rack, team).allotted.is_zero();
+        let own = self.ledger.owned().filter(bare);
+        let own = own.fold(Size::ZERO, |sum, rack| {
+            sum.plus(&self.queue.waiting_at(team, Some(rack)))
+        });
+        self.teams.starved(team, &self.ledger.allotted(team), &own)
+    }
+
     /// Bounds what a rack uses of a lowered limit and offers the rest.
     pub(super) fn reclaim(&mut self, demand: &Demand) {
         let Some(rack) = self.ledger.find(&demand.rack) else {
@@ -51,6 +61,8 @@
             let need = Need {
                 team,
                 name: &self.teams.get(team).name,
+                pressed: self.teams.waits_elsewhere(team) || !self.queue.waiting(team).is_zero(),
+                starved: self.starved(team),
                 anywhere: self.queue.waiting_at(team, None),
                 bound: &|rack| self.queue.waiting_at(team, Some(rack)),
             };
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -311,7 +311,10 @@
         self.weigh(&booking, Size::minus);
         let rack = self.room.get(booking.worker).rack;
         self.room.free(booking.worker, attempt, &booking.size);
-        if self.ledger.free(rack, booking.team, &booking.size) {
+        if self
+            .ledger
+            .free(rack, booking.team, &booking.size, self.now)
+        {
             self.dirty.extend(self.room.rack(rack));
         }
         self.teams.remove(booking.team, &booking.size);
--- a/crates/decide/src/fair.rs
+++ b/crates/decide/src/fair.rs
@@ -23,6 +23,12 @@
     pub running: Size,
     /// What it runs at other owners, by their last summaries.
     elsewhere: Size,
+    /// What waits for it at other owners, by their last summaries.
+    waiting: Size,
+    /// What of that waits at owners that hold nothing of its limit.
+    starved: Size,
+    /// What other owners hold of its limit.
+    allotted: Size,
     /// Its rank in the order.
     rank: u64,
 }
@@ -51,6 +57,9 @@
             limit: None,
             running: Size::ZERO,
             elsewhere: Size::ZERO,
+            waiting: Size::ZERO,
+            starved: Size::ZERO,
+            allotted: Size::ZERO,
             rank: 0,
         });
         self.order.insert((0, team));
@@ -138,6 +147,23 @@
         team.running.plus(&team.elsewhere).dominant(&total) / f64::from(team.share)
     }
 
+    /// Tells whether work of a team waits at other owners.
+    pub fn waits_elsewhere(&self, team: usize) -> bool {
+        !self.teams[team].waiting.is_zero()
+    }
+
+    /// Returns what waits at other owners that hold nothing of a team's limit, where the limit
+    /// leaves nothing more to hold besides `own`.
+    pub fn starved(&self, team: usize, own: &Size, own_starved: &Size) -> Size {
+        let team = &self.teams[team];
+        let starved = team.starved.plus(own_starved);
+        let held = own.plus(&team.allotted);
+        let exhausted = team
+            .limit
+            .is_some_and(|limit| !held.plus(&starved).fits(&limit));
+        if exhausted { starved } else { Size::ZERO }
+    }
+
     /// Returns the capacity of the whole fleet as far as it is known.
     pub fn total(&self) -> Size {
         let peers = self.peers.values().map(|summary| summary.capacity);
@@ -147,11 +173,20 @@
     fn add_peers(&mut self) {
         for team in &mut self.teams {
             team.elsewhere = Size::ZERO;
+            team.waiting = Size::ZERO;
+            team.starved = Size::ZERO;
+            team.allotted = Size::ZERO;
         }
         let peers: Vec<_> = self.peers.values().cloned().collect();
         for (name, tally) in peers.iter().flat_map(|summary| &summary.teams) {
             let team = self.index(name);
-            self.teams[team].elsewhere = self.teams[team].elsewhere.plus(&tally.running);
+            let team = &mut self.teams[team];
+            team.elsewhere = team.elsewhere.plus(&tally.running);
+            team.waiting = team.waiting.plus(&tally.waiting);
+            team.allotted = team.allotted.plus(&tally.allotted);
+            if tally.allotted.is_zero() {
+                team.starved = team.starved.plus(&tally.waiting);
+            }
         }
     }
 
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -11,6 +11,9 @@
 /// How long an allotment lies idle before it is offered back.
 const IDLE: Duration = Duration::from_secs(5);
 
+/// How long a part in which nothing fits is kept while work waits.
+const SPLINTER: Duration = Duration::from_secs(2);
+
 /// What one rack holds for one team.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Account {
@@ -24,6 +27,8 @@
     pub used: Size,
     /// Whether work of the team was passed over there for lack of allotment.
     pub short: bool,
+    /// When it was last in use or grew.
+    idle: Time,
     /// The most that was in use since `since`.
     peak: Size,
     /// The most that was in use in the span before.
@@ -33,19 +38,38 @@
 }
 
 impl Account {
+    /// Tells whether it holds a part of the limit in which nothing of what waits has fitted.
+    fn is_splinter(&self, now: Time) -> bool {
+        let unused = self.used.is_zero() && !self.allotted.is_zero();
+        unused && now.since(self.idle) >= SPLINTER
+    }
+
     /// Returns what is to be held where `wanted` is wanted besides what is used, if that differs
     /// from what is held.
-    fn want(&mut self, wanted: &Size, now: Time) -> Option<Size> {
+    fn want(&mut self, wanted: &Size, need: &Need, now: Time) -> Option<Size> {
         if now.since(self.since) >= IDLE {
             self.earlier = self.peak;
             self.peak = self.used;
             self.since = now;
         }
         let wanted = self.used.plus(wanted);
-        let recent = Size::max(&self.earlier, &self.peak);
+        let recent = if need.pressed {
+            self.used
+        } else {
+            Size::max(&self.earlier, &self.peak)
+        };
         let want = match (self.cap, self.offer) {
             (Some(cap), _) => self.floor(cap),
             (None, Some(offer)) => Size::max(&offer, &self.used),
+            (None, None) if need.pressed && self.is_splinter(now) => {
+                self.offer = Some(Size::ZERO);
+                Size::ZERO
+            }
+            (None, None) if !need.starved.is_zero() && !self.allotted.is_zero() => {
+                let part = Size::min(&need.starved, &self.allotted.half());
+                self.offer = Some(self.allotted.minus(&part));
+                Size::max(&self.allotted.minus(&part), &self.used)
+            }
             (None, None) if !wanted.fits(&self.allotted) => Size::max(&wanted, &self.allotted),
             (None, None) => {
                 let kept = Size::max(&wanted, &recent);
@@ -62,6 +86,7 @@
         if !allotted.fits(&self.allotted) {
             self.earlier = Size::max(&self.earlier, &allotted);
             self.since = now;
+            self.idle = now;
         }
         self.allotted = allotted;
         self.cap = self.cap.filter(|cap| !allotted.fits(cap));
@@ -92,6 +117,10 @@
     pub name: &'a Name,
     /// What may run on any rack.
     pub anywhere: Size,
+    /// Whether work of the team waits somewhere, so that what is not in use is given back at once.
+    pub pressed: bool,
+    /// What waits where nothing of the limit is held, though all of the limit is.
+    pub starved: Size,
     /// What may run on one rack only, by the rack's index.
     pub bound: &'a dyn Fn(usize) -> Size,
 }
@@ -228,9 +257,10 @@
     }
 
     /// Gives an amount back and tells whether work of the team had been passed over for it.
-    pub fn free(&mut self, rack: usize, team: usize, size: &Size) -> bool {
+    pub fn free(&mut self, rack: usize, team: usize, size: &Size, now: Time) -> bool {
         let account = self.account_mut(rack, team);
         account.used = account.used.minus(size);
+        account.idle = now;
         std::mem::take(&mut account.short)
     }
 
@@ -269,7 +299,7 @@
         let demand = |(rack, wanted): (usize, Size)| {
             let hides = !self.racks[rack].hidden.is_zero();
             let account = self.account_mut(rack, need.team);
-            let want = account.want(&wanted, now)?;
+            let want = account.want(&wanted, need, now)?;
             if hides && !account.allotted.fits(&want) {
                 // What runs on a worker that is not known must stay covered.
                 account.offer = None;
--- a/crates/decide/src/size.rs
+++ b/crates/decide/src/size.rs
@@ -84,6 +84,12 @@
         self.zip(&each, u64::saturating_mul)
     }
 
+    /// Halves every resource, rounding up.
+    #[must_use]
+    pub fn half(&self) -> Size {
+        self.zip(&Size::ZERO, |amount, _| amount.div_ceil(2))
+    }
+
     /// Tells whether nothing is left of any resource.
     pub fn is_zero(&self) -> bool {
         *self == Size::ZERO
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use azurepath_decide::action::Action;
 use azurepath_decide::attempt::Outcome;
 use azurepath_decide::event::Event;
@@ -9,6 +11,7 @@
 use azurepath_decide::rack::{Allotted, Demand};
 use azurepath_decide::request::{Request, Target};
 use azurepath_decide::resource::Team;
+use azurepath_decide::share::{Summary, Tally};
 use azurepath_decide::size::Size;
 use azurepath_decide::verdict::Reason;
 use support::*;
@@ -208,3 +211,74 @@
     let refused = bench.submit(request(1, "c", cores(3)));
     assert_eq!(answers(&refused), [(1, not_run(Reason::Limit))]);
 }
+
+fn peer(team: &str, waiting: Size, held: Size) -> Event {
+    let tally = Tally {
+        running: Size::ZERO,
+        waiting,
+        allotted: held,
+    };
+    Event::Peer(Summary {
+        server: "entry-2".into(),
+        sequence: 1,
+        racks: vec!["r2".into()],
+        capacity: machine(),
+        free: machine(),
+        largest: machine(),
+        ceiling: machine(),
+        wait: Duration::ZERO,
+        teams: [(team.into(), tally)].into(),
+    })
+}
+
+fn wants(actions: &[Action]) -> Vec<Size> {
+    let of_a = demands(actions)
+        .into_iter()
+        .filter(|demand| &*demand.team == "a");
+    of_a.map(|demand| demand.want).collect()
+}
+
+#[test]
+fn pressed_gives_at_once() {
+    let mut bench = bench(cores(8));
+    bench.submit(request(1, "a", cores(2)));
+    bench.wait(1_000);
+    bench.send(peer("a", cores(2), cores(1)));
+    assert!(wants(&bench.wait(1_500)).contains(&cores(2)));
+}
+
+#[test]
+fn starved_owner_fed() {
+    // All of the limit is held here, and work waits both here and at an owner that holds nothing.
+    let limit = cores(1).times(3);
+    let mut bench = bench(limit);
+    let small = Team {
+        limit,
+        ..team("a", 1)
+    };
+    bench.send(Event::Configure {
+        revision: 2,
+        teams: vec![small],
+    });
+    for id in 0..6 {
+        bench.submit(request(id, "a", cores(1)));
+    }
+    bench.send(peer("a", cores(1), Size::ZERO));
+    bench.wait(1_500);
+    let mut ended = bench.ended(attempt(0, 1), "w0", Outcome::Done);
+    assert!(starts(&ended).is_empty());
+    ended.extend(bench.wait(1_500));
+    assert!(wants(&ended).contains(&cores(1).times(2)));
+}
+
+#[test]
+fn splinter_given_back() {
+    let mut bench = bench(cores(2));
+    bench.submit(request(1, "a", cores(4)));
+    let mut asked = wants(&bench.wait(1_500));
+    assert!(asked.iter().all(|want| cores(4).fits(want)));
+    asked = wants(&bench.wait(3_000));
+    assert!(asked.contains(&Size::ZERO));
+    assert!(starts(&bench.send(allotted(1, Size::ZERO))).is_empty());
+    assert!(wants(&bench.wait(1_500)).contains(&cores(4)));
+}
