Allotments follow what waits on each rack, and no part lacks a resource

A demand's part took the least of each resource by itself, so a rack came to hold cores without a slot; it kept them while work waited.

--- a/crates/decide/src/allotment/plan.rs
+++ b/crates/decide/src/allotment/plan.rs
@@ -34,7 +34,7 @@
 
 /// Returns what a rack holds after taking what it wants, as far as there is room.
 fn take(have: &Size, want: &Size, limit: &Limit) -> Size {
-    have.plus(&part(&want.minus(have), &limit.free()))
+    have.plus(&want.minus(have).part_within(&limit.free()))
 }
 
 /// Changes what one rack holds of one limit, in both rows.
@@ -69,32 +69,3 @@
     plan.limits.insert(demand.team.clone(), limit);
     plan.racks.insert(demand.rack.clone(), rack);
 }
-
-/// Returns the largest part of `want`, in the same proportions, that fits into `free`.
-///
-/// Resources in other proportions could not be used together and would be stranded.
-fn part(want: &Size, free: &Size) -> Size {
-    let pairs = [
-        (want.millicores, free.millicores),
-        (want.memory_mib, free.memory_mib),
-        (want.accelerators, free.accelerators),
-        (want.slots, free.slots),
-    ];
-    // The smallest of the fractions free / want; 1 where everything fits.
-    let (room, of) = pairs
-        .into_iter()
-        .filter(|(want, free)| want > free)
-        .map(|(want, free)| (u128::from(free), u128::from(want)))
-        .min_by(|a, b| (a.0 * b.1).cmp(&(b.0 * a.1)))
-        .unwrap_or((1, 1));
-    let scale = |amount: u64| {
-        let scaled = u128::from(amount) * room / of;
-        u64::try_from(scaled).unwrap_or(u64::MAX)
-    };
-    Size {
-        millicores: scale(want.millicores),
-        memory_mib: scale(want.memory_mib),
-        accelerators: scale(want.accelerators),
-        slots: scale(want.slots),
-    }
-}
--- a/crates/decide/src/candidate.rs
+++ b/crates/decide/src/candidate.rs
@@ -139,9 +139,10 @@
         }
     }
 
+    /// Tells whether no worker could ever hold a size; an owner without workers can't say.
     fn too_small(&self, size: &Size) -> bool {
         let ceiling = self.summary.as_ref().map(|summary| summary.ceiling);
-        ceiling.is_some_and(|ceiling| !size.fits(&ceiling))
+        ceiling.is_some_and(|ceiling| !ceiling.is_zero() && !size.fits(&ceiling))
     }
 }
 
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -36,7 +36,7 @@
         self.asked = Some(self.now);
         let mut demands = Vec::new();
         for team in 0..self.teams.len() {
-            let waiting = self.queue.waiting(team);
+            let waiting = |rack| self.queue.waiting_on(team, rack);
             let name = &self.teams.get(team).name;
             let free = |rack| self.rack_free(rack);
             let wanted = self.ledger.demands(team, name, waiting, self.now, free);
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -174,32 +174,34 @@
             .fold(Size::ZERO, |sum, size| sum.plus(&size))
     }
 
-    /// Returns demands that spread `waiting` of a team over racks with room, and give back what
-    /// has lain idle.    ///
-    /// `free` gives the free room of a rack, by its index.
+    /// Returns demands for what waits on the racks with room, and give back what has lain idle
+    /// though work may wait for it: it lacks room or a part, which another rack may have.
+    ///
+    /// `waiting` gives what waits for a rack by its index, or for any; `free` gives the free room
+    /// of a rack.
     pub fn demands(
         &self,
         team: usize,
         name: &Name,
-        waiting: Size,
+        waiting: impl Fn(Option<usize>) -> Size,
         now: Time,
         free: impl Fn(usize) -> Size,
     ) -> Vec<Demand> {
-        let mut left = waiting;
+        let mut left = waiting(None);
         let mut demands = Vec::new();
         for rack in self.owned() {
             let account = self.account(rack, team);
-            let part = Size::min(&left, &free(rack));
-            let wanted = account.used.plus(&part);
-            left = left.minus(&part);
-            let raises = !wanted.fits(&account.allotted);
-            let idle = now.since(account.busy) >= IDLE;
-            let want = match (raises, idle) {
-                _ if account.cap.is_some() => account.floor(account.cap.unwrap_or(Size::ZERO)),
-                _ if !account.hidden.is_zero() => account.allotted,
-                (true, _) => Size::max(&wanted, &account.allotted),
-                (false, true) if waiting.is_zero() => account.used,
-                _ => account.allotted,
+            let room = free(rack);
+            let own = waiting(Some(rack)).part_within(&room);
+            let any = left.part_within(&room.minus(&own));
+            left = left.minus(&any);
+            let wanted = account.used.plus(&own).plus(&any);
+            let idle = now.since(account.busy) >= IDLE && !account.allotted.fits(&account.used);
+            let want = match account.cap {
+                Some(cap) => account.floor(cap),
+                None if !account.hidden.is_zero() => account.allotted,
+                None if idle => account.floor(Size::ZERO),
+                None => Size::max(&wanted, &account.allotted),
             };
             if want != account.allotted {
                 demands.push(Demand {
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -114,7 +114,7 @@
 pub struct Queue {
     lines: [Vec<BTreeMap<Option<usize>, Line>>; 3],
     spots: Map<request::Id, Waiting>,
-    waiting: Vec<Size>,
+    waiting: Vec<BTreeMap<Option<usize>, Size>>,
 }
 
 impl Queue {
@@ -135,7 +135,16 @@
 
     /// Returns the sum of what waits for a team.
     pub fn waiting(&self, team: usize) -> Size {
-        self.waiting.get(team).copied().unwrap_or_default()
+        let sums = self.waiting.get(team).into_iter();
+        let sums = sums.flat_map(BTreeMap::values);
+        sums.fold(Size::ZERO, |sum, size| sum.plus(size))
+    }
+
+    /// Returns the sum of what waits for a team on one rack, or on any.
+    pub fn waiting_on(&self, team: usize, rack: Option<usize>) -> Size {
+        let sums = self.waiting.get(team);
+        let sum = sums.and_then(|sums| sums.get(&rack));
+        sum.copied().unwrap_or_default()
     }
 
     /// Adds a request, and tells whether it should be tried at once.
@@ -151,7 +160,7 @@
         let fresh = lane.waiting.is_empty() || size != item.size;
         lane.waiting.insert(item.key, item);
         line.schedule.add(item.key.deadline, &item.work);
-        let sum = &mut self.waiting[item.team];
+        let sum = self.waiting[item.team].entry(item.rack).or_default();
         *sum = sum.plus(&item.size);
         self.spots.insert(item.id, Waiting { item, lane: size });
         fresh
@@ -167,8 +176,11 @@
                 lines.remove(&item.rack);
             }
         }
-        let sum = &mut self.waiting[item.team];
+        let sum = self.waiting[item.team].entry(item.rack).or_default();
         *sum = sum.minus(&item.size);
+        if sum.is_zero() {
+            self.waiting[item.team].remove(&item.rack);
+        }
         Some(item)
     }
 
--- a/crates/decide/src/size.rs
+++ b/crates/decide/src/size.rs
@@ -84,6 +84,41 @@
         self.zip(&each, u64::saturating_mul)
     }
 
+    /// Returns the largest part of this amount, in the same proportions, that fits into `room`, or
+    /// nothing where one of its resources would be left out.
+    ///
+    /// Resources in other proportions could not be used together and would be stranded.
+    #[must_use]
+    pub fn part_within(&self, room: &Size) -> Size {
+        let pairs = [
+            (self.millicores, room.millicores),
+            (self.memory_mib, room.memory_mib),
+            (self.accelerators, room.accelerators),
+            (self.slots, room.slots),
+        ];
+        // The smallest of the fractions room / amount; 1 where everything fits.
+        let (part, of) = pairs
+            .into_iter()
+            .filter(|(amount, room)| amount > room)
+            .map(|(amount, room)| (u128::from(room), u128::from(amount)))
+            .min_by(|a, b| (a.0 * b.1).cmp(&(b.0 * a.1)))
+            .unwrap_or((1, 1));
+        let scale = |amount: u64| {
+            let scaled = u128::from(amount) * part / of;
+            u64::try_from(scaled).unwrap_or(u64::MAX)
+        };
+        let left_out = |(amount, _): (u64, u64)| amount > 0 && scale(amount) == 0;
+        if pairs.into_iter().any(left_out) {
+            return Size::ZERO;
+        }
+        Size {
+            millicores: scale(self.millicores),
+            memory_mib: scale(self.memory_mib),
+            accelerators: scale(self.accelerators),
+            slots: scale(self.slots),
+        }
+    }
+
     /// Tells whether nothing is left of any resource.
     pub fn is_zero(&self) -> bool {
         *self == Size::ZERO
--- a/crates/decide/tests/route.rs
+++ b/crates/decide/tests/route.rs
@@ -546,6 +546,18 @@
     assert_eq!(entry.answers[&Id(2)], refuse(Reason::TooLarge));
 }
 
+#[test]
+fn no_workers_yet() {
+    let mut entry = TestEntry::new(25);
+    for index in 0..7 {
+        let mut empty = summary(index, 1, 500);
+        empty.ceiling = Size::ZERO;
+        entry.tell(Event::Summary(empty));
+    }
+    entry.submit(request(1, Duration::from_secs(60)));
+    assert!(entry.answers.is_empty(), "{:?}", entry.answers);
+}
+
 #[test]
 fn over_limit() {
     let mut entry = TestEntry::new(20);
