--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -36,10 +36,13 @@
         self.asked = Some(self.now);
         let mut demands = Vec::new();
         for team in 0..self.teams.len() {
-            let waiting = |rack| self.queue.waiting_on(team, rack);
+            let waiting = self.queue.waiting(team);
             let name = &self.teams.get(team).name;
+            let bound = |rack| self.queue.bound(team, rack);
             let free = |rack| self.rack_free(rack);
-            let wanted = self.ledger.demands(team, name, waiting, self.now, free);
+            let wanted = self
+                .ledger
+                .demands(team, name, waiting, self.now, bound, free);
             self.keep_within(team, &wanted);
             demands.extend(wanted);
         }
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -174,34 +174,39 @@
             .fold(Size::ZERO, |sum, size| sum.plus(&size))
     }
 
-    /// Returns demands for what waits on the racks with room, and give back what has lain idle
-    /// though work may wait for it: it lacks room or a part, which another rack may have.
+    /// Returns demands that spread `waiting` of a team over racks with room, and give back what
+    /// has lain idle.
     ///
-    /// `waiting` gives what waits for a rack by its index, or for any; `free` gives the free room
-    /// of a rack.
+    /// `bound` gives the part of `waiting` that waits for one rack and no other, and `free` the free
+    /// room of a rack, by its index.
     pub fn demands(
         &self,
         team: usize,
         name: &Name,
-        waiting: impl Fn(Option<usize>) -> Size,
+        waiting: Size,
         now: Time,
+        bound: impl Fn(usize) -> Size,
         free: impl Fn(usize) -> Size,
     ) -> Vec<Demand> {
-        let mut left = waiting(None);
+        let mut left = self
+            .owned()
+            .fold(waiting, |left, rack| left.minus(&bound(rack)));
         let mut demands = Vec::new();
         for rack in self.owned() {
             let account = self.account(rack, team);
-            let room = free(rack);
-            let own = waiting(Some(rack)).part_within(&room);
-            let any = left.part_within(&room.minus(&own));
-            left = left.minus(&any);
-            let wanted = account.used.plus(&own).plus(&any);
-            let idle = now.since(account.busy) >= IDLE && !account.allotted.fits(&account.used);
-            let want = match account.cap {
-                Some(cap) => account.floor(cap),
-                None if !account.hidden.is_zero() => account.allotted,
-                None if idle => account.floor(Size::ZERO),
-                None => Size::max(&wanted, &account.allotted),
+            let (room, own) = (free(rack), bound(rack));
+            let own = Size::min(&own, &room);
+            let part = Size::min(&left, &room.minus(&own));
+            let wanted = account.used.plus(&own).plus(&part);
+            left = left.minus(&part);
+            let raises = !wanted.fits(&account.allotted);
+            let idle = now.since(account.busy) >= IDLE;
+            let want = match (raises, idle) {
+                _ if account.cap.is_some() => account.floor(account.cap.unwrap_or(Size::ZERO)),
+                _ if !account.hidden.is_zero() => account.allotted,
+                (true, _) => Size::max(&wanted, &account.allotted),
+                (false, true) if waiting.is_zero() => account.used,
+                _ => account.allotted,
             };
             if want != account.allotted {
                 demands.push(Demand {
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -1,16 +1,20 @@
 //! What lives as long as the process.
 
 pub mod allotment;
+pub mod backoff;
 pub mod clock;
 pub mod dump;
 pub mod engine;
 pub mod entry;
 pub mod instances;
 pub mod jobs;
+pub mod ledger;
 pub mod membership;
 pub mod platform;
+pub mod recorder;
 pub mod renewal;
 pub mod router;
+pub mod rows;
 pub mod server;
 pub mod stop;
 
@@ -49,6 +53,10 @@
     pub platform: Platform,
     /// The owner's machine.
     pub engine: engine::Handle,
+    /// Which servers live and who owns which rack.
+    pub membership: membership::Handle,
+    /// Changes of the configuration and the evidence for it.
+    pub config: crate::version::Handle,
     /// Where requests are sent.
     pub router: router::Handle,
     /// The jobs that this server is home to.
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::cell;
 use azurepath_decide::config::Snapshot;
 use azurepath_decide::fleet::View;
-use azurepath_decide::route;
+use azurepath_decide::{route, trace};
 use azurepath_platform::{instance, object, table, worker};
 use rand::Rng;
 use slog::{Logger, info};
@@ -17,11 +17,13 @@
 
 use super::clock::Clock;
 use super::engine::{self, Engine};
+use super::recorder::{self, Recorder};
 use super::stop::{self, Inflight, Phase};
 use super::{
-    Addresses, Platform, Process, allotment, instances, jobs, membership, platform, router,
+    Addresses, Platform, Process, allotment, instances, jobs, ledger, membership, platform, router,
 };
 use crate::connection::ping::Pace;
+use crate::connection::publish::Budget;
 use crate::connection::{listener, pool};
 use crate::metrics::Metrics;
 use crate::request::{http as entry, intent};
@@ -124,8 +126,11 @@
     engine: (engine::Handle, mpsc::UnboundedReceiver<engine::Message>),
     router: (router::Handle, mpsc::UnboundedReceiver<router::Message>),
     jobs: (jobs::Handle, mpsc::UnboundedReceiver<jobs::Message>),
+    usage: (ledger::Notes, mpsc::UnboundedReceiver<ledger::Note>),
     peers: (pool::Handle, pool::Inbox),
     intents: (intent::Handle, intent::Inbox),
+    membership: (membership::Handle, membership::Inbox),
+    config: (version::Handle, version::Inbox),
     snapshot: watch::Sender<Arc<Snapshot>>,
     view: watch::Sender<Arc<View>>,
     instances: watch::Sender<Arc<Vec<instance::Instance>>>,
@@ -140,8 +145,11 @@
             engine: engine::Handle::channel(),
             router: router::Handle::channel(),
             jobs: jobs::Handle::channel(),
+            usage: mpsc::unbounded_channel(),
             peers: pool::channel(settings.limits.body),
             intents: intent::channel(),
+            membership: membership::channel(),
+            config: version::channel(),
             snapshot: watch::Sender::new(Arc::default()),
             view: watch::Sender::new(Arc::default()),
             instances: watch::Sender::new(Arc::default()),
@@ -170,6 +178,8 @@
             jobs: self.jobs.0.clone(),
             peers: self.peers.0.clone(),
             intents: self.intents.0.clone(),
+            membership: self.membership.0.clone(),
+            config: self.config.0.clone(),
             snapshot: self.snapshot.subscribe(),
             view: self.view.subscribe(),
             instances: self.instances.subscribe(),
@@ -200,15 +210,36 @@
         let name = process.settings.server.name.clone();
         let seed = rand::rng().random();
 
-        let router = router::Task {
-            setup: route::Setup {
-                server: name.clone(),
-                site: Site {
-                    failure_domain: process.settings.server.failure_domain.clone(),
-                    region: process.settings.server.region.clone(),
-                },
-                seed,
+        let router_setup = route::Setup {
+            server: name.clone(),
+            site: Site {
+                failure_domain: process.settings.server.failure_domain.clone(),
+                region: process.settings.server.region.clone(),
             },
+            seed,
+        };
+        let cell_setup = cell::Setup {
+            server: name.clone(),
+            seed,
+            policy: azurepath_decide::policy::Policy::Fair,
+            region: Some(process.settings.server.region.clone()),
+        };
+        let header = trace::Header {
+            version: trace::VERSION,
+            cell: Some(cell_setup.clone()),
+            router: Some(router_setup.clone()),
+        };
+        let recorder = match &process.settings.trace {
+            Some(settings) => {
+                let (handle, recorder) = Recorder::open(settings, &header, process.log.clone())?;
+                tasks.spawn_blocking(|| recorder.run());
+                handle
+            }
+            None => recorder::Handle::default(),
+        };
+        let router = router::Task {
+            setup: router_setup,
+            recorder: recorder.clone(),
             clock: process.clock,
             engine: process.engine.clone(),
             peers: process.peers.clone(),
@@ -229,27 +260,36 @@
             pace,
             view: process.view.clone(),
             summary: summary.subscribe(),
+            budget: Budget {
+                name: name.clone(),
+                failure_domain: process.settings.server.failure_domain.clone(),
+                region: process.settings.server.region.clone(),
+                view: process.view.clone(),
+            },
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
         tasks.spawn(pool.run(self.peers.1, halt.clone()));
         let engine = Engine {
-            setup: cell::Setup {
-                server: name,
-                seed,
-                policy: azurepath_decide::policy::Policy::Fair,
-                region: Some(process.settings.server.region.clone()),
-            },
+            setup: cell_setup,
+            recorder,
             clock: process.clock,
             timing,
             workers: process.platform.workers.clone(),
             instances: process.instances.clone(),
-            outputs: engine::Outputs { demands, summary },
+            outputs: engine::Outputs {
+                demands,
+                summary,
+                membership: process.membership.clone(),
+                usage: self.usage.0,
+            },
             handle: process.engine.clone(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
         tasks.spawn(engine.run(self.engine.1, halt.clone()));
+        let ledger = ledger::Task::new(&process);
+        writer.spawn(ledger.run(self.usage.1));
         let service = listener::Service {
             clock: process.clock,
             engine: process.engine.clone(),
@@ -259,6 +299,7 @@
             inflight: process.inflight.clone(),
             pace,
             limit,
+            last: Arc::default(),
             log: process.log.clone(),
             metrics: process.metrics.clone(),
         };
@@ -276,11 +317,17 @@
             view: self.view,
             handed_over: self.handed_over,
         };
-        tasks.spawn(membership::run(process.clone(), outputs, halt.clone()));
+        tasks.spawn(membership::run(
+            process.clone(),
+            self.membership.1,
+            outputs,
+            halt.clone(),
+        ));
         tasks.spawn(allotment::run(process.clone(), demanded, halt.clone()));
         tasks.spawn(version::run(
             process.clone(),
             self.snapshot,
+            self.config.1,
             controlled,
             halt.clone(),
         ));
--- /dev/null
+++ b/crates/server/src/version/rows.rs
@@ -0,0 +1,104 @@
+//! The rows of the configuration.
+
+use azurepath_decide::allotment::Limit;
+use azurepath_decide::config::{Change, Entry, Head, Rows};
+use azurepath_decide::ownership::Stored;
+use azurepath_decide::resource::Kind;
+use azurepath_platform::table::{Check, Error, Row, Transaction, Write};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// The row with the revision of the last change.
+pub const HEAD: &str = "config/head";
+
+/// The beginning of the rows of changes.
+pub const CHANGES: &str = "change/";
+
+/// The beginning of the rows of resources.
+pub const RESOURCES: &str = "resource/";
+
+/// How many changes are kept in the table.
+pub const HISTORY: u64 = 10_000;
+
+/// Returns the key of a change's row; keys sort in the order of revisions.
+pub fn change(revision: u64) -> String {
+    format!("{CHANGES}{revision:020}")
+}
+
+/// Returns the key of a resource's row.
+pub fn resource(kind: Kind, name: &str) -> String {
+    format!("{RESOURCES}{kind}/{name}")
+}
+
+/// Returns the key of a limit's row.
+pub fn limit(team: &str) -> String {
+    format!("limit/{team}")
+}
+
+/// Reads the document of a row.
+///
+/// # Errors
+///
+/// Returns [`Error::Invalid`] where the document is another than agreed.
+pub fn parse<T: DeserializeOwned>(row: Row) -> Result<Stored<T>, Error> {
+    let revision = row.revision;
+    let parsed = serde_json::from_value(row.value);
+    let row = parsed.map_err(|error| Error::Invalid {
+        detail: format!("the row {}: {error}", row.key),
+    })?;
+    Ok(Stored { revision, row })
+}
+
+/// Returns the transaction that writes a change.
+pub fn transaction(rows: &Rows) -> Transaction {
+    let change_key = change(rows.change.revision);
+    let resource_key = resource(rows.change.kind, &rows.change.name);
+    let mut transaction = Transaction::default();
+    put::<Head>(
+        &mut transaction,
+        HEAD.to_owned(),
+        rows.head.revision,
+        Some(&rows.head.row),
+    );
+    put::<Change>(&mut transaction, change_key, 0, Some(&rows.change));
+    let entry = rows.resource.row.as_ref();
+    put::<Entry>(
+        &mut transaction,
+        resource_key,
+        rows.resource.revision,
+        entry,
+    );
+    if let Some(stored) = &rows.limit {
+        let key = limit(&rows.change.name);
+        put::<Limit>(&mut transaction, key, stored.revision, stored.row.as_ref());
+    }
+    if let Some(old) = rows
+        .change
+        .revision
+        .checked_sub(HISTORY)
+        .filter(|old| *old > 0)
+    {
+        transaction.writes.push(Write {
+            key: change(old),
+            value: None,
+        });
+    }
+    transaction
+}
+
+/// Adds a write of one row that must have a revision.
+pub fn put<T: Serialize>(
+    transaction: &mut Transaction,
+    key: String,
+    revision: u64,
+    row: Option<&T>,
+) {
+    transaction.checks.push(Check {
+        key: key.clone(),
+        revision,
+    });
+    // The rows' types always have a JSON form.
+    let value = row.map(|row| serde_json::to_value(row).unwrap_or(Value::Null));
+    transaction.writes.push(Write { key, value });
+}
