--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use crate::action::Action;
+use crate::ledger::{Need, Room};
 use crate::rack::Demand;
+use crate::room::Room as Workers;
+use crate::size::Size;
 
 use super::Cell;
 
@@ -35,28 +38,29 @@
         }
         self.asked = Some(self.now);
         let mut demands = Vec::new();
+        let room = |rack| Room {
+            free: rack_free(&self.room, rack),
+            capacity: self.room.capacity(rack),
+        };
         for team in 0..self.teams.len() {
-            let waiting = self.queue.waiting(team);
-            let name = &self.teams.get(team).name;
-            let bound = |rack| self.queue.bound(team, rack);
-            let free = |rack| self.rack_free(rack);
-            let wanted = self
-                .ledger
-                .demands(team, name, waiting, self.now, bound, free);
-            self.keep_within(team, &wanted);
-            demands.extend(wanted);
+            let need = Need {
+                team,
+                name: &self.teams.get(team).name,
+                anywhere: self.queue.waiting_at(team, None),
+                bound: &|rack| self.queue.waiting_at(team, Some(rack)),
+            };
+            demands.extend(self.ledger.demands(&need, self.now, room));
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
         }
     }
+}
 
-    /// Uses no more from now on than is demanded, since a demand may be met at any time.
-    fn keep_within(&mut self, team: usize, demands: &[Demand]) {
-        for demand in demands {
-            if let Some(rack) = self.ledger.find(&demand.rack) {
-                self.ledger.cap(rack, team, demand.want);
-            }
-        }
-    }
+/// Returns what is free on the open workers of a rack.
+fn rack_free(workers: &Workers, rack: usize) -> Size {
+    let rack = workers.rack(rack).iter();
+    rack.map(|&worker| workers.get(worker))
+        .filter(|worker| worker.is_open())
+        .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
 }
--- a/crates/decide/src/cell/memory.rs
+++ b/crates/decide/src/cell/memory.rs
@@ -27,8 +27,8 @@
     },
     /// Its caller was told that its fate is unknown.
     Unknown(Attempt),
-    /// Its caller was told that it never began under this target, and never will.
-    Never(Option<Target>),
+    /// Its caller was told that it never began under these targets, and never will.
+    Never(Vec<Option<Target>>),
 }
 
 /// The fates of requests, oldest first.
@@ -63,7 +63,12 @@
 
     /// Remembers that a request never may begin under a target.
     pub(super) fn never(&mut self, request: request::Id, target: Option<Target>, now: Time) {
-        self.put(request, Fate::Never(target), now);
+        let mut targets = match self.get(request) {
+            Some(Fate::Never(targets)) => targets.clone(),
+            _ => Vec::new(),
+        };
+        targets.push(target);
+        self.put(request, Fate::Never(targets), now);
     }
 
     fn put(&mut self, request: request::Id, fate: Fate, now: Time) {
