--- a/crates/decide/src/cell/intake.rs
+++ b/crates/decide/src/cell/intake.rs
@@ -79,8 +79,8 @@
         }
         match self.memory.get(id).cloned() {
             None => false,
-            Some(Fate::Never(target)) => {
-                let ruled_out = target == request.target;
+            Some(Fate::Never(targets)) => {
+                let ruled_out = targets.contains(&request.target);
                 if ruled_out {
                     self.admit(request.clone(), Phase::Sought);
                     self.deny(id, Reason::Refused);
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -66,7 +66,12 @@
                 Size::ZERO
             }
             (None, None) if !need.starved.is_zero() && !self.allotted.is_zero() => {
-                let part = Size::min(&need.starved, &self.allotted.half());
+                let part = need.starved.part_within(&self.allotted.half());
+                let part = if part.is_zero() {
+                    need.starved.part_within(&self.allotted)
+                } else {
+                    part
+                };
                 self.offer = Some(self.allotted.minus(&part));
                 Size::max(&self.allotted.minus(&part), &self.used)
             }
@@ -286,13 +291,13 @@
         let mut wanted = Vec::with_capacity(owned.len());
         for &rack in &owned {
             let room = room(rack);
-            let part = Size::min(&left, &room.free);
+            let part = left.part_within(&room.free);
             left = left.minus(&part);
             let bound = (need.bound)(rack);
-            wanted.push(Size::min(&bound.plus(&part), &room.capacity));
+            wanted.push(bound.plus(&part).part_within(&room.capacity));
         }
         for (rack, wanted) in owned.iter().zip(&mut wanted) {
-            let part = Size::min(&left, &room(*rack).capacity);
+            let part = left.part_within(&room(*rack).capacity);
             left = left.minus(&part);
             *wanted = wanted.plus(&part);
         }
