--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -38,6 +38,17 @@
 }
 
 impl Account {
+    /// Returns the part of what is held that goes to where nothing is held: half of it, or more
+    /// where half would lack a resource.
+    fn feeds(&self, starved: &Size) -> Size {
+        let half = starved.part_within(&self.allotted.half());
+        if half.is_zero() {
+            starved.part_within(&self.allotted)
+        } else {
+            half
+        }
+    }
+
     /// Tells whether it holds a part of the limit in which nothing of what waits has fitted.
     fn is_splinter(&self, now: Time) -> bool {
         let unused = self.used.is_zero() && !self.allotted.is_zero();
@@ -58,6 +69,7 @@
         } else {
             Size::max(&self.earlier, &self.peak)
         };
+        let fed = self.feeds(&need.starved);
         let want = match (self.cap, self.offer) {
             (Some(cap), _) => self.floor(cap),
             (None, Some(offer)) => Size::max(&offer, &self.used),
@@ -65,15 +77,10 @@
                 self.offer = Some(Size::ZERO);
                 Size::ZERO
             }
-            (None, None) if !need.starved.is_zero() && !self.allotted.is_zero() => {
-                let part = need.starved.part_within(&self.allotted.half());
-                let part = if part.is_zero() {
-                    need.starved.part_within(&self.allotted)
-                } else {
-                    part
-                };
-                self.offer = Some(self.allotted.minus(&part));
-                Size::max(&self.allotted.minus(&part), &self.used)
+            (None, None) if !fed.is_zero() => {
+                let kept = self.allotted.minus(&fed);
+                self.offer = Some(kept);
+                Size::max(&kept, &self.used)
             }
             (None, None) if !wanted.fits(&self.allotted) => Size::max(&wanted, &self.allotted),
             (None, None) => {
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -282,3 +282,22 @@
     assert!(starts(&bench.send(allotted(1, Size::ZERO))).is_empty());
     assert!(wants(&bench.wait(1_500)).contains(&cores(4)));
 }
+
+#[test]
+fn useless_part_not_stuck() {
+    // What is held lacks a slot, so no part of it can feed an owner that holds nothing.
+    let held = Size {
+        slots: 0,
+        ..cores(1)
+    };
+    let mut bench = bench(held);
+    let small = Team {
+        limit: cores(1),
+        ..team("a", 1)
+    };
+    let teams = vec![small];
+    bench.send(Event::Configure { revision: 2, teams });
+    bench.submit(request(1, "a", cores(1)));
+    bench.send(peer("a", cores(1), Size::ZERO));
+    assert!(wants(&bench.wait(5_000)).contains(&Size::ZERO));
+}
