--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -22,8 +22,6 @@
     offer: Option<Size>,
     /// What is booked there for the team.
     pub used: Size,
-    /// What may run there unseen, since the rack's workers have not all been claimed.
-    hidden: Size,
     /// Whether work of the team was passed over there for lack of allotment.
     pub short: bool,
     /// The most that was in use since `since`.
@@ -60,9 +58,10 @@
     }
 
     /// Takes what is held.
-    fn allot(&mut self, allotted: Size) {
+    fn allot(&mut self, allotted: Size, now: Time) {
         if !allotted.fits(&self.allotted) {
             self.earlier = Size::max(&self.earlier, &allotted);
+            self.since = now;
         }
         self.allotted = allotted;
         self.cap = self.cap.filter(|cap| !allotted.fits(cap));
@@ -71,19 +70,17 @@
 
     /// Returns the least that may be held within the present amount: `wanted`, or what is used.
     fn floor(&self, wanted: Size) -> Size {
-        let needed = Size::min(&self.used.plus(&self.hidden), &self.allotted);
-        let needed = Size::max(&self.used, &needed);
-        Size::max(&needed, &Size::min(&wanted, &self.allotted))
+        Size::max(&self.used, &Size::min(&wanted, &self.allotted))
     }
 
-    /// Returns what may still be started.
-    pub fn rest(&self) -> Size {
+    /// Returns what may still be started where workers may hide `hidden` of the team's work.
+    fn rest(&self, hidden: &Size) -> Size {
         let cap = self.cap.unwrap_or(Size::MAX);
         let offer = self.offer.unwrap_or(Size::MAX);
         let bound = Size::min(&cap, &offer);
         Size::min(&self.allotted, &bound)
             .minus(&self.used)
-            .minus(&self.hidden)
+            .minus(hidden)
     }
 }
 
@@ -117,8 +114,8 @@
     pub epoch: u64,
     /// Whether this process owns it and may place there.
     pub owned: bool,
-    /// All that workers hold which have not been claimed under the epoch.
-    pub hidden: Size,
+    /// What may run on workers of which no inventory has been seen under this epoch.
+    hidden: Size,
     /// What it holds, by the index of the team.
     accounts: Vec<Account>,
 }
@@ -173,6 +170,7 @@
         &mut self,
         rack: usize,
         allotments: &Allotments,
+        now: Time,
         mut team: impl FnMut(&Name) -> usize,
     ) {
         let mut held: BTreeMap<usize, Size> = BTreeMap::new();
@@ -181,7 +179,7 @@
         let teams: BTreeSet<usize> = known.chain(held.keys().copied()).collect();
         for team in teams {
             let size = held.get(&team).copied().unwrap_or(Size::ZERO);
-            self.account_mut(rack, team).allot(size);
+            self.account_mut(rack, team).allot(size, now);
         }
     }
 
@@ -189,17 +187,29 @@
     pub fn cap(&mut self, rack: usize, team: usize, cap: Size) -> Size {
         let account = self.account_mut(rack, team);
         account.cap = Some(cap).filter(|cap| !account.allotted.fits(cap));
-        self.account(rack, team).floor(cap)
+        let floor = account.floor(cap);
+        let allotted = account.allotted;
+        // What runs on a worker that is not known must stay covered.
+        let hidden = Size::min(&floor.plus(&self.racks[rack].hidden), &allotted);
+        Size::max(&floor, &hidden)
+    }
+
+    /// Sets what may run on workers of a rack that are not known, and tells whether it shrank.
+    pub fn hide(&mut self, rack: usize, hidden: Size) -> bool {
+        let before = std::mem::replace(&mut self.racks[rack].hidden, hidden);
+        before != hidden && hidden.fits(&before)
+    }
+
+    /// Returns what may still be started on a rack for a team.
+    pub fn rest(&self, rack: usize, team: usize) -> Size {
+        let hidden = &self.racks[rack].hidden;
+        self.account(rack, team).rest(hidden)
     }
 
     /// Returns what a rack holds for a team.
     pub fn account(&self, rack: usize, team: usize) -> Account {
-        let known = &self.racks[rack];
-        let account = known.accounts.get(team).copied().unwrap_or_default();
-        Account {
-            hidden: known.hidden,
-            ..account
-        }
+        let accounts = &self.racks[rack].accounts;
+        accounts.get(team).copied().unwrap_or_default()
     }
 
     fn account_mut(&mut self, rack: usize, team: usize) -> &mut Account {
@@ -239,11 +249,9 @@
     /// Returns demands that bring allotments to where work waits, and give back what has not been
     /// in use lately.
     ///
-    /// Work that may run on any rack is spread over those with free room first. A rack on which
-    /// work may run unseen is left as it is.
+    /// Work that may run on any rack is spread over those with free room first.
     pub fn demands(&mut self, need: &Need, now: Time, room: impl Fn(usize) -> Room) -> Vec<Demand> {
-        let seen = |rack: &usize| self.racks[*rack].hidden.is_zero();
-        let owned: Vec<usize> = self.owned().filter(seen).collect();
+        let owned: Vec<usize> = self.owned().collect();
         let mut left = need.anywhere;
         let mut wanted = Vec::with_capacity(owned.len());
         for &rack in &owned {
@@ -259,8 +267,14 @@
             *wanted = wanted.plus(&part);
         }
         let demand = |(rack, wanted): (usize, Size)| {
+            let hides = !self.racks[rack].hidden.is_zero();
             let account = self.account_mut(rack, need.team);
             let want = account.want(&wanted, now)?;
+            if hides && !account.allotted.fits(&want) {
+                // What runs on a worker that is not known must stay covered.
+                account.offer = None;
+                return None;
+            }
             Some(Demand {
                 rack: self.racks[rack].name.clone(),
                 team: need.name.clone(),
--- a/crates/decide/tests/faults.rs
+++ b/crates/decide/tests/faults.rs
@@ -56,3 +56,14 @@
     };
     assert_none(&failures(0..5, calm));
 }
+
+/// Seeds that failed once; what was seen with each is in the commit that mended it.
+#[test]
+fn kept_seeds() {
+    for seed in [4, 98] {
+        assert_none(&failures(seed..seed + 1, Plan::FAULTS));
+    }
+    for seed in [0, 2, 8, 18, 19] {
+        assert_none(&failures(seed..seed + 1, Plan::STOPS));
+    }
+}
