--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -58,12 +58,21 @@
     Writing,
 }
 
+/// What a rack wants to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Want {
+    /// The epoch of the rack's ownership when it was demanded.
+    epoch: u64,
+    size: Size,
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Escrow {
     setup: Setup,
     stage: Stage,
-    wants: BTreeMap<(Name, Name), Size>,
+    /// What racks want to hold, each under the epoch at which it was demanded.
+    wants: BTreeMap<(Name, Name), Want>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -94,7 +103,7 @@
         actions: &mut Vec<Action>,
     ) {
         match event {
-            Event::Demand(demands) => self.demand(demands),
+            Event::Demand(demands) => self.demand(demands, racks),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
             Event::Changed => {
@@ -106,10 +115,17 @@
         self.begin(now, racks, actions);
     }
 
-    fn demand(&mut self, demands: Vec<Demand>) {
+    fn demand(&mut self, demands: Vec<Demand>, racks: &BTreeMap<Name, Stored<Rack>>) {
         for demand in demands {
-            let earlier = self.wants.insert((demand.rack, demand.team), demand.want);
-            self.fresh |= earlier != Some(demand.want);
+            let Some(rack) = racks.get(&demand.rack) else {
+                continue;
+            };
+            let want = Want {
+                epoch: rack.row.owner.epoch,
+                size: demand.want,
+            };
+            let earlier = self.wants.insert((demand.rack, demand.team), want);
+            self.fresh |= earlier != Some(want);
         }
     }
 
@@ -147,12 +163,13 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
-    /// Forgets demands that are met, and those of racks owned no more.
+    /// Forgets demands that are met, and those of racks owned no more or under a later epoch: what
+    /// ran there when they were made is not what runs there now.
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
             racks.get(rack).is_some_and(|stored| {
                 let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                have != *want
+                have != want.size && stored.row.owner.epoch == want.epoch
             })
         });
     }
@@ -166,6 +183,7 @@
     ) {
         self.stage = Stage::Idle;
         self.ended = Some(now);
+        self.drop_met(racks);
         let Some(limits) = limits else {
             return;
         };
@@ -179,7 +197,7 @@
             .map(|((rack, team), want)| Demand {
                 rack: rack.clone(),
                 team: team.clone(),
-                want: *want,
+                want: want.size,
             })
             .collect();
         let plan = plan(&demands, limits, racks);
--- a/crates/decide/tests/support/faults/check.rs
+++ b/crates/decide/tests/support/faults/check.rs
@@ -48,6 +48,8 @@
     pub fn offered(&self, now: Time, worker: &Worker) -> Broken {
         let since = worker.leaving_since;
         let late = since.is_some_and(|since| now.since(since) > LEAVING_GRACE);
+        // One that has left receives nothing any more.
+        let late = late && worker.dead_since.is_none();
         ensure(!late, || {
             format!(
                 "{} was sent work though it has been leaving since {since:?}",
--- a/crates/decide/tests/support/faults/server.rs
+++ b/crates/decide/tests/support/faults/server.rs
@@ -361,6 +361,10 @@
 
     fn planned(&mut self, plan: &allotment::Plan, revision: u64, inputs: &mut VecDeque<Input>) {
         for (rack, stored) in &plan.racks {
+            let known = self.member.racks().get(rack);
+            if known.is_some_and(|known| known.revision >= revision) {
+                continue;
+            }
             let allotments = stored.row.allotments.clone();
             inputs.push_back(Input::Member(ownership::Event::Allotted {
                 rack: rack.clone(),
--- a/crates/decide/tests/support/faults/world.rs
+++ b/crates/decide/tests/support/faults/world.rs
@@ -558,6 +558,9 @@
         } else {
             self.table.apply(&op)
         };
+        if let Op::Plan(_) | Op::Write(ownership::Write::Rack { .. }) = op {
+            self.note(|| format!("{} writes {op:?}: {reply:?}", from.name));
+        }
         if !answer {
             return;
         }
