--- a/crates/decide/tests/epochs.rs
+++ b/crates/decide/tests/epochs.rs
@@ -122,6 +122,27 @@
     assert!(starts(&late).is_empty());
 }
 
+#[test]
+fn ruled_out_on_two_racks() {
+    let mut bench = Bench::ready(1, machine());
+    bench.gain("r2", 1, PLENTY);
+    bench.add("w1", "r2", machine());
+    let at = |rack: &str| Request {
+        target: Some(Target {
+            rack: rack.into(),
+            epoch: 1,
+        }),
+        ..request(9, "a", cores(1))
+    };
+    for rack in ["r1", "r2"] {
+        let resumed = bench.send(Event::Resume(at(rack)));
+        assert_eq!(answers(&resumed), [(9, not_run(Reason::Refused))]);
+    }
+    for rack in ["r1", "r2"] {
+        assert!(starts(&bench.submit(at(rack))).is_empty(), "{rack}");
+    }
+}
+
 #[test]
 fn resume_finds_ended() {
     let mut bench = Bench::new(Policy::Fair);
