--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -76,6 +76,9 @@
     pub attempt: Attempt,
     /// How it ended.
     pub outcome: Outcome,
+    /// How long ago it ended, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// Why a call to a worker failed.
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -547,6 +547,7 @@
             interval: self.engine.timing.renewal,
             calls: self.engine.workers.clone(),
             engine: self.engine.handle.clone(),
+            usage: self.engine.outputs.usage.clone(),
             metrics: self.engine.metrics.clone(),
         };
         let halt = CancellationToken::new();
--- a/crates/server/src/process/ledger.rs
+++ b/crates/server/src/process/ledger.rs
@@ -44,6 +44,13 @@
     Cancel(Attempt),
     /// An attempt has ended, or will not be heard of again.
     End(Attempt),
+    /// An attempt had ended some time before it was told.
+    EndedBefore {
+        /// The attempt.
+        attempt: Attempt,
+        /// How long ago, in milliseconds.
+        age_ms: u64,
+    },
     /// Only these attempts run on a worker.
     Only {
         /// The worker.
@@ -121,6 +128,9 @@
             Note::Begin { worker, running } => self.ledger.begin(now_ms, &worker, &running),
             Note::Cancel(attempt) => self.ledger.cancel(attempt),
             Note::End(attempt) => self.ledger.end(now_ms, attempt),
+            Note::EndedBefore { attempt, age_ms } => {
+                self.ledger.end(now_ms.saturating_sub(age_ms), attempt);
+            }
             Note::Only { worker, running } => self.ledger.only(now_ms, &worker, &running),
             Note::Report(report) => report
                 .usage
--- a/crates/server/src/process/renewal.rs
+++ b/crates/server/src/process/renewal.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::engine;
+use super::ledger::{Note, Notes};
 use crate::metrics::Metrics;
 
 /// Renews one worker.
@@ -28,6 +29,8 @@
     pub calls: Arc<dyn Worker>,
     /// The machine.
     pub engine: engine::Handle,
+    /// What is noted for the bill.
+    pub usage: Notes,
     /// The instruments.
     pub metrics: Arc<Metrics>,
 }
@@ -64,6 +67,12 @@
 
     fn tell(&self, renewal: Renewal) {
         for ended in renewal.ended {
+            let note = Note::EndedBefore {
+                attempt: ended.attempt,
+                age_ms: ended.age_ms,
+            };
+            // The ledger ends after the engine and its renewals.
+            let _ = self.usage.send(note);
             self.engine.event(Event::Ended {
                 attempt: ended.attempt,
                 worker: self.worker.clone(),
--- a/crates/standin/src/worker/state.rs
+++ b/crates/standin/src/worker/state.rs
@@ -21,6 +21,10 @@
 /// How long the end of a detached attempt is told in every renewal.
 const TOLD: Duration = Duration::from_secs(60);
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// An attempt that has ended.
 #[derive(Clone, Debug)]
 pub(super) struct Finished {
@@ -136,6 +140,7 @@
             .map(|(attempt, finished)| worker::Ended {
                 attempt: *attempt,
                 outcome: finished.outcome,
+                age_ms: millis(now - finished.at),
             })
             .collect()
     }
