--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -15,6 +15,7 @@
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::share::Summary;
 use azurepath_decide::time::Time;
+use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
 use azurepath_platform::instance::Instance;
 use azurepath_platform::worker::{Answer, Claim, Error, Order, Worker};
@@ -33,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
 use crate::process::membership;
+use crate::process::recorder;
 use crate::process::renewal::Renewer;
 use crate::settings::Timing;
 
@@ -52,10 +54,10 @@
     pub demands: mpsc::UnboundedSender<Vec<Demand>>,
     /// The newest summary of the own racks.
     pub summary: watch::Sender<Option<Arc<Summary>>>,
-    /// What is noted for the bill.
-    pub usage: ledger::Notes,
     /// Who is told of answered claims, and of refusals of a former owner.
     pub membership: membership::Handle,
+    /// What is noted for the bill.
+    pub usage: ledger::Notes,
 }
 
 /// A request that is not answered yet.
@@ -94,6 +96,8 @@
     pub instances: watch::Receiver<Arc<Vec<Instance>>>,
     /// Where other tasks are told.
     pub outputs: Outputs,
+    /// The recorder.
+    pub recorder: recorder::Handle,
     /// The engine's own handle, for tasks that it spawns.
     pub handle: Handle,
     /// The logger.
@@ -279,6 +283,8 @@
                 self.end_leases(rack);
             }
             let now = self.engine.clock.now();
+            let recorder = &self.engine.recorder;
+            recorder.note(now, || Input::Cell(event.clone()));
             let mut actions = std::mem::take(&mut self.actions);
             self.cell.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod platform;
+pub mod recorder;
 pub mod renewal;
 pub mod router;
 pub mod rows;
