A gang waits at racks that have room but no part of the team's limit

A rack asks for allotments for work that has waited there for a second, and a gang gave its places back within a millisecond: a team that had run nothing before never got a gang started. gang_job hung for 40 s on that; with the wait it passes in 4.5 s.

--- a/crates/decide/src/candidate.rs
+++ b/crates/decide/src/candidate.rs
@@ -235,6 +235,16 @@
         Some((target, server))
     }
 
+    /// Tells whether an owner has room for a request but too little of its team's limit.
+    pub fn lacks_allotment(&self, server: &Name, request: &Request) -> bool {
+        let known = self.known.get(server);
+        known.is_some_and(|known| {
+            let largest = known.summary.as_ref().map(|summary| summary.largest);
+            let room = largest.is_some_and(|largest| request.size.fits(&largest));
+            room && matches!(known.fit(request), Fit::Spent | Fit::Bare)
+        })
+    }
+
     /// Returns how far a rack is, by its own place or else its owner's.
     pub fn distance(&self, rack: &Name, server: &Server) -> Distance {
         let site = self.sites.get(rack);
--- a/crates/decide/src/job/gang.rs
+++ b/crates/decide/src/job/gang.rs
@@ -21,6 +21,12 @@
 /// The bounds of the pause after a round that found too few places or was undone.
 const ROUND_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
 
+/// How long a rack is asked again that has room and waits for a part of the team's limit.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// The pause before it is asked again.
+const LINGER_PAUSE: Duration = Duration::from_millis(250);
+
 /// The members of a gang that one rack is asked for or holds.
 #[derive(Clone, Debug)]
 struct Part {
@@ -28,6 +34,10 @@
     rack: Name,
     server: Name,
     members: Vec<u32>,
+    /// When the rack was first asked.
+    since: Time,
+    /// When the rack is asked again.
+    again: Option<Time>,
 }
 
 /// A commit that is not answered.
@@ -72,6 +82,8 @@
         if let Some(reserving) = &slot.reserving {
             if !reserving.complete && reserving.expires <= now {
                 self.fall_short(now, job, actions);
+            } else {
+                self.ask_again(now, job, work, actions);
             }
             return;
         }
@@ -115,38 +127,73 @@
             let Some(rack) = reserving.racks.pop_front() else {
                 return self.fall_short(now, job, actions);
             };
-            let Some((target, server)) = self.field.owner(&rack) else {
+            let Some((_, server)) = self.field.owner(&rack) else {
                 continue;
             };
             if server.leaving {
                 continue;
             }
             let gang = slot.state.part_id(job, &rack);
-            let member = |index: &u32| Request {
-                gang: Some(gang),
-                target: Some(target.clone()),
-                ..work.request(slot.state.task_id(job, *index, slot.state.round))
-            };
-            let ask = Ask {
-                gang,
-                members: reserving.missing.iter().map(member).collect(),
-                expires: reserving.expires,
-            };
+            let server = server.name.clone();
+            let members = reserving.missing.clone();
             reserving.asked = Some(Part {
                 gang,
                 rack,
-                server: server.name.clone(),
-                members: reserving.missing.clone(),
-            });
-            self.asks.insert(gang, (job.clone(), server.name.clone()));
-            actions.push(Action::Reserve {
-                ask,
-                server: server.name.clone(),
+                server: server.clone(),
+                members: members.clone(),
+                since: now,
+                again: None,
             });
-            return;
+            return self.reserve(job, work, actions);
+        }
+    }
+
+    /// Asks the rack again that has room and waits for a part of the team's limit.
+    fn ask_again(&mut self, now: Time, job: &Name, work: &Work, actions: &mut Vec<Action>) {
+        let slot = self.slots.get_mut(job);
+        let part = slot.and_then(|slot| slot.reserving.as_mut()?.asked.as_mut());
+        let due = part.and_then(|part| part.again.take_if(|again| *again <= now));
+        if due.is_some() {
+            self.reserve(job, work, actions);
         }
     }
 
+    /// Tells whether a rack that gave too few places may soon give more.
+    fn lingers(&self, now: Time, work: &Work, part: &Part) -> bool {
+        let request = work.request(part.gang);
+        now < part.since.after(LINGER) && self.field.lacks_allotment(&part.server, &request)
+    }
+
+    /// Sends the reservation of the rack that is being asked.
+    fn reserve(&mut self, job: &Name, work: &Work, actions: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get(job) else {
+            return;
+        };
+        let Some(reserving) = &slot.reserving else {
+            return;
+        };
+        let Some(part) = &reserving.asked else {
+            return;
+        };
+        let target = self.field.owner(&part.rack).map(|(target, _)| target);
+        let member = |index: &u32| Request {
+            gang: Some(part.gang),
+            target: target.clone(),
+            ..work.request(slot.state.task_id(job, *index, slot.state.round))
+        };
+        let ask = Ask {
+            gang: part.gang,
+            members: part.members.iter().map(member).collect(),
+            expires: reserving.expires,
+        };
+        self.asks
+            .insert(part.gang, (job.clone(), part.server.clone()));
+        actions.push(Action::Reserve {
+            ask,
+            server: part.server.clone(),
+        });
+    }
+
     /// Takes the places that an owner holds.
     pub(super) fn held(
         &mut self,
@@ -165,11 +212,26 @@
         let Some((_, work)) = self.work.get(&job).cloned() else {
             return;
         };
-        let Some(slot) = self.slots.get_mut(&job) else {
+        let Some(slot) = self.slots.get(&job) else {
             return;
         };
         let round = slot.state.round;
         let id = |index: &u32| slot.state.task_id(&job, *index, round);
+        let short = part
+            .members
+            .iter()
+            .any(|index| !members.contains(&id(index)));
+        if short && self.lingers(now, &work, &part) {
+            part.again = Some(now.after(LINGER_PAUSE));
+            if let Some(reserving) = self
+                .slots
+                .get_mut(&job)
+                .and_then(|it| it.reserving.as_mut())
+            {
+                reserving.asked = Some(part);
+            }
+            return;
+        }
         part.members.retain(|index| members.contains(&id(index)));
         let placed = part.members.clone();
         let asked = slot.reserving.as_ref().map(|known| known.missing.clone());
@@ -188,7 +250,8 @@
                 server: server.clone(),
             }));
         }
-        let Some(reserving) = &mut slot.reserving else {
+        let slot = self.slots.get_mut(&job);
+        let Some(reserving) = slot.and_then(|slot| slot.reserving.as_mut()) else {
             return;
         };
         reserving.missing.retain(|index| !placed.contains(index));
