Each rack holds a base part of each team's limit

Cause: a request is bound to one rack, and the summaries tell an entry what an owner's racks hold together, so that a request bound to a rack without allotment waited for a transaction; with the table down it expired. table_outage of rack_owners was seen failing (503 expired), and passes. Ruled out: evidence of the configuration, which was current all along.

--- a/crates/decide/src/allotment.rs
+++ b/crates/decide/src/allotment.rs
@@ -1,6 +1,7 @@
 //! Upper limits of teams as an escrow: each rack holds a part of a team's limit, and the parts never
 //! add up to more than the limit.
 
+mod base;
 mod escrow;
 mod plan;
 
@@ -22,6 +23,9 @@
     pub limit: Size,
     /// What all racks hold together.
     pub held: Size,
+    /// Whether a rack has found too little room, so that racks keep nothing that lies idle.
+    #[serde(default)]
+    pub pressed: bool,
 }
 
 impl Limit {
@@ -30,6 +34,24 @@
         self.limit.minus(&self.held)
     }
 
+    /// Returns the row after a demand that was met, or met in part only.
+    ///
+    /// The pressure ends once a quarter of the limit is free.
+    #[must_use]
+    fn after_demand(self, met: bool) -> Limit {
+        let quarter = Size {
+            millicores: self.limit.millicores / 4,
+            memory_mib: self.limit.memory_mib / 4,
+            accelerators: self.limit.accelerators / 4,
+            slots: self.limit.slots / 4,
+        };
+        let eased = quarter.fits(&self.free());
+        Limit {
+            pressed: !met || (self.pressed && !eased),
+            ..self
+        }
+    }
+
     /// Tells whether the racks hold no more than the limit.
     pub fn is_in_force(&self) -> bool {
         self.held.fits(&self.limit)
@@ -48,6 +70,6 @@
 impl Plan {
     /// Tells whether nothing would change.
     pub fn is_empty(&self) -> bool {
-        self.racks.is_empty()
+        self.limits.is_empty() && self.racks.is_empty()
     }
 }
--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::base::Base;
 use super::{Limit, Plan, plan};
 use crate::name::Name;
 use crate::ownership::{Outcome, Rack, Stored};
@@ -24,6 +25,13 @@
 /// One input of an escrow.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The number of all racks and the limits of all teams; replaces all earlier ones.
+    Fleet {
+        /// The number of all racks.
+        racks: usize,
+        /// The limits by team.
+        limits: BTreeMap<Name, Size>,
+    },
     /// The owner's machine wants racks to hold other parts.
     Demand(Vec<Demand>),
     /// The answer to [`Action::Read`]; none where the table could not be read.
@@ -63,7 +71,11 @@
 pub struct Escrow {
     setup: Setup,
     stage: Stage,
+    base: Base,
+    /// What racks want of teams' limits, by rack and team.
     wants: BTreeMap<(Name, Name), Size>,
+    /// The base parts that racks do not hold, by rack and team.
+    missing: BTreeMap<(Name, Name), Size>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -77,7 +89,9 @@
         Escrow {
             setup,
             stage: Stage::Idle,
+            base: Base::default(),
             wants: BTreeMap::new(),
+            missing: BTreeMap::new(),
             fresh: false,
             ended: None,
             review: Time(0),
@@ -94,6 +108,7 @@
         actions: &mut Vec<Action>,
     ) {
         match event {
+            Event::Fleet { racks, limits } => self.base.spread(racks, &limits),
             Event::Demand(demands) => self.demand(demands),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
@@ -108,8 +123,10 @@
 
     fn demand(&mut self, demands: Vec<Demand>) {
         for demand in demands {
-            let earlier = self.wants.insert((demand.rack, demand.team), demand.want);
-            self.fresh |= earlier != Some(demand.want);
+            // What lies idle is kept up to the base part.
+            let want = Size::max(&demand.want, &self.base.part(&demand.team));
+            let earlier = self.wants.insert((demand.rack, demand.team), want);
+            self.fresh |= earlier != Some(want);
         }
     }
 
@@ -124,7 +141,9 @@
             return;
         }
         self.drop_met(racks);
-        let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        self.prefetch(racks);
+        let wanted = self.wants.keys().chain(self.missing.keys());
+        let mut teams: BTreeSet<Name> = wanted.map(|(_, team)| team.clone()).collect();
         if now >= self.review {
             let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
             teams.extend(held.cloned());
@@ -147,6 +166,21 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
+    /// Wants the base parts that racks do not hold.
+    fn prefetch(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
+        self.missing.clear();
+        for (rack, stored) in racks {
+            for team in self.base.teams() {
+                let part = self.base.part(team);
+                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
+                if !part.fits(&have) {
+                    let want = Size::max(&part, &have);
+                    self.missing.insert((rack.clone(), team.clone()), want);
+                }
+            }
+        }
+    }
+
     /// Forgets demands that are met, and those of racks owned no more.
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
@@ -169,13 +203,23 @@
         let Some(limits) = limits else {
             return;
         };
+        for (team, limit) in limits {
+            let pressed = limit.row.pressed || !limit.row.is_in_force();
+            self.base.press(team, pressed);
+        }
         if now >= self.review {
             self.review = now.after(self.setup.review);
             self.reclaim(limits, racks, actions);
         }
+        let extra = self.missing.iter();
+        let extra = extra.filter(|((rack, team), _)| {
+            let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
+            !asked && !self.base.part(team).is_zero()
+        });
         let demands: Vec<Demand> = self
             .wants
             .iter()
+            .chain(extra)
             .map(|((rack, team), want)| Demand {
                 rack: rack.clone(),
                 team: team.clone(),
@@ -230,7 +274,7 @@
         let part = u128::from(have) * u128::from(limit) / u128::from(held);
         u64::try_from(part).unwrap_or(u64::MAX)
     };
-    let Limit { limit, held } = limit;
+    let Limit { limit, held, .. } = limit;
     Size {
         millicores: scale(have.millicores, limit.millicores, held.millicores),
         memory_mib: scale(have.memory_mib, limit.memory_mib, held.memory_mib),
--- a/crates/decide/src/allotment/plan.rs
+++ b/crates/decide/src/allotment/plan.rs
@@ -19,22 +19,21 @@
 ) -> Plan {
     let mut plan = Plan::default();
     for demand in demands {
-        change(&mut plan, demand, limits, racks, give_back);
+        change(&mut plan, demand, limits, racks, Round::GiveBack);
     }
     for demand in demands {
-        change(&mut plan, demand, limits, racks, take);
+        change(&mut plan, demand, limits, racks, Round::Take);
     }
     plan
 }
 
-/// Returns what a rack holds after giving back all that it does not want.
-fn give_back(have: &Size, want: &Size, _limit: &Limit) -> Size {
-    have.min(want)
-}
-
-/// Returns what a rack holds after taking what it wants, as far as there is room.
-fn take(have: &Size, want: &Size, limit: &Limit) -> Size {
-    have.plus(&part(&want.minus(have), &limit.free()))
+/// The rounds of a plan.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Round {
+    /// Racks give back all that they do not want.
+    GiveBack,
+    /// Racks take what they want, as far as there is room.
+    Take,
 }
 
 /// Changes what one rack holds of one limit, in both rows.
@@ -43,7 +42,7 @@
     demand: &Demand,
     limits: &BTreeMap<Name, Stored<Limit>>,
     racks: &BTreeMap<Name, Stored<Rack>>,
-    rule: impl Fn(&Size, &Size, &Limit) -> Size,
+    round: Round,
 ) {
     let limit = plan.limits.get(&demand.team);
     let rack = plan.racks.get(&demand.rack);
@@ -56,11 +55,21 @@
     let (mut limit, mut rack) = (limit.clone(), rack.clone());
     let allotments = &mut rack.row.allotments;
     let have = allotments.get(&demand.team).copied().unwrap_or_default();
-    let hold = rule(&have, &demand.want, &limit.row);
+    let hold = match round {
+        Round::GiveBack => Size::min(&have, &demand.want),
+        Round::Take => have.plus(&part(&demand.want.minus(&have), &limit.row.free())),
+    };
+    let held = limit.row.held.minus(&have).plus(&hold);
+    let row = Limit { held, ..limit.row }
+        .after_demand(round == Round::GiveBack || demand.want.fits(&hold));
     if hold == have {
+        if row != limit.row {
+            limit.row = row;
+            plan.limits.insert(demand.team.clone(), limit);
+        }
         return;
     }
-    limit.row.held = limit.row.held.minus(&have).plus(&hold);
+    limit.row = row;
     if hold.is_zero() {
         allotments.remove(&demand.team);
     } else {
--- a/crates/decide/src/config/edit.rs
+++ b/crates/decide/src/config/edit.rs
@@ -239,13 +239,19 @@
             return None;
         }
         let revision = known.as_ref().map_or(0, |stored| stored.revision);
-        let held = known.map_or(Size::ZERO, |stored| stored.row.held);
+        let (held, pressed) = known.map_or((Size::ZERO, false), |stored| {
+            (stored.row.held, stored.row.pressed)
+        });
         let limit = match &self.proposal.resource {
             Some(Resource::Team(team)) => team.limit,
             _ => Size::ZERO,
         };
         let gone = self.proposal.resource.is_none() && held.is_zero();
-        let row = (!gone).then_some(Limit { limit, held });
+        let row = (!gone).then_some(Limit {
+            limit,
+            held,
+            pressed,
+        });
         Some(Stored { revision, row })
     }
 
--- a/crates/decide/tests/allotment.rs
+++ b/crates/decide/tests/allotment.rs
@@ -78,7 +78,7 @@
         });
         let limit = Limit {
             limit: slots(limit),
-            held: Size::ZERO,
+            ..Limit::default()
         };
         let limit = Stored {
             revision: 1,
@@ -262,6 +262,37 @@
     );
 }
 
+#[test]
+fn base_parts() {
+    let mut fleet = Fleet::new(2, 4, 16);
+    for index in 0..2 {
+        let limits = BTreeMap::from([("shop".into(), slots(16))]);
+        fleet.feed(index, Event::Fleet { racks: 4, limits });
+        fleet.wait(200);
+    }
+    for rack in ["r0", "r1", "r2", "r3"] {
+        assert_eq!(
+            fleet.held(rack),
+            slots(2),
+            "half of the limit, spread over the racks"
+        );
+    }
+    // What lies idle is kept, until a rack finds too little room.
+    fleet.feed(1, Event::Demand(vec![demand("r1", "shop", slots(0))]));
+    fleet.wait(2_000);
+    assert_eq!(fleet.held("r1"), slots(2));
+    fleet.feed(0, Event::Demand(vec![demand("r0", "shop", slots(16))]));
+    fleet.wait(1_000);
+    assert_eq!(fleet.held("r0"), slots(10));
+    for _ in 0..8 {
+        for (index, rack) in [(1, "r1"), (0, "r2"), (1, "r3")] {
+            fleet.feed(index, Event::Demand(vec![demand(rack, "shop", slots(0))]));
+        }
+        fleet.wait(2_000);
+    }
+    assert_eq!(fleet.held("r0"), slots(16), "no budget is stranded");
+}
+
 #[test]
 fn moves_with_rack() {
     let mut fleet = Fleet::new(2, 1, 5);
--- a/crates/decide/tests/support/faults/world.rs
+++ b/crates/decide/tests/support/faults/world.rs
@@ -205,6 +205,7 @@
             let limit = Limit {
                 limit: team.limit,
                 held: Size::ZERO,
+                ..Limit::default()
             };
             let row = Stored {
                 revision: 1,
--- a/crates/server/src/process/allotment.rs
+++ b/crates/server/src/process/allotment.rs
@@ -50,6 +50,7 @@
     halt: CancellationToken,
 ) {
     let mut snapshot = process.snapshot.clone();
+    let mut view = process.view.clone();
     let mut state = State {
         process,
         escrow: Escrow::new(SETUP),
@@ -70,14 +71,28 @@
             }
             Ok(()) = snapshot.changed() => {
                 snapshot.borrow_and_update();
+                state.spread();
                 state.tell(Event::Changed);
             }
+            Ok(()) = view.changed() => {
+                view.borrow_and_update();
+                state.spread();
+            }
         }
     }
     state.calls.shutdown().await;
 }
 
 impl State {
+    /// Tells the escrow of the fleet's racks and the teams' limits.
+    fn spread(&mut self) {
+        let racks = self.process.view.borrow().racks.len();
+        let teams = self.process.snapshot.borrow().teams();
+        let limits = teams.into_iter().map(|team| (team.name, team.limit));
+        let limits = limits.collect();
+        self.tell(Event::Fleet { racks, limits });
+    }
+
     fn tell(&mut self, event: Event) {
         let now = self.process.clock.now();
         let owned = self.process.membership.owned();
