--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options as _;
 
+use crate::day::Day;
 use crate::exit::Failure;
 use crate::output::Format;
 
@@ -44,6 +45,8 @@
     Dump(Dump),
     /// submit a request to a queue
     Submit(Submit),
+    /// recompute the bill from the sealed segments, or verify them
+    Usage(Usage),
     /// replay a recorded trace
     Replay(Replay),
 }
@@ -139,6 +142,28 @@
     pub(crate) patience: Option<String>,
 }
 
+/// The options of `usage`.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct Usage {
+    /// print this help
+    pub(crate) help: bool,
+    /// verify, to only check the segments
+    #[options(free)]
+    pub(crate) words: Vec<String>,
+    /// the address of the platform's services (or AZUREPATH_PLATFORM)
+    #[options(meta = "ADDRESS")]
+    pub(crate) platform: Option<String>,
+    /// only this team
+    #[options(meta = "TEAM")]
+    pub(crate) team: Option<String>,
+    /// from the beginning of this day (UTC), such as 2026-12-01
+    #[options(meta = "DAY", no_short)]
+    pub(crate) from: Option<Day>,
+    /// up to the beginning of this day (UTC)
+    #[options(meta = "DAY", no_short)]
+    pub(crate) to: Option<Day>,
+}
+
 /// The options of `replay`.
 #[derive(Debug, gumdrop::Options)]
 pub(crate) struct Replay {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod client;
 mod config;
+mod day;
 mod delete;
 mod document;
 mod dump;
@@ -12,6 +13,7 @@
 mod output;
 mod replay;
 mod submit;
+mod usage;
 mod watch;
 
 use std::process::ExitCode;
@@ -43,6 +45,9 @@
     if let Some(Command::Replay(options)) = &options.command {
         return replay::run(options);
     }
+    if let Some(Command::Usage(usage)) = &options.command {
+        return runtime.block_on(usage::run(options.output, usage));
+    }
     let config = Config::new(&options)?;
     runtime.block_on(async {
         match options.command {
@@ -53,6 +58,7 @@
             Some(Command::Delete(options)) => delete::run(&config, &options).await,
             Some(Command::Dump(_)) => dump::run(&config).await,
             Some(Command::Submit(options)) => submit::run(&config, &options).await,
+            Some(Command::Usage(options)) => usage::run(config.format, &options).await,
             Some(Command::Replay(options)) => replay::run(&options),
             None => Err(Failure::usage("no command is given; try azurectl --help")),
         }
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -106,11 +106,17 @@
         finish(child).await
     }
 
+    /// Stops the server.
+    pub async fn stop_server(&mut self) -> Result<()> {
+        match self.server.take() {
+            Some(server) => server.stop().await,
+            None => Ok(()),
+        }
+    }
+
     /// Stops the server and the stand-ins.
     pub async fn stop(mut self) -> Result<()> {
-        if let Some(server) = self.server.take() {
-            server.stop().await?;
-        }
+        self.stop_server().await?;
         let _ = std::fs::remove_dir_all(&self.directory);
         self.fleet.stop().await
     }
