Workers can be drained by a resource, and by azurectl drain

drain_worker was seen failing without the notice to the owner's machine: the drained worker began all ten requests. A worker that is listed anew is no longer taken to be leaving.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -41,6 +41,8 @@
     Watch(Watch),
     /// delete a resource
     Delete(Delete),
+    /// let a worker get no new work, or all that it gets again with --undo
+    Drain(Drain),
     /// show the state of a server
     Dump(Dump),
     /// submit a request to a queue
@@ -116,6 +118,22 @@
     pub(crate) revision: Option<u64>,
 }
 
+/// The options of `drain`.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct Drain {
+    /// print this help
+    pub(crate) help: bool,
+    /// the worker
+    #[options(free)]
+    pub(crate) worker: Vec<String>,
+    /// why, for people
+    #[options(meta = "TEXT")]
+    pub(crate) reason: Option<String>,
+    /// let the worker be used again
+    #[options(no_short)]
+    pub(crate) undo: bool,
+}
+
 /// The options of `dump`.
 #[derive(Debug, gumdrop::Options)]
 pub(crate) struct Dump {
--- /dev/null
+++ b/crates/ctl/src/drain.rs
@@ -0,0 +1,49 @@
+//! `drain`.
+
+use http::Method;
+use serde_json::json;
+
+use crate::cli;
+use crate::client::{Call, call};
+use crate::config::Config;
+use crate::exit::{Exit, Failure};
+use crate::output::Format;
+
+/// Lets a worker get no new work, or work again; what runs there goes on to its end.
+pub(crate) async fn run(config: &Config, options: &cli::Drain) -> Result<Exit, Failure> {
+    let [worker] = options.worker.as_slice() else {
+        return Err(Failure::usage(
+            "one worker is meant; type azurectl drain WORKER",
+        ));
+    };
+    let reason = options.reason.as_deref().unwrap_or_default();
+    let document = json!({"reason": reason}).to_string();
+    let (method, body) = if options.undo {
+        (Method::DELETE, "")
+    } else {
+        (Method::PUT, document.as_str())
+    };
+    let answer = call(
+        config,
+        Call {
+            method,
+            path: format!("/v1/drains/{worker}"),
+            headers: Vec::new(),
+            body: body.as_bytes(),
+        },
+    )
+    .await?;
+    if !answer.status.is_success() {
+        return Err(answer.failure());
+    }
+    let done = if options.undo {
+        "is used again"
+    } else {
+        "gets no new work"
+    };
+    match config.format {
+        Format::Json => println!("{}", answer.json()),
+        Format::Table => println!("{worker} {done}"),
+    }
+    Ok(Exit::of(answer.status))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod day;
 mod delete;
 mod document;
+mod drain;
 mod dump;
 mod exit;
 mod get;
@@ -56,6 +57,7 @@
             Some(Command::Describe(options)) => get::describe(&config, &options).await,
             Some(Command::Watch(options)) => watch::run(&config, &options).await,
             Some(Command::Delete(options)) => delete::run(&config, &options).await,
+            Some(Command::Drain(options)) => drain::run(&config, &options).await,
             Some(Command::Dump(_)) => dump::run(&config).await,
             Some(Command::Submit(options)) => submit::run(&config, &options).await,
             Some(Command::Usage(options)) => usage::run(config.format, &options).await,
--- a/crates/ctl/tests/resources.rs
+++ b/crates/ctl/tests/resources.rs
@@ -78,7 +78,7 @@
         (
             &["get", "colours"],
             2,
-            "the kinds are teams, keys, queues, services, jobs",
+            "the kinds are teams, keys, queues, services, jobs, drains",
         ),
         (&["delete", "team"], 2, "type azurectl delete KIND NAME"),
         (&["get", "team", "nobody"], 4, "list the kind to see"),
@@ -117,6 +117,36 @@
     env.stop().await
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_worker() -> Result<()> {
+    let env = TestEnv::start().await?;
+    let file = env.file("all.json", DOCUMENTS)?;
+    assert_eq!(env.run(&["apply", "-f", &file]).await?.code, 0);
+    let begun = |name: &str| {
+        env.fleet
+            .worker(name)
+            .map_or(0, |one| one.record().begun.len())
+    };
+    let drained = env.run(&["drain", "zrh-a-r1-w1"]).await?;
+    assert_eq!(drained.code, 0, "{drained:?}");
+    let before = begun("zrh-a-r1-w1");
+    for _ in 0..10 {
+        let run = env.run_with(&["submit", "orders"], "", "x").await?;
+        assert_eq!(run.code, 0, "{run:?}");
+    }
+    assert_eq!(
+        begun("zrh-a-r1-w1"),
+        before,
+        "a drained worker gets no new work"
+    );
+    assert_eq!(env.run(&["drain", "zrh-a-r1-w1", "--undo"]).await?.code, 0);
+    assert_eq!(env.run(&["drain", "zrh-a-r1-w2"]).await?.code, 0);
+    let run = env.run_with(&["submit", "orders"], "", "x").await?;
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(begun("zrh-a-r1-w1"), before + 1, "and is used again");
+    env.stop().await
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn watch_changes() -> Result<()> {
     let env = TestEnv::start().await?;
--- a/crates/decide/src/config/snapshot.rs
+++ b/crates/decide/src/config/snapshot.rs
@@ -1,6 +1,6 @@
 //! All resources as of one revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Returns the names of the workers that get no new work.
+    pub fn drained(&self) -> BTreeSet<Name> {
+        let drains = self.entries.get(&Kind::Drain);
+        drains
+            .into_iter()
+            .flat_map(BTreeMap::keys)
+            .cloned()
+            .collect()
+    }
+
     /// Returns all teams in the order of their names.
     pub fn teams(&self) -> Vec<Team> {
         let entries = self
--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -59,7 +59,7 @@
         match resource {
             Resource::Job(job) => Some(Work::Job(job.clone())),
             Resource::Service(service) => Some(Work::Service(service.clone())),
-            Resource::Team(_) | Resource::Key(_) | Resource::Queue(_) => None,
+            Resource::Team(_) | Resource::Key(_) | Resource::Queue(_) | Resource::Drain(_) => None,
         }
     }
 
--- a/crates/decide/src/resource.rs
+++ b/crates/decide/src/resource.rs
@@ -38,6 +38,8 @@
     Service(Service),
     /// A batch or gang job.
     Job(Job),
+    /// A worker that gets no new work.
+    Drain(Drain),
 }
 
 impl Resource {
@@ -49,6 +51,7 @@
             Resource::Queue(queue) => &queue.name,
             Resource::Service(service) => &service.name,
             Resource::Job(job) => &job.name,
+            Resource::Drain(drain) => &drain.name,
         }
     }
 
@@ -158,6 +161,17 @@
     pub payload: String,
 }
 
+/// A worker that gets no new work, until the drain is deleted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// The worker's name.
+    pub name: Name,
+    /// Why, for people.
+    #[serde(default)]
+    pub reason: String,
+}
+
 fn yes() -> bool {
     true
 }
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -118,6 +118,7 @@
             let known = &mut self.workers[worker];
             let back = known.gone;
             known.gone = false;
+            known.leaving = false;
             known.spec.capacity = spec.capacity;
             return (worker, back);
         }
--- a/crates/server/src/api/check.rs
+++ b/crates/server/src/api/check.rs
@@ -10,6 +10,9 @@
 /// The longest name.
 const NAME_LENGTH: usize = 63;
 
+/// The longest text.
+const TEXT_LENGTH: usize = 256;
+
 /// The most tasks or replicas of one resource.
 const MOST_TASKS: u64 = 100_000;
 
@@ -44,6 +47,7 @@
     Size { empty: bool },
     Class,
     Hash,
+    Text,
 }
 
 /// A field of a document.
@@ -133,6 +137,7 @@
                 ]
             }
         }
+        Kind::Drain => const { &[may("reason", Type::Text)] },
         Kind::Job => {
             const {
                 &[
@@ -257,6 +262,12 @@
                     self.fault(field.name, &format!("write one of {}", classes.join(", ")));
                 }
             }
+            Type::Text => {
+                let right = value.as_str().is_some_and(|text| text.len() <= TEXT_LENGTH);
+                if !right {
+                    self.fault(field.name, "write a text of at most 256 bytes");
+                }
+            }
             Type::Hash => {
                 let right = value.as_str().is_some_and(|text| {
                     text.len() == HASH_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit())
--- a/crates/server/src/api/edit.rs
+++ b/crates/server/src/api/edit.rs
@@ -175,7 +175,7 @@
 
 fn names(resource: &Resource, team: &str) -> bool {
     let named = match resource {
-        Resource::Team(_) => None,
+        Resource::Team(_) | Resource::Drain(_) => None,
         Resource::Key(key) => key.team.as_ref(),
         Resource::Queue(queue) => queue.open_to.as_ref(),
         Resource::Service(service) => Some(&service.team),
--- a/crates/server/src/version/task.rs
+++ b/crates/server/src/version/task.rs
@@ -1,6 +1,6 @@
 //! The task that owns the configuration in force here and the evidence for it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use azurepath_decide::fleet::Server;
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
+use azurepath_platform::instance::{Instance, State as Listed};
 use azurepath_wire::frame::{Beat, Document, Fault, Frame};
 use serde_json::{Value, json};
 use slog::{info, warn};
@@ -62,6 +63,7 @@
     loading: bool,
     reading: bool,
     recent: VecDeque<Change>,
+    drained: BTreeSet<Name>,
     table_asked: Option<Time>,
     calls: JoinSet<Returned>,
 }
@@ -75,6 +77,7 @@
     halt: CancellationToken,
 ) {
     let mut view = process.view.clone();
+    let mut instances = process.instances.clone();
     let mut state = State {
         process,
         publish,
@@ -85,6 +88,7 @@
         loading: false,
         reading: false,
         recent: VecDeque::new(),
+        drained: BTreeSet::new(),
         table_asked: None,
         calls: JoinSet::new(),
     };
@@ -101,6 +105,10 @@
             }
             Some(received) = control.recv() => state.control(received),
             Some(message) = inbox.messages.recv() => state.take(message),
+            Ok(()) = instances.changed() => {
+                instances.borrow_and_update();
+                state.drain();
+            }
             Ok(()) = view.changed() => state.know(&view.borrow_and_update().clone()),
         }
         state.show();
@@ -312,6 +320,28 @@
             revision,
             teams: self.snapshot.teams(),
         });
+        self.release();
+        self.drain();
+    }
+
+    /// Lets workers be used again whose drain was deleted.
+    fn release(&mut self) {
+        let drained = self.snapshot.drained();
+        let earlier = std::mem::replace(&mut self.drained, drained);
+        let instances = self.process.instances.borrow().clone();
+        let live = instances.iter().filter(|one| one.state == Listed::Live);
+        for worker in live.filter_map(Instance::worker) {
+            if earlier.contains(&worker.name) && !self.drained.contains(&worker.name) {
+                self.process.engine.event(Event::Join(worker));
+            }
+        }
+    }
+
+    /// Tells the machine of drained workers, also of those that have just been listed.
+    fn drain(&self) {
+        for worker in self.drained.clone() {
+            self.process.engine.event(Event::Leave { worker });
+        }
     }
 
     fn control(&mut self, received: Control) {
