--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::base::Base;
 use super::{Limit, Plan, plan};
 use crate::name::Name;
 use crate::ownership::{Outcome, Rack, Stored};
@@ -24,6 +25,13 @@
 /// One input of an escrow.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The number of all racks and the limits of all teams; replaces all earlier ones.
+    Fleet {
+        /// The number of all racks.
+        racks: usize,
+        /// The limits by team.
+        limits: BTreeMap<Name, Size>,
+    },
     /// The owner's machine wants racks to hold other parts.
     Demand(Vec<Demand>),
     /// The answer to [`Action::Read`]; none where the table could not be read.
@@ -71,8 +79,11 @@
 pub struct Escrow {
     setup: Setup,
     stage: Stage,
+    base: Base,
     /// What racks want to hold, each under the epoch at which it was demanded.
     wants: BTreeMap<(Name, Name), Want>,
+    /// The base parts that racks do not hold, by rack and team.
+    missing: BTreeMap<(Name, Name), Size>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -86,7 +97,9 @@
         Escrow {
             setup,
             stage: Stage::Idle,
+            base: Base::default(),
             wants: BTreeMap::new(),
+            missing: BTreeMap::new(),
             fresh: false,
             ended: None,
             review: Time(0),
@@ -103,6 +116,7 @@
         actions: &mut Vec<Action>,
     ) {
         match event {
+            Event::Fleet { racks, limits } => self.base.spread(racks, &limits),
             Event::Demand(demands) => self.demand(demands, racks),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
@@ -122,7 +136,8 @@
             };
             let want = Want {
                 epoch: rack.row.owner.epoch,
-                size: demand.want,
+                // What lies idle is kept up to the base part.
+                size: Size::max(&demand.want, &self.base.part(&demand.team)),
             };
             let earlier = self.wants.insert((demand.rack, demand.team), want);
             self.fresh |= earlier != Some(want);
@@ -140,7 +155,9 @@
             return;
         }
         self.drop_met(racks);
-        let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        self.prefetch(racks);
+        let wanted = self.wants.keys().chain(self.missing.keys());
+        let mut teams: BTreeSet<Name> = wanted.map(|(_, team)| team.clone()).collect();
         if now >= self.review {
             let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
             teams.extend(held.cloned());
@@ -163,6 +180,21 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
+    /// Wants the base parts that racks do not hold.
+    fn prefetch(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
+        self.missing.clear();
+        for (rack, stored) in racks {
+            for team in self.base.teams() {
+                let part = self.base.part(team);
+                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
+                if !part.fits(&have) {
+                    let want = Size::max(&part, &have);
+                    self.missing.insert((rack.clone(), team.clone()), want);
+                }
+            }
+        }
+    }
+
     /// Forgets demands that are met, and those of racks owned no more or under a later epoch: what
     /// ran there when they were made is not what runs there now.
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
@@ -187,17 +219,26 @@
         let Some(limits) = limits else {
             return;
         };
+        for (team, limit) in limits {
+            let pressed = limit.row.pressed || !limit.row.is_in_force();
+            self.base.press(team, pressed);
+        }
         if now >= self.review {
             self.review = now.after(self.setup.review);
             self.reclaim(limits, racks, actions);
         }
-        let demands: Vec<Demand> = self
-            .wants
-            .iter()
+        let extra = self.missing.iter();
+        let extra = extra.filter(|((rack, team), _)| {
+            let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
+            !asked && !self.base.part(team).is_zero()
+        });
+        let wants = self.wants.iter().map(|(key, want)| (key, &want.size));
+        let demands: Vec<Demand> = wants
+            .chain(extra)
             .map(|((rack, team), want)| Demand {
                 rack: rack.clone(),
                 team: team.clone(),
-                want: want.size,
+                want: *want,
             })
             .collect();
         let plan = plan(&demands, limits, racks);
@@ -248,7 +289,7 @@
         let part = u128::from(have) * u128::from(limit) / u128::from(held);
         u64::try_from(part).unwrap_or(u64::MAX)
     };
-    let Limit { limit, held } = limit;
+    let Limit { limit, held, .. } = limit;
     Size {
         millicores: scale(have.millicores, limit.millicores, held.millicores),
         memory_mib: scale(have.memory_mib, limit.memory_mib, held.memory_mib),
