--- a/crates/decide/examples/decisions.rs
+++ b/crates/decide/examples/decisions.rs
@@ -2,11 +2,12 @@
 //!
 //! `cargo run --release -p azurepath-decide --example decisions`
 //!
-//! The fleet is full and a queue of the given length waits. Each round ends a running attempt and
+//! The fleet is full and a queue of the given length waits; the table takes the demands
+//! of one rack every 64 rounds. Each round ends a running attempt and
 //! submits a request; every fourth request is urgent and every sixteenth is cancelled at once. A
 //! decision is one event with all that follows from it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
@@ -16,7 +17,7 @@
 use azurepath_decide::class::Class;
 use azurepath_decide::event::Event;
 use azurepath_decide::name::Name;
-use azurepath_decide::rack::Grant;
+use azurepath_decide::rack::{Allotments, Allotted, Grant};
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::resource::Team;
 use azurepath_decide::size::Size;
@@ -30,6 +31,7 @@
 const RACK: usize = 8;
 const LONGEST_NS: u64 = 10_000_000_000;
 const DECISIONS: usize = 200_000;
+const GRANT: usize = 64;
 const STEP: Duration = Duration::from_micros(400);
 
 struct Bench {
@@ -39,6 +41,8 @@
     next: u128,
     running: VecDeque<(Attempt, Name)>,
     actions: Vec<Action>,
+    table: BTreeMap<Name, Allotments>,
+    granted: BTreeSet<Name>,
     spans: Histogram<u64>,
 }
 
@@ -73,6 +77,8 @@
             next: 0,
             running: VecDeque::new(),
             actions: Vec::new(),
+            table: BTreeMap::new(),
+            granted: BTreeSet::new(),
             spans: Histogram::new_with_bounds(1, LONGEST_NS, 3)?,
         };
         bench.own(workers);
@@ -102,11 +108,13 @@
         for worker in 0..workers {
             let rack: Name = format!("rack-{}", worker / RACK).into();
             if worker.is_multiple_of(RACK) {
-                let allotments = (0..TEAMS).map(|index| (team(index), capacity(0).times(64)));
+                let allotments = (0..TEAMS).map(|index| (team(index), capacity(0)));
+                let allotments: Allotments = allotments.collect();
+                self.table.insert(rack.clone(), allotments.clone());
                 self.handle(Event::Gain(Grant {
                     rack: rack.clone(),
                     epoch: 1,
-                    allotments: allotments.collect(),
+                    allotments,
                 }));
             }
             let name: Name = format!("worker-{worker}").into();
@@ -174,12 +182,35 @@
                     self.running.push_front(found);
                 }
             }
+            Action::Allot { demands } => {
+                for demand in demands {
+                    self.granted.insert(demand.rack.clone());
+                    let held = self.table.entry(demand.rack).or_default();
+                    held.insert(demand.team, demand.want);
+                }
+            }
             _ => {}
         }
     }
 
+    /// Lets the table take all demands of one rack.
+    fn grant(&mut self) {
+        let Some(rack) = self.granted.pop_first() else {
+            return;
+        };
+        let allotments = self.table[&rack].clone();
+        self.handle(Event::Allot(Allotted {
+            rack,
+            epoch: 1,
+            allotments,
+        }));
+    }
+
     fn round(&mut self, index: usize) {
         self.now = self.now.after(STEP);
+        if index.is_multiple_of(GRANT) {
+            self.grant();
+        }
         if let Some((attempt, worker)) = self.running.pop_front() {
             self.handle(Event::Ended {
                 attempt,
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -108,6 +108,7 @@
     arrivals: u64,
     asked: Option<Time>,
     short: bool,
+    next_asker: usize,
     rng: ChaCha8Rng,
     out: Vec<Action>,
 }
@@ -141,6 +142,7 @@
             arrivals: 0,
             asked: None,
             short: false,
+            next_asker: 0,
             rng,
             setup,
             out: Vec::new(),
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -1,11 +1,11 @@
 //! Asks for allotments where work waits, and offers of what lies idle.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::action::Action;
 use crate::ledger::{Need, Room};
 use crate::rack::Demand;
-use crate::room::Room as Workers;
 use crate::size::Size;
 
 use super::Cell;
@@ -16,6 +16,9 @@
 /// The time between two asks where work was passed over for lack of allotment since.
 const SHORT_PAUSE: Duration = Duration::from_millis(200);
 
+/// How many demands one ask holds before it leaves other teams to the next.
+const BATCH: usize = 256;
+
 impl Cell {
     /// Returns what waits for a team where nothing of its limit is held, here or elsewhere.
     fn starved(&self, team: usize) -> Size {
@@ -52,12 +55,12 @@
         }
         self.asked = Some(self.now);
         self.short = false;
+        let rooms = self.rooms();
+        let room = |rack: usize| rooms.get(&rack).copied().unwrap_or_default();
         let mut demands = Vec::new();
-        let room = |rack| Room {
-            free: rack_free(&self.room, rack),
-            capacity: self.room.capacity(rack),
-        };
-        for team in 0..self.teams.len() {
+        for _ in 0..self.teams.len() {
+            let team = self.next_asker;
+            self.next_asker = (team + 1) % self.teams.len();
             let need = Need {
                 team,
                 name: &self.teams.get(team).name,
@@ -67,17 +70,29 @@
                 bound: &|rack| self.queue.waiting_at(team, Some(rack)),
             };
             demands.extend(self.ledger.demands(&need, self.now, room));
+            if demands.len() >= BATCH {
+                break;
+            }
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
         }
     }
-}
 
-/// Returns what is free on the open workers of a rack.
-fn rack_free(workers: &Workers, rack: usize) -> Size {
-    let rack = workers.rack(rack).iter();
-    rack.map(|&worker| workers.get(worker))
-        .filter(|worker| worker.is_open())
-        .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
+    /// Returns the room of each owned rack.
+    fn rooms(&self) -> BTreeMap<usize, Room> {
+        let owned = self.ledger.owned();
+        owned.map(|rack| (rack, self.rack_room(rack))).collect()
+    }
+
+    fn rack_room(&self, rack: usize) -> Room {
+        let workers = self.room.rack(rack).iter();
+        let open = workers
+            .map(|&worker| self.room.get(worker))
+            .filter(|worker| worker.is_open());
+        Room {
+            free: open.fold(Size::ZERO, |sum, worker| sum.plus(&worker.free())),
+            capacity: self.room.capacity(rack),
+        }
+    }
 }
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -42,6 +42,10 @@
 
     fn choose(&mut self, item: &Item) -> Option<usize> {
         let size = &item.size;
+        if !self.ledger.has_rest(item.team, size) {
+            self.pass(item.team);
+            return None;
+        }
         let ledger = &self.ledger;
         let allowed = |worker: &Worker| {
             if item.rack.is_some_and(|rack| rack != worker.rack) {
@@ -101,9 +105,7 @@
     /// Notes that work of a team found no place, so that it is tried again as allotments grow.
     fn pass(&mut self, team: usize) {
         self.short = true;
-        for rack in self.ledger.owned().collect::<Vec<_>>() {
-            self.ledger.pass(rack, team);
-        }
+        self.ledger.pass_everywhere(team);
     }
 
     /// Fills the workers whose room or allotment has grown.
@@ -151,18 +153,25 @@
         let (rack, free) = (known.rack, known.free());
         for class in Class::iter() {
             for team in self.teams.order() {
-                if !self.queue.has(class, team) {
+                let spot = Spot {
+                    rack,
+                    worker,
+                    room: free,
+                };
+                let Some((_, id)) = self.queue.first(class, team, &spot) else {
                     continue;
+                };
+                let rest = self.ledger.rest(rack, team);
+                if free.fits(&rest) {
+                    return Some(id);
                 }
-                let room = Size::min(&free, &self.ledger.rest(rack, team));
-                let spot = Spot { rack, worker, room };
+                let room = Size::min(&free, &rest);
+                let spot = Spot { room, ..spot };
                 if let Some((_, id)) = self.queue.first(class, team, &spot) {
                     return Some(id);
                 }
-                let spot = Spot { room: free, ..spot };
-                if self.queue.first(class, team, &spot).is_some() {
-                    self.ledger.pass(rack, team);
-                }
+                self.ledger.pass(rack, team);
+                self.short = true;
             }
         }
         None
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -25,8 +25,6 @@
     offer: Option<Size>,
     /// What is booked there for the team.
     pub used: Size,
-    /// Whether work of the team was passed over there for lack of allotment.
-    pub short: bool,
     /// When it was last in use or grew.
     idle: Time,
     /// The most that was in use since `since`.
@@ -138,7 +136,7 @@
 }
 
 /// The room of a rack.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Room {
     /// What is free on its workers.
     pub free: Size,
@@ -165,6 +163,10 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     racks: Vec<Rack>,
+    /// What may still be started, by team and rack, side by side for searches over all racks.
+    rests: Vec<Vec<Size>>,
+    /// Whether work was passed over for lack of allotment, by team and rack.
+    short: Vec<Vec<bool>>,
     names: Map<Name, usize>,
 }
 
@@ -221,6 +223,7 @@
         for team in teams {
             let size = held.get(&team).copied().unwrap_or(Size::ZERO);
             self.account_mut(rack, team).allot(size, now);
+            self.note(rack, team);
         }
     }
 
@@ -230,6 +233,7 @@
         account.cap = Some(cap).filter(|cap| !account.allotted.fits(cap));
         let floor = account.floor(cap);
         let allotted = account.allotted;
+        self.note(rack, team);
         // What runs on a worker that is not known must stay covered.
         let hidden = Size::min(&floor.plus(&self.racks[rack].hidden), &allotted);
         Size::max(&floor, &hidden)
@@ -238,13 +242,32 @@
     /// Sets what may run on workers of a rack that are not known, and tells whether it shrank.
     pub fn hide(&mut self, rack: usize, hidden: Size) -> bool {
         let before = std::mem::replace(&mut self.racks[rack].hidden, hidden);
-        before != hidden && hidden.fits(&before)
+        if before == hidden {
+            return false;
+        }
+        for team in 0..self.racks[rack].accounts.len() {
+            self.note(rack, team);
+        }
+        hidden.fits(&before)
     }
 
     /// Returns what may still be started on a rack for a team.
     pub fn rest(&self, rack: usize, team: usize) -> Size {
+        let rests = self.rests.get(team).and_then(|racks| racks.get(rack));
+        rests.copied().unwrap_or_default()
+    }
+
+    /// Tells whether a team may start an amount on any rack.
+    pub fn has_rest(&self, team: usize, size: &Size) -> bool {
+        let rests = self.rests.get(team).into_iter().flatten();
+        rests.into_iter().any(|rest| size.fits(rest))
+    }
+
+    /// Works out anew what may still be started.
+    fn note(&mut self, rack: usize, team: usize) {
         let hidden = &self.racks[rack].hidden;
-        self.account(rack, team).rest(hidden)
+        let rest = self.account(rack, team).rest(hidden);
+        *slot(&mut self.rests, team, rack) = rest;
     }
 
     /// Returns what a rack holds for a team.
@@ -266,6 +289,7 @@
         let account = self.account_mut(rack, team);
         account.used = account.used.plus(size);
         account.peak = Size::max(&account.peak, &account.used);
+        self.note(rack, team);
     }
 
     /// Gives an amount back and tells whether work of the team had been passed over for it.
@@ -273,12 +297,20 @@
         let account = self.account_mut(rack, team);
         account.used = account.used.minus(size);
         account.idle = now;
-        std::mem::take(&mut account.short)
+        self.note(rack, team);
+        std::mem::take(slot(&mut self.short, team, rack))
     }
 
     /// Notes that work of a team was passed over for lack of allotment.
     pub fn pass(&mut self, rack: usize, team: usize) {
-        self.account_mut(rack, team).short = true;
+        *slot(&mut self.short, team, rack) = true;
+    }
+
+    /// Notes that work of a team was passed over everywhere for lack of allotment.
+    pub fn pass_everywhere(&mut self, team: usize) {
+        let last = self.racks.len().saturating_sub(1);
+        slot(&mut self.short, team, last);
+        self.short[team].fill(true);
     }
 
     /// Returns what a team holds over all owned racks.
@@ -311,12 +343,14 @@
         let demand = |(rack, wanted): (usize, Size)| {
             let hides = !self.racks[rack].hidden.is_zero();
             let account = self.account_mut(rack, need.team);
-            let want = account.want(&wanted, need, now)?;
-            if hides && !account.allotted.fits(&want) {
+            let want = account.want(&wanted, need, now);
+            let lowers = want.filter(|want| !account.allotted.fits(want)).is_some();
+            if hides && lowers {
                 // What runs on a worker that is not known must stay covered.
                 account.offer = None;
-                return None;
             }
+            self.note(rack, need.team);
+            let want = want.filter(|_| !(hides && lowers))?;
             Some(Demand {
                 rack: self.racks[rack].name.clone(),
                 team: need.name.clone(),
@@ -326,3 +360,14 @@
         owned.into_iter().zip(wanted).filter_map(demand).collect()
     }
 }
+
+fn slot<T: Clone + Default>(table: &mut Vec<Vec<T>>, team: usize, rack: usize) -> &mut T {
+    if table.len() <= team {
+        table.resize(team + 1, Vec::new());
+    }
+    let racks = &mut table[team];
+    if racks.len() <= rack {
+        racks.resize(rack + 1, T::default());
+    }
+    &mut racks[rack]
+}
