--- a/crates/decide/src/size.rs
+++ b/crates/decide/src/size.rs
@@ -84,6 +84,12 @@
         self.zip(&each, u64::saturating_mul)
     }
 
+    /// Halves every resource, rounding up.
+    #[must_use]
+    pub fn half(&self) -> Size {
+        self.zip(&Size::ZERO, |amount, _| amount.div_ceil(2))
+    }
+
     /// Returns the largest part of this amount, in the same proportions, that fits into `room`, or
     /// nothing where one of its resources would be left out.
     ///
