--- a/crates/decide/examples/measure.rs
+++ b/crates/decide/examples/measure.rs
@@ -42,8 +42,8 @@
         }
         Some("lumen") => owners("lumen", workload::lumen, seconds.unwrap_or(600)),
         Some("barafu") => owners("barafu", workload::barafu, seconds.unwrap_or(600)),
-        Some("record-lumen") => record(workload::lumen, seconds.unwrap_or(2))?,
-        Some("record-barafu") => record(workload::barafu, seconds.unwrap_or(2))?,
+        Some("record-lumen") => record(workload::lumen, seconds.unwrap_or(5))?,
+        Some("record-barafu") => record(workload::barafu, seconds.unwrap_or(5))?,
         Some("record-faults") => record_faults(seconds.unwrap_or(SEED))?,
         Some("letter") => letter(seconds.unwrap_or(300)),
         Some(other) => bail!("no workload {other:?}; give lumen, barafu or letter"),
@@ -55,7 +55,9 @@
 const TRACE_LIMIT: u64 = 1 << 20;
 
 fn record(draw: impl Fn(u64, f64, u64) -> Workload, seconds: u64) -> anyhow::Result<()> {
-    let work = draw(SEED, 1.10, seconds);
+    // One rack with more work than it can take.
+    let mut work = draw(SEED, 1.1, seconds);
+    work.workers.truncate(8);
     let setup = drive::setup(Policy::Fair);
     let end = Time::from_millis(seconds * 1_000);
     let run = Drive::run(work, setup.clone(), end, true);
--- a/crates/decide/src/cell/fate.rs
+++ b/crates/decide/src/cell/fate.rs
@@ -171,6 +171,10 @@
     /// The absence proves nothing by itself: a start that was sent may still arrive, and a worker
     /// that has been restarted remembers nothing.
     fn absent_doubt(&mut self, attempt: Attempt, worker: usize, inventory: &Inventory) {
+        if self.bookings[&attempt].epoch < inventory.epoch {
+            // A start under the lower epoch is refused from now on, and what ran is remembered.
+            return self.never_began(attempt);
+        }
         let other = |found: &Attempt| found.request == attempt.request && *found != attempt;
         let elsewhere = inventory.running.iter().map(|run| run.attempt).find(other);
         let elsewhere = elsewhere.or_else(|| inventory.ended.iter().copied().find(other));
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -248,6 +248,7 @@
         let Some(booking) = self.bookings.get_mut(&attempt) else {
             return;
         };
+        booking.epoch = self.ledger.rack(self.room.get(booking.worker).rack).epoch;
         booking.sends += 1;
         booking.state = State::Sent;
         booking.since = self.now;
--- a/crates/decide/src/meter.rs
+++ b/crates/decide/src/meter.rs
@@ -143,7 +143,7 @@
             .collect()
     }
 
-    /// Returns the mean share of the scarcest resource in use while work waits.
+    /// Returns the mean share of the scarcest resource, slots included, in use while work waits.
     pub fn packing(&self) -> Option<f64> {
         self.packing.get()
     }
@@ -167,7 +167,8 @@
             return;
         }
         let seconds = span.as_secs_f64();
-        let used = self.used.dominant(&self.capacity);
+        let slots = self.used.slots as f64 / self.capacity.slots.max(1) as f64;
+        let used = self.used.dominant(&self.capacity).max(slots);
         self.packing.add(used, seconds);
         self.distance.add(self.unfair(), seconds);
     }
