The measure grants allotments as the table would

Cause: the driver never answered demands, so what a machine had offered back stayed bound and work waited for minutes with a fifth of the fleet in use. Conclusion: demands are granted 100 ms later.

--- a/crates/decide/tests/support/drive.rs
+++ b/crates/decide/tests/support/drive.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
 
 use azurepath_decide::action::Action;
@@ -12,7 +12,7 @@
 use azurepath_decide::meter::Meter;
 use azurepath_decide::name::Name;
 use azurepath_decide::policy::Policy;
-use azurepath_decide::rack::{Allotments, Grant};
+use azurepath_decide::rack::{Allotments, Allotted, Demand, Grant};
 use azurepath_decide::replay;
 use azurepath_decide::request;
 use azurepath_decide::size::Size;
@@ -25,6 +25,9 @@
 /// How long a message to or from a worker takes.
 const DELAY: Duration = Duration::from_millis(1);
 
+/// How long the table takes to change an allotment.
+const TABLE: Duration = Duration::from_millis(100);
+
 /// The time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -79,6 +82,7 @@
     running: BTreeMap<Attempt, (Name, Size)>,
     used: BTreeMap<Name, Size>,
     capacities: BTreeMap<Name, Size>,
+    allotments: BTreeMap<Name, Allotments>,
     keep: bool,
     /// Only what comes from this time on is timed.
     timed_from: Time,
@@ -107,6 +111,7 @@
             running: BTreeMap::new(),
             used: BTreeMap::new(),
             capacities: BTreeMap::new(),
+            allotments: BTreeMap::new(),
             keep,
             timed_from,
             result: Result::default(),
@@ -135,6 +140,8 @@
         for spec in workload.workers {
             if racks.last() != Some(&spec.rack) {
                 racks.push(spec.rack.clone());
+                self.allotments
+                    .insert(spec.rack.clone(), allotments.clone());
                 let grant = Grant {
                     rack: spec.rack.clone(),
                     epoch: 1,
@@ -215,10 +222,29 @@
                 let label = replay::label(&verdict);
                 *self.result.verdicts.entry(label).or_default() += 1;
             }
+            Action::Allot { demands } => self.allot(now, demands),
             _ => {}
         }
     }
 
+    /// Grants what is demanded, as the table does while no limit binds.
+    fn allot(&mut self, now: Time, demands: Vec<Demand>) {
+        let mut racks = BTreeSet::new();
+        for demand in demands {
+            let held = self.allotments.entry(demand.rack.clone()).or_default();
+            held.insert(demand.team, demand.want);
+            racks.insert(demand.rack);
+        }
+        for rack in racks {
+            let allotted = Allotted {
+                allotments: self.allotments[&rack].clone(),
+                rack,
+                epoch: 1,
+            };
+            self.push(now.after(TABLE), Event::Allot(allotted));
+        }
+    }
+
     fn start(&mut self, now: Time, attempt: Attempt, worker: Name, size: Size) {
         self.result.starts += 1;
         let used = self.used.entry(worker.clone()).or_default();
