--- a/crates/decide/tests/jobs.rs
+++ b/crates/decide/tests/jobs.rs
@@ -169,6 +169,16 @@
     assert_eq!(world.twice, []);
 }
 
+#[test]
+fn gang_waits_for_allotment() {
+    let mut world = World::new(2);
+    world.configure(vec![job("sheets", 2, true)]);
+    world.tell_bare();
+    world.run_for(secs(30));
+    assert!(world.row("batch/sheets").finished);
+    assert_eq!(world.starts.len(), 2);
+}
+
 #[test]
 fn lost_commit() {
     let mut world = World::new(2);
--- a/crates/decide/tests/jobs/world.rs
+++ b/crates/decide/tests/jobs/world.rs
@@ -9,6 +9,8 @@
 use azurepath_decide::job::{Action, Event, Fate, Home, Row, Setup, State, Work};
 use azurepath_decide::name::Name;
 use azurepath_decide::request::{Id, Request};
+use azurepath_decide::share::Summary;
+use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
 use azurepath_decide::verdict::{Reason, Verdict};
 
@@ -70,6 +72,9 @@
     pub(crate) outcome: Outcome,
     /// Members that the next commit fails to start.
     pub(crate) stillborn: usize,
+    /// Whether racks have room but give places only to gangs that have waited for a second.
+    pub(crate) bare: bool,
+    waiting: BTreeMap<Id, Time>,
     /// Whether the next commit is lost.
     pub(crate) lose_commit: bool,
     /// Whether the next server that writes dies before it hears of it.
@@ -99,6 +104,8 @@
             run: Duration::from_secs(2),
             outcome: Outcome::Done,
             stillborn: 0,
+            bare: false,
+            waiting: BTreeMap::new(),
             lose_commit: false,
             die_on_write: false,
             hold_delays: vec![0; 3],
@@ -157,6 +164,28 @@
         self.tell_all();
     }
 
+    /// Tells every home that all owners have room and no part of any limit.
+    pub(crate) fn tell_bare(&mut self) {
+        self.bare = true;
+        for server in self.view.servers.keys() {
+            let summary = Summary {
+                server: server.clone(),
+                sequence: 1,
+                racks: vec![],
+                capacity: Size::MAX,
+                free: Size::MAX,
+                largest: Size::MAX,
+                ceiling: Size::MAX,
+                wait: Duration::ZERO,
+                teams: BTreeMap::new(),
+            };
+            for home in self.homes.keys() {
+                let event = Event::Summary(summary.clone());
+                self.events.push_back((home.clone(), event));
+            }
+        }
+    }
+
     fn tell_all(&mut self) {
         for name in self.homes.keys() {
             let configure = Event::Configure {
@@ -278,7 +307,10 @@
                     .get_mut(&target.rack)
                     .expect("known to the world");
                 let ids = ask.members.iter().map(|member| member.id);
-                let members: Vec<Id> = ids.take(rack.free()).collect();
+                let since = *self.waiting.entry(ask.gang).or_insert(self.now);
+                let waited = self.now.since(since) >= Duration::from_secs(1);
+                let free = if self.bare && !waited { 0 } else { rack.free() };
+                let members: Vec<Id> = ids.take(free).collect();
                 rack.holds.insert(ask.gang, (members.clone(), ask.expires));
                 let gang = ask.gang;
                 let number: usize = name[1..].parse().expect("a number");
