--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -53,24 +53,9 @@
         for worker in self.room.rack(rack).to_vec() {
             self.claim(worker);
         }
-        self.count_hidden(rack);
         self.resize();
     }
 
-    /// Counts what workers of a rack hold on which an earlier owner may have started work unseen.
-    fn count_hidden(&mut self, rack: usize) {
-        let epoch = self.ledger.rack(rack).epoch;
-        let workers = self.room.rack(rack).iter();
-        let workers = workers.map(|&worker| self.room.get(worker));
-        let hidden = workers
-            .filter(|worker| !worker.gone && worker.epoch != epoch)
-            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity));
-        if hidden != self.ledger.rack(rack).hidden {
-            self.ledger.rack_mut(rack).hidden = hidden;
-            self.dirty.extend(self.room.rack(rack));
-        }
-    }
-
     pub(super) fn allot(&mut self, allotted: &Allotted) {
         let Some(rack) = self.ledger.find(&allotted.rack) else {
             return;
@@ -84,7 +69,7 @@
     fn take_allotments(&mut self, rack: usize, allotments: &crate::rack::Allotments) {
         let teams = &mut self.teams;
         self.ledger
-            .allot(rack, allotments, |name| teams.index(name));
+            .allot(rack, allotments, self.now, |name| teams.index(name));
         self.dirty.extend(self.room.rack(rack));
     }
 
@@ -139,7 +124,6 @@
         if fresh && self.ledger.rack(rack).owned {
             self.claim(worker);
         }
-        self.count_hidden(rack);
         self.refresh(worker);
         self.resize();
     }
@@ -165,8 +149,6 @@
         let known = self.room.get_mut(worker);
         known.gone = true;
         known.hold = Hold::Free;
-        let rack = known.rack;
-        self.count_hidden(rack);
         self.refresh(worker);
         self.resize();
         self.unhold(worker);
@@ -228,9 +210,8 @@
         }
         let known = self.room.get_mut(worker);
         known.hold = Hold::Claimed;
-        known.epoch = inventory.epoch;
+        known.seen = inventory.epoch;
         known.silent = 0;
-        let rack = known.rack;
         for running in &inventory.running {
             self.found_running(worker, running);
         }
@@ -238,7 +219,6 @@
             self.found_ended(worker, *attempt);
         }
         self.settle_absent(worker, inventory);
-        self.count_hidden(rack);
         self.refresh(worker);
         self.settle_sought();
     }
@@ -377,8 +357,13 @@
             Circuit::Open => true,
             Circuit::Trial => !known.attempts.is_empty(),
         };
-        let owned = self.ledger.rack(known.rack).owned;
+        let rack = known.rack;
+        let owned = self.ledger.rack(rack).owned;
         self.room.refresh(worker, owned);
+        let unseen = self.room.unseen(rack, self.ledger.rack(rack).epoch);
+        if self.ledger.hide(rack, unseen) {
+            self.dirty.extend(self.room.rack(rack));
+        }
         self.dirty.insert(worker);
     }
 
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -31,6 +31,8 @@
     pub rack: usize,
     /// How far it obeys.
     pub hold: Hold,
+    /// The epoch under which its inventory was last seen.
+    pub seen: u64,
     /// Whether it takes nothing new.
     pub leaving: bool,
     /// Whether it is surely gone.
@@ -49,8 +51,6 @@
     pub promised: Size,
     /// When it is probed next, in quarantine.
     pub probe_at: Time,
-    /// The epoch under which it was last claimed.
-    pub epoch: u64,
     /// How many claims in a row went unanswered.
     pub silent: u32,
     /// Whether attempts may be started there.
@@ -118,6 +118,7 @@
             let known = &mut self.workers[worker];
             let back = known.gone;
             known.gone = false;
+            known.leaving = false;
             known.spec.capacity = spec.capacity;
             return (worker, back);
         }
@@ -132,6 +133,7 @@
             index: worker,
             rack,
             hold: Hold::Free,
+            seen: 0,
             leaving: false,
             gone: false,
             broken: false,
@@ -141,7 +143,6 @@
             ending: Size::ZERO,
             promised: Size::ZERO,
             probe_at: Time::default(),
-            epoch: 0,
             silent: 0,
             open: false,
         });
@@ -176,6 +177,14 @@
             .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
     }
 
+    /// Returns what a rack's workers hold of which no inventory has been seen under an epoch.
+    pub fn unseen(&self, rack: usize, epoch: u64) -> Size {
+        let workers = self.rack(rack).iter().map(|&worker| self.get(worker));
+        workers
+            .filter(|worker| !worker.gone && worker.seen != epoch)
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
+    }
+
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
         self.workers.iter().enumerate()
