--- a/crates/server/tests/long_work.rs
+++ b/crates/server/tests/long_work.rs
@@ -103,6 +103,40 @@
     Ok(())
 }
 
+/// Kills the home of a job whose six tasks run; each must run just once.
+async fn kill_home(gang: bool) -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut servers = vec![
+        env.server("s1", "zrh-a", "ch-north").await?,
+        env.server("s2", "dar-kariakoo", "dar").await?,
+    ];
+    for server in &servers {
+        server.ready().await?;
+    }
+    env.write(&[job("dawn", gang, r#"{"run_ms":3000}"#)])
+        .await?;
+    while begun(&env, "dawn") < 6 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let dump = servers[0].dump().await?;
+    let home = usize::from(dump["jobs"]["home_to"].get("batch/dawn").is_none());
+    servers[home].kill()?;
+    let state = finished(&env, "dawn").await?;
+    assert_eq!((state.done, state.failed, state.unknown), (6, 0, 0));
+    assert_eq!(begun(&env, "dawn"), 6, "nothing ran a second time");
+    Ok(())
+}
+
+#[tokio::test]
+async fn home_killed() -> anyhow::Result<()> {
+    kill_home(false).await
+}
+
+#[tokio::test]
+async fn gang_home_killed() -> anyhow::Result<()> {
+    kill_home(true).await
+}
+
 #[tokio::test]
 async fn service_outlives_server() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
