--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -66,16 +66,22 @@
     Writing,
 }
 
+/// What a rack wants to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Want {
+    /// The epoch of the rack's ownership when it was demanded.
+    epoch: u64,
+    size: Size,
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Escrow {
     setup: Setup,
     stage: Stage,
     base: Base,
-    /// What racks want of teams' limits, by rack and team.
-    wants: BTreeMap<(Name, Name), Size>,
-    /// The base parts that racks do not hold, by rack and team.
-    missing: BTreeMap<(Name, Name), Size>,
+    /// What racks want to hold, each under the epoch at which it was demanded.
+    wants: BTreeMap<(Name, Name), Want>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -91,7 +97,6 @@
             stage: Stage::Idle,
             base: Base::default(),
             wants: BTreeMap::new(),
-            missing: BTreeMap::new(),
             fresh: false,
             ended: None,
             review: Time(0),
@@ -109,7 +114,7 @@
     ) {
         match event {
             Event::Fleet { racks, limits } => self.base.spread(racks, &limits),
-            Event::Demand(demands) => self.demand(demands),
+            Event::Demand(demands) => self.demand(demands, racks),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
             Event::Changed => {
@@ -121,10 +126,16 @@
         self.begin(now, racks, actions);
     }
 
-    fn demand(&mut self, demands: Vec<Demand>) {
+    fn demand(&mut self, demands: Vec<Demand>, racks: &BTreeMap<Name, Stored<Rack>>) {
         for demand in demands {
-            // What lies idle is kept up to the base part.
-            let want = Size::max(&demand.want, &self.base.part(&demand.team));
+            let Some(rack) = racks.get(&demand.rack) else {
+                continue;
+            };
+            let want = Want {
+                epoch: rack.row.owner.epoch,
+                // What lies idle is kept up to the base part.
+                size: Size::max(&demand.want, &self.base.part(&demand.team)),
+            };
             let earlier = self.wants.insert((demand.rack, demand.team), want);
             self.fresh |= earlier != Some(want);
         }
@@ -141,9 +152,8 @@
             return;
         }
         self.drop_met(racks);
-        self.prefetch(racks);
-        let wanted = self.wants.keys().chain(self.missing.keys());
-        let mut teams: BTreeSet<Name> = wanted.map(|(_, team)| team.clone()).collect();
+        let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        teams.extend(self.missing(racks).into_iter().map(|demand| demand.team));
         if now >= self.review {
             let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
             teams.extend(held.cloned());
@@ -166,27 +176,33 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
-    /// Wants the base parts that racks do not hold.
-    fn prefetch(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
-        self.missing.clear();
+    /// Returns demands for the base parts that racks do not hold and nothing else is wanted of.
+    fn missing(&self, racks: &BTreeMap<Name, Stored<Rack>>) -> Vec<Demand> {
+        let mut demands = Vec::new();
         for (rack, stored) in racks {
             for team in self.base.teams() {
                 let part = self.base.part(team);
                 let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                if !part.fits(&have) {
-                    let want = Size::max(&part, &have);
-                    self.missing.insert((rack.clone(), team.clone()), want);
+                let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
+                if !asked && !part.fits(&have) {
+                    demands.push(Demand {
+                        rack: rack.clone(),
+                        team: team.clone(),
+                        want: Size::max(&part, &have),
+                    });
                 }
             }
         }
+        demands
     }
 
-    /// Forgets demands that are met, and those of racks owned no more.
+    /// Forgets demands that are met, and those of racks owned no more or under a later epoch: what
+    /// ran there when they were made is not what runs there now.
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
             racks.get(rack).is_some_and(|stored| {
                 let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                have != *want
+                have != want.size && stored.row.owner.epoch == want.epoch
             })
         });
     }
@@ -200,6 +216,7 @@
     ) {
         self.stage = Stage::Idle;
         self.ended = Some(now);
+        self.drop_met(racks);
         let Some(limits) = limits else {
             return;
         };
@@ -211,21 +228,16 @@
             self.review = now.after(self.setup.review);
             self.reclaim(limits, racks, actions);
         }
-        let extra = self.missing.iter();
-        let extra = extra.filter(|((rack, team), _)| {
-            let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
-            !asked && !self.base.part(team).is_zero()
-        });
-        let demands: Vec<Demand> = self
+        let mut demands: Vec<Demand> = self
             .wants
             .iter()
-            .chain(extra)
             .map(|((rack, team), want)| Demand {
                 rack: rack.clone(),
                 team: team.clone(),
-                want: *want,
+                want: want.size,
             })
             .collect();
+        demands.extend(self.missing(racks));
         let plan = plan(&demands, limits, racks);
         if !plan.is_empty() {
             self.stage = Stage::Writing;
