A raised demand gives nothing back

Cause: a demand that asked for more than the rack held stayed in the plan as an exact amount; where an older transaction landed late and granted more, the plan gave the difference back though the owner may have begun to use it. raise_gives_nothing_back and late_grant_kept were seen failing (the latter with base parts noted before the limits were read).

--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -72,6 +72,8 @@
     /// The epoch of the rack's ownership when it was demanded.
     epoch: u64,
     size: Size,
+    /// Whether it asked for more than the rack held then, so that it gives nothing back.
+    raise: bool,
 }
 
 /// The machine.
@@ -131,10 +133,12 @@
             let Some(rack) = racks.get(&demand.rack) else {
                 continue;
             };
+            // What lies idle is kept up to the base part.
+            let size = Size::max(&demand.want, &self.base.part(&demand.team));
             let want = Want {
                 epoch: rack.row.owner.epoch,
-                // What lies idle is kept up to the base part.
-                size: Size::max(&demand.want, &self.base.part(&demand.team)),
+                size,
+                raise: !size.fits(&held(rack, &demand.team)),
             };
             let earlier = self.wants.insert((demand.rack, demand.team), want);
             self.fresh |= earlier != Some(want);
@@ -201,8 +205,9 @@
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
             racks.get(rack).is_some_and(|stored| {
-                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                have != want.size && stored.row.owner.epoch == want.epoch
+                let have = held(stored, team);
+                let met = have == want.size || (want.raise && want.size.fits(&have));
+                !met && stored.row.owner.epoch == want.epoch
             })
         });
     }
@@ -231,10 +236,14 @@
         let mut demands: Vec<Demand> = self
             .wants
             .iter()
-            .map(|((rack, team), want)| Demand {
-                rack: rack.clone(),
-                team: team.clone(),
-                want: want.size,
+            .map(|((rack, team), want)| {
+                let have = racks.get(rack).map(|stored| held(stored, team));
+                let have = have.filter(|_| want.raise).unwrap_or_default();
+                Demand {
+                    rack: rack.clone(),
+                    team: team.clone(),
+                    want: Size::max(&want.size, &have),
+                }
             })
             .collect();
         demands.extend(self.missing(racks));
@@ -277,6 +286,12 @@
     }
 }
 
+/// Returns what a rack holds of a team's limit.
+fn held(rack: &Stored<Rack>, team: &Name) -> Size {
+    let allotments = &rack.row.allotments;
+    allotments.get(team).copied().unwrap_or_default()
+}
+
 /// Returns a rack's part of a lowered limit, in proportion to what it holds of the former one.
 fn lowered(have: &Size, limit: &Limit) -> Size {
     let scale = |have: u64, limit: u64, held: u64| {
--- a/crates/decide/tests/allotment.rs
+++ b/crates/decide/tests/allotment.rs
@@ -293,6 +293,56 @@
     assert_eq!(fleet.held("r0"), slots(16), "no budget is stranded");
 }
 
+#[test]
+fn late_grant_kept() {
+    // A transaction whose answer was lost lands while the limits are read for the base part.
+    let fleet = Fleet::new(1, 4, 16);
+    let mut escrow = Escrow::new(SETUP);
+    let mut owned = fleet.owned(0);
+    let mut actions = Vec::new();
+    let limits = BTreeMap::from([("shop".into(), slots(16))]);
+    let event = Event::Fleet { racks: 4, limits };
+    escrow.handle(Time(0), event, &owned, &mut actions);
+    assert!(matches!(actions[..], [Action::Read { .. }]), "{actions:?}");
+    let rack = owned.get_mut("r0").unwrap();
+    rack.row.allotments.insert("shop".into(), slots(10));
+    let mut limits = fleet.limits.clone();
+    limits.get_mut("shop").unwrap().row.held = slots(10);
+    actions.clear();
+    escrow.handle(Time(1), Event::Read(Some(limits)), &owned, &mut actions);
+    for action in actions {
+        if let Action::Write(plan) = action {
+            let part = plan.racks.get("r0").map(|rack| rack.row.allotments["shop"]);
+            assert!(
+                part.is_none_or(|part| slots(10).fits(&part)),
+                "{part:?} of what is in use"
+            );
+        }
+    }
+}
+
+#[test]
+fn raise_gives_nothing_back() {
+    // A rack wants 5 while it holds 3; an older transaction that grants 10 lands late.
+    let fleet = Fleet::new(1, 1, 16);
+    let mut escrow = Escrow::new(SETUP);
+    let mut owned = fleet.owned(0);
+    let hold = |owned: &mut BTreeMap<Name, Stored<Rack>>, count| {
+        let rack = owned.get_mut("r0").unwrap();
+        rack.row.allotments.insert("shop".into(), slots(count));
+    };
+    hold(&mut owned, 3);
+    let mut actions = Vec::new();
+    let event = Event::Demand(vec![demand("r0", "shop", slots(5))]);
+    escrow.handle(Time(0), event, &owned, &mut actions);
+    hold(&mut owned, 10);
+    let mut limits = fleet.limits.clone();
+    limits.get_mut("shop").unwrap().row.held = slots(10);
+    actions.clear();
+    escrow.handle(Time(1), Event::Read(Some(limits)), &owned, &mut actions);
+    assert_eq!(actions, [], "what the rack may use by now stays");
+}
+
 #[test]
 fn moves_with_rack() {
     let mut fleet = Fleet::new(2, 1, 5);
