--- a/crates/decide/tests/support/faults/world.rs
+++ b/crates/decide/tests/support/faults/world.rs
@@ -408,7 +408,7 @@
                 worker,
                 call,
                 answer,
-            } => self.worker_call(from, worker, call, answer),
+            } => self.worker_call(from, &worker, &call, answer),
             Step::Deliver {
                 from,
                 to,
@@ -474,13 +474,13 @@
     fn output(&mut self, from: &Process, output: Output) -> Broken {
         match output {
             Output::Table(op) => self.ask_table(from, op),
-            Output::Worker { worker, call } => self.ask_worker(from, worker, call),
+            Output::Worker { worker, call } => self.ask_worker(from, &worker, &call),
             Output::Start {
                 worker,
                 epoch,
                 attempt,
                 size,
-            } => return self.ask_start(from, worker, epoch, attempt, size),
+            } => return self.ask_start(from, &worker, epoch, attempt, size),
             Output::Send {
                 server,
                 call,
@@ -577,7 +577,7 @@
     fn ask_start(
         &mut self,
         from: &Process,
-        worker: Name,
+        worker: &Name,
         epoch: u64,
         attempt: Attempt,
         size: Size,
@@ -602,13 +602,13 @@
         };
         let since = self.servers[&from.name].paused_until;
         if self.now.since(since) > AWAKE {
-            self.check.offered(self.now, &self.workers[&worker])?;
+            self.check.offered(self.now, &self.workers[worker])?;
         }
-        self.ask_worker(from, worker, call);
+        self.ask_worker(from, worker, &call);
         Ok(())
     }
 
-    fn ask_worker(&mut self, from: &Process, worker: Name, call: Call) {
+    fn ask_worker(&mut self, from: &Process, worker: &Name, call: &Call) {
         let step = |answer| Step::Worker {
             from: from.clone(),
             worker: worker.clone(),
@@ -618,7 +618,7 @@
         let (first, second, third) = (step(true), step(true), step(false));
         let timeout = self.timeout();
         let timeout = self.now.after(timeout);
-        let lost = lost(&worker, &call).map(|input| Step::Input(from.clone(), input));
+        let lost = lost(worker, call).map(|input| Step::Input(from.clone(), input));
         match self.fate() {
             Fate::Fine => return self.soon(first),
             Fate::Doubled => {
@@ -637,23 +637,23 @@
         }
     }
 
-    fn worker_call(&mut self, from: Process, name: Name, call: Call, answer: bool) -> Broken {
+    fn worker_call(&mut self, from: Process, name: &Name, call: &Call, answer: bool) -> Broken {
         let now = self.now;
-        let worker = &self.workers[&name];
+        let worker = &self.workers[name];
         let dead = worker.dead_since.is_some();
         if dead || worker.silent_until > now {
-            if answer && let Some(input) = unreached(&name, &call, dead) {
+            if answer && let Some(input) = unreached(name, call, dead) {
                 let delay = if dead { self.delay() } else { self.timeout() };
                 self.at(now.after(delay), Step::Input(from, input));
             }
             return Ok(());
         }
-        let Some(worker) = self.workers.get_mut(&name) else {
+        let Some(worker) = self.workers.get_mut(name) else {
             return Ok(());
         };
-        let reply = worker.call(now, &call);
-        self.after_call(&from, &name, &call, &reply, answer)?;
-        if answer && let Some(input) = replied(&name, &call, reply) {
+        let reply = worker.call(now, call);
+        self.after_call(&from, name, call, &reply, answer)?;
+        if answer && let Some(input) = replied(name, call, reply) {
             self.soon(Step::Input(from, input));
         }
         Ok(())
@@ -1000,7 +1000,7 @@
                 |worker, _| worker.failing_until = until,
                 "worker failing",
             ),
-            7 => self.worker_fault(&worker, |worker, now| leave(worker, now), "worker leaving"),
+            7 => self.worker_fault(&worker, leave, "worker leaving"),
             _ => self.worker_death(&worker),
         };
         self.note(|| format!("FAULT {name} {server} {worker} {span:?}"));
