--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -72,6 +72,8 @@
     /// The epoch of the rack's ownership when it was demanded.
     epoch: u64,
     size: Size,
+    /// Whether it asked for more than the rack held then, so that it gives nothing back.
+    raise: bool,
 }
 
 /// The machine.
@@ -82,8 +84,6 @@
     base: Base,
     /// What racks want to hold, each under the epoch at which it was demanded.
     wants: BTreeMap<(Name, Name), Want>,
-    /// The base parts that racks do not hold, by rack and team.
-    missing: BTreeMap<(Name, Name), Size>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -99,7 +99,6 @@
             stage: Stage::Idle,
             base: Base::default(),
             wants: BTreeMap::new(),
-            missing: BTreeMap::new(),
             fresh: false,
             ended: None,
             review: Time(0),
@@ -134,10 +133,12 @@
             let Some(rack) = racks.get(&demand.rack) else {
                 continue;
             };
+            // What lies idle is kept up to the base part.
+            let size = Size::max(&demand.want, &self.base.part(&demand.team));
             let want = Want {
                 epoch: rack.row.owner.epoch,
-                // What lies idle is kept up to the base part.
-                size: Size::max(&demand.want, &self.base.part(&demand.team)),
+                size,
+                raise: !size.fits(&held(rack, &demand.team)),
             };
             let earlier = self.wants.insert((demand.rack, demand.team), want);
             self.fresh |= earlier != Some(want);
@@ -155,9 +156,8 @@
             return;
         }
         self.drop_met(racks);
-        self.prefetch(racks);
-        let wanted = self.wants.keys().chain(self.missing.keys());
-        let mut teams: BTreeSet<Name> = wanted.map(|(_, team)| team.clone()).collect();
+        let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        teams.extend(self.missing(racks).into_iter().map(|demand| demand.team));
         if now >= self.review {
             let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
             teams.extend(held.cloned());
@@ -180,19 +180,24 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
-    /// Wants the base parts that racks do not hold.
-    fn prefetch(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
-        self.missing.clear();
+    /// Returns demands for the base parts that racks do not hold and nothing else is wanted of.
+    fn missing(&self, racks: &BTreeMap<Name, Stored<Rack>>) -> Vec<Demand> {
+        let mut demands = Vec::new();
         for (rack, stored) in racks {
             for team in self.base.teams() {
                 let part = self.base.part(team);
                 let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                if !part.fits(&have) {
-                    let want = Size::max(&part, &have);
-                    self.missing.insert((rack.clone(), team.clone()), want);
+                let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
+                if !asked && !part.fits(&have) {
+                    demands.push(Demand {
+                        rack: rack.clone(),
+                        team: team.clone(),
+                        want: Size::max(&part, &have),
+                    });
                 }
             }
         }
+        demands
     }
 
     /// Forgets demands that are met, and those of racks owned no more or under a later epoch: what
@@ -200,8 +205,9 @@
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
             racks.get(rack).is_some_and(|stored| {
-                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                have != want.size && stored.row.owner.epoch == want.epoch
+                let have = held(stored, team);
+                let met = have == want.size || (want.raise && want.size.fits(&have));
+                !met && stored.row.owner.epoch == want.epoch
             })
         });
     }
@@ -227,20 +233,20 @@
             self.review = now.after(self.setup.review);
             self.reclaim(limits, racks, actions);
         }
-        let extra = self.missing.iter();
-        let extra = extra.filter(|((rack, team), _)| {
-            let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
-            !asked && !self.base.part(team).is_zero()
-        });
-        let wants = self.wants.iter().map(|(key, want)| (key, &want.size));
-        let demands: Vec<Demand> = wants
-            .chain(extra)
-            .map(|((rack, team), want)| Demand {
-                rack: rack.clone(),
-                team: team.clone(),
-                want: *want,
+        let mut demands: Vec<Demand> = self
+            .wants
+            .iter()
+            .map(|((rack, team), want)| {
+                let have = racks.get(rack).map(|stored| held(stored, team));
+                let have = have.filter(|_| want.raise).unwrap_or_default();
+                Demand {
+                    rack: rack.clone(),
+                    team: team.clone(),
+                    want: Size::max(&want.size, &have),
+                }
             })
             .collect();
+        demands.extend(self.missing(racks));
         let plan = plan(&demands, limits, racks);
         if !plan.is_empty() {
             self.stage = Stage::Writing;
@@ -280,6 +286,12 @@
     }
 }
 
+/// Returns what a rack holds of a team's limit.
+fn held(rack: &Stored<Rack>, team: &Name) -> Size {
+    let allotments = &rack.row.allotments;
+    allotments.get(team).copied().unwrap_or_default()
+}
+
 /// Returns a rack's part of a lowered limit, in proportion to what it holds of the former one.
 fn lowered(have: &Size, limit: &Limit) -> Size {
     let scale = |have: u64, limit: u64, held: u64| {
