--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -1,16 +1,35 @@
 //! Asks for allotments where work waits, and offers of what lies idle.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::action::Action;
+use crate::ledger::{Need, Room};
 use crate::rack::Demand;
+use crate::size::Size;
 
 use super::Cell;
 
-/// The shortest time between two asks.
+/// The time between two asks.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// The time between two asks where work was passed over for lack of allotment since.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
+
+/// How many demands one ask holds before it leaves other teams to the next.
+const BATCH: usize = 256;
+
 impl Cell {
+    /// Returns what waits for a team where nothing of its limit is held, here or elsewhere.
+    fn starved(&self, team: usize) -> Size {
+        let bare = |&rack: &usize| self.ledger.account(rack, team).allotted.is_zero();
+        let own = self.ledger.owned().filter(bare);
+        let own = own.fold(Size::ZERO, |sum, rack| {
+            sum.plus(&self.queue.waiting_at(team, Some(rack)))
+        });
+        self.teams.starved(team, &self.ledger.allotted(team), &own)
+    }
+
     /// Bounds what a rack uses of a lowered limit and offers the rest.
     pub(super) fn reclaim(&mut self, demand: &Demand) {
         let Some(rack) = self.ledger.find(&demand.rack) else {
@@ -29,26 +48,51 @@
     }
 
     pub(super) fn ask(&mut self) {
-        let due = self.asked.is_none_or(|at| self.now.since(at) >= PAUSE);
+        let pause = if self.short { SHORT_PAUSE } else { PAUSE };
+        let due = self.asked.is_none_or(|at| self.now.since(at) >= pause);
         if !due || self.ledger.owned().next().is_none() {
             return;
         }
         self.asked = Some(self.now);
+        self.short = false;
+        let rooms = self.rooms();
+        let room = |rack: usize| rooms.get(&rack).copied().unwrap_or_default();
         let mut demands = Vec::new();
-        for team in 0..self.teams.len() {
-            let waiting = self.queue.waiting(team);
-            let name = &self.teams.get(team).name;
-            demands.extend(self.ledger.demands(
+        for _ in 0..self.teams.len() {
+            let team = self.next_asker;
+            self.next_asker = (team + 1) % self.teams.len();
+            let need = Need {
                 team,
-                name,
-                waiting,
-                self.now,
-                |rack| self.queue.bound(team, rack),
-                |rack| self.rack_free(rack),
-            ));
+                name: &self.teams.get(team).name,
+                pressed: self.teams.waits_elsewhere(team) || !self.queue.waiting(team).is_zero(),
+                starved: self.starved(team),
+                anywhere: self.queue.waiting_at(team, None),
+                bound: &|rack| self.queue.waiting_at(team, Some(rack)),
+            };
+            demands.extend(self.ledger.demands(&need, self.now, room));
+            if demands.len() >= BATCH {
+                break;
+            }
         }
         if !demands.is_empty() {
             self.out.push(Action::Allot { demands });
         }
     }
+
+    /// Returns the room of each owned rack.
+    fn rooms(&self) -> BTreeMap<usize, Room> {
+        let owned = self.ledger.owned();
+        owned.map(|rack| (rack, self.rack_room(rack))).collect()
+    }
+
+    fn rack_room(&self, rack: usize) -> Room {
+        let workers = self.room.rack(rack).iter();
+        let open = workers
+            .map(|&worker| self.room.get(worker))
+            .filter(|worker| worker.is_open());
+        Room {
+            free: open.fold(Size::ZERO, |sum, worker| sum.plus(&worker.free())),
+            capacity: self.room.capacity(rack),
+        }
+    }
 }
--- a/crates/decide/src/cell/place.rs
+++ b/crates/decide/src/cell/place.rs
@@ -29,6 +29,9 @@
 impl Cell {
     /// Starts a waiting request on the best worker that has room for it.
     pub(super) fn seat(&mut self, id: request::Id) {
+        if self.is_stale() {
+            return;
+        }
         let Some(item) = self.queue.get(id).copied() else {
             return;
         };
@@ -39,16 +42,19 @@
 
     fn choose(&mut self, item: &Item) -> Option<usize> {
         let size = &item.size;
+        if !self.ledger.has_rest(item.team, size) {
+            self.pass(item.team);
+            return None;
+        }
         let ledger = &self.ledger;
         let allowed = |worker: &Worker| {
             if item.rack.is_some_and(|rack| rack != worker.rack) {
                 return false;
             }
-            let avoided = item.avoid.map(|avoided| &self.room.get(avoided).spec.name);
-            if avoided == Some(&worker.spec.name) {
+            if item.avoid.contains(worker.index) {
                 return false;
             }
-            let rest = ledger.account(worker.rack, item.team).rest();
+            let rest = ledger.rest(worker.rack, item.team);
             size.fits(&rest)
         };
         let find = match (self.setup.policy, item.class) {
@@ -78,9 +84,7 @@
             worker.is_open()
                 && item.rack.is_none_or(|rack| rack == worker.rack)
                 && item.size.fits(&worker.free())
-                && item
-                    .size
-                    .fits(&self.ledger.account(worker.rack, item.team).rest())
+                && item.size.fits(&self.ledger.rest(worker.rack, item.team))
         };
         let open: Vec<usize> = self
             .room
@@ -100,20 +104,36 @@
 
     /// Notes that work of a team found no place, so that it is tried again as allotments grow.
     fn pass(&mut self, team: usize) {
-        for rack in self.ledger.owned().collect::<Vec<_>>() {
-            self.ledger.pass(rack, team);
-        }
+        self.short = true;
+        self.ledger.pass_everywhere(team);
     }
 
     /// Fills the workers whose room or allotment has grown.
     pub(super) fn fill_dirty(&mut self) {
+        if self.is_stale() {
+            return;
+        }
         while let Some(worker) = self.dirty.pop_first() {
             self.fill(worker);
         }
     }
 
+    /// Tells whether what was missed during a pause is still being taken in.
+    pub(super) fn is_stale(&self) -> bool {
+        self.stale_until.is_some()
+    }
+
+    /// Places work again after a pause.
+    pub(super) fn catch_up(&mut self) {
+        if self.stale_until.is_some_and(|until| until <= self.now) {
+            self.stale_until = None;
+            self.dirty
+                .extend(self.room.iter().map(|(worker, _)| worker));
+        }
+    }
+
     fn fill(&mut self, worker: usize) {
-        while !self.queue.is_empty() && self.room.get(worker).is_open() {
+        while !self.queue.is_empty() && self.room.get(worker).has_slot() {
             let Some(id) = self.next_for(worker) else {
                 return;
             };
@@ -133,18 +153,25 @@
         let (rack, free) = (known.rack, known.free());
         for class in Class::iter() {
             for team in self.teams.order() {
-                if !self.queue.has(class, team) {
+                let spot = Spot {
+                    rack,
+                    worker,
+                    room: free,
+                };
+                let Some((_, id)) = self.queue.first(class, team, &spot) else {
                     continue;
+                };
+                let rest = self.ledger.rest(rack, team);
+                if free.fits(&rest) {
+                    return Some(id);
                 }
-                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
-                let spot = Spot { rack, worker, room };
+                let room = Size::min(&free, &rest);
+                let spot = Spot { room, ..spot };
                 if let Some((_, id)) = self.queue.first(class, team, &spot) {
                     return Some(id);
                 }
-                let spot = Spot { room: free, ..spot };
-                if self.queue.first(class, team, &spot).is_some() {
-                    self.ledger.pass(rack, team);
-                }
+                self.ledger.pass(rack, team);
+                self.short = true;
             }
         }
         None
@@ -156,7 +183,7 @@
         let mut best = None;
         for class in Class::iter() {
             for team in 0..self.teams.len() {
-                let room = Size::min(&free, &self.ledger.account(rack, team).rest());
+                let room = Size::min(&free, &self.ledger.rest(rack, team));
                 let spot = Spot { rack, worker, room };
                 if let Some(head) = self.queue.first(class, team, &spot) {
                     best = best.map_or(Some(head), |best| Some(head.min(best)));
@@ -230,6 +257,7 @@
         let Some(booking) = self.bookings.get_mut(&attempt) else {
             return;
         };
+        booking.epoch = self.ledger.rack(self.room.get(booking.worker).rack).epoch;
         booking.sends += 1;
         booking.state = State::Sent;
         booking.since = self.now;
@@ -246,8 +274,7 @@
     pub(super) fn book(&mut self, attempt: Attempt, booking: Booking) {
         let rack = self.room.get(booking.worker).rack;
         self.room.book(booking.worker, attempt, &booking.size);
-        self.ledger
-            .book(rack, booking.team, &booking.size, self.now);
+        self.ledger.book(rack, booking.team, &booking.size);
         self.teams.add(booking.team, &booking.size);
         if booking.class == Class::Service {
             let worker = booking.worker;
@@ -294,8 +321,10 @@
         self.weigh(&booking, Size::minus);
         let rack = self.room.get(booking.worker).rack;
         self.room.free(booking.worker, attempt, &booking.size);
-        let now = self.now;
-        if self.ledger.free(rack, booking.team, &booking.size, now) {
+        if self
+            .ledger
+            .free(rack, booking.team, &booking.size, self.now)
+        {
             self.dirty.extend(self.room.rack(rack));
         }
         self.teams.remove(booking.team, &booking.size);
@@ -308,13 +337,4 @@
         self.refresh_trial(booking.worker);
         Some(booking)
     }
-
-    /// Returns what is free on the open workers of a rack.
-    pub(super) fn rack_free(&self, rack: usize) -> Size {
-        let workers = self.room.rack(rack).iter();
-        workers
-            .map(|&worker| self.room.get(worker))
-            .filter(|worker| worker.is_open())
-            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.free()))
-    }
 }
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -25,10 +25,14 @@
 pub struct Worker {
     /// What the instance list says.
     pub spec: Spec,
+    /// Its own index.
+    pub index: usize,
     /// The index of its rack.
     pub rack: usize,
     /// How far it obeys.
     pub hold: Hold,
+    /// The epoch under which its inventory was last seen.
+    pub seen: u64,
     /// Whether it takes nothing new.
     pub leaving: bool,
     /// Whether it is surely gone.
@@ -59,6 +63,11 @@
         self.spec.capacity.minus(&self.booked)
     }
 
+    /// Tells whether an attempt may be started there that needs hardly anything.
+    pub fn has_slot(&self) -> bool {
+        self.open && self.booked.slots < self.spec.capacity.slots
+    }
+
     /// Tells whether attempts may be started there.
     pub fn is_open(&self) -> bool {
         self.open
@@ -109,6 +118,7 @@
             let known = &mut self.workers[worker];
             let back = known.gone;
             known.gone = false;
+            known.leaving = false;
             known.spec.capacity = spec.capacity;
             return (worker, back);
         }
@@ -120,8 +130,10 @@
         self.racks[rack].push(worker);
         self.workers.push(Worker {
             spec,
+            index: worker,
             rack,
             hold: Hold::Free,
+            seen: 0,
             leaving: false,
             gone: false,
             broken: false,
@@ -165,11 +177,26 @@
             .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
     }
 
+    /// Returns what a rack's workers hold of which no inventory has been seen under an epoch.
+    pub fn unseen(&self, rack: usize, epoch: u64) -> Size {
+        let workers = self.rack(rack).iter().map(|&worker| self.get(worker));
+        workers
+            .filter(|worker| !worker.gone && worker.seen != epoch)
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.spec.capacity))
+    }
+
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
         self.workers.iter().enumerate()
     }
 
+    /// Returns all workers, beginning with the one that `start` falls on.
+    pub fn iter_from(&self, start: usize) -> impl Iterator<Item = (usize, &Worker)> {
+        let count = self.workers.len();
+        let indexes = (0..count).map(move |index| (index + start % count) % count);
+        indexes.map(|index| (index, &self.workers[index]))
+    }
+
     /// Books an amount for an attempt.
     pub fn book(&mut self, worker: usize, attempt: Attempt, size: &Size) {
         let known = &mut self.workers[worker];
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -24,6 +24,12 @@
 /// Owners that may prove unreachable before a request's caller hears of it.
 const MAX_UNSENT: u32 = 16;
 
+/// How often a request is resumed whose owner can't tell its fate; the rack may get another owner.
+const MAX_UNKNOWNS: u32 = 6;
+
+/// How many losses an unknown fate counts for in the pause before the next resume.
+const UNKNOWN_STEP: u32 = 3;
+
 /// How long after its deadline a request still waits for the owner's word.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 
@@ -182,9 +188,14 @@
     refusals: u32,
     unsent: u32,
     lost: u32,
+    unknowns: u32,
     lost_at: Time,
     tried: BTreeSet<Name>,
     refused: Option<Verdict>,
+    /// The epoch that it was last submitted under.
+    submitted: u64,
+    /// Whether it may have begun, though it surely runs nowhere now.
+    may_have_begun: bool,
     cancelled: bool,
 }
 
@@ -314,9 +325,12 @@
             refusals: 0,
             unsent: 0,
             lost: 0,
+            unknowns: 0,
             lost_at: now,
             tried: BTreeSet::new(),
             refused: None,
+            submitted: 0,
+            may_have_begun: false,
             cancelled: false,
         };
         self.timers.insert((now, id));
@@ -389,6 +403,7 @@
             return;
         };
         flight.tried.insert(candidate.target.rack.clone());
+        flight.submitted = candidate.target.epoch;
         let request = flight.request.clone();
         self.field.note_sent(now, &candidate.server, &request);
         self.send(now, id, candidate, false, actions);
@@ -448,12 +463,28 @@
             Verdict::NotRun { reason, .. } => {
                 self.refused(now, call.request, reason, verdict, actions);
             }
-            Verdict::Ran { .. } | Verdict::Unknown { .. } => {
-                self.answer(call.request, verdict, actions);
-            }
+            Verdict::Unknown { .. } => self.untold(now, call.request, verdict, actions),
+            Verdict::Ran { .. } => self.answer(call.request, verdict, actions),
         }
     }
 
+    /// Handles that an owner can't tell what became of a request.
+    ///
+    /// An idempotent one is resumed for a while: an owner that is about to lose the rack gives up
+    /// what the next owner finds, or finds to run nowhere.
+    fn untold(&mut self, now: Time, id: request::Id, verdict: Verdict, actions: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        flight.unknowns += 1;
+        flight.may_have_begun = true;
+        if !flight.request.idempotent || flight.unknowns > MAX_UNKNOWNS {
+            return self.answer(id, verdict, actions);
+        }
+        flight.lost += UNKNOWN_STEP;
+        self.resume_later(now, id, actions);
+    }
+
     /// Returns whether the call resumes, if its verdict is awaited.
     fn awaited(&self, call: Call) -> Option<bool> {
         let flight = self.flights.get(&call.request)?;
@@ -463,7 +494,10 @@
         }
     }
 
-    /// Routes a request anew that the resumed owner says has not begun and will not.
+    /// Handles a resumed owner's word that a request is not there and never will be.
+    ///
+    /// The owner that it was submitted to knows all that it started. A later owner knows only what
+    /// it finds on the workers, and a worker that has died since may have begun the request.
     fn resumed_not_run(
         &mut self,
         now: Time,
@@ -476,6 +510,15 @@
             return;
         };
         flight.lost = 0;
+        let State::Verdict { target, .. } = &flight.state else {
+            return;
+        };
+        if target.epoch != flight.submitted {
+            flight.may_have_begun = true;
+            if !flight.request.idempotent {
+                return self.answer(id, unknown(id), actions);
+            }
+        }
         if reason == Reason::Cancelled || reason == Reason::Expired {
             return self.answer(id, verdict, actions);
         }
@@ -561,7 +604,7 @@
             return;
         };
         let rack = target.rack.clone();
-        if flight.lost == 0 {
+        if flight.lost == 0 || flight.unknowns == 1 {
             flight.lost_at = now;
         }
         flight.lost += 1;
@@ -675,6 +718,8 @@
         };
         self.timers.remove(&(flight.due, id));
         self.ownerless.remove(&id);
+        let untrue = flight.may_have_begun && matches!(verdict, Verdict::NotRun { .. });
+        let verdict = if untrue { unknown(id) } else { verdict };
         actions.push(Action::Answer {
             request: id,
             verdict,
--- a/crates/decide/tests/epochs.rs
+++ b/crates/decide/tests/epochs.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use azurepath_decide::attempt::{Outcome, Refusal};
 use azurepath_decide::event::Event;
 use azurepath_decide::policy::Policy;
@@ -120,6 +122,27 @@
     assert!(starts(&late).is_empty());
 }
 
+#[test]
+fn ruled_out_on_two_racks() {
+    let mut bench = Bench::ready(1, machine());
+    bench.gain("r2", 1, PLENTY);
+    bench.add("w1", "r2", machine());
+    let at = |rack: &str| Request {
+        target: Some(Target {
+            rack: rack.into(),
+            epoch: 1,
+        }),
+        ..request(9, "a", cores(1))
+    };
+    for rack in ["r1", "r2"] {
+        let resumed = bench.send(Event::Resume(at(rack)));
+        assert_eq!(answers(&resumed), [(9, not_run(Reason::Refused))]);
+    }
+    for rack in ["r1", "r2"] {
+        assert!(starts(&bench.submit(at(rack))).is_empty(), "{rack}");
+    }
+}
+
 #[test]
 fn resume_finds_ended() {
     let mut bench = Bench::new(Policy::Fair);
@@ -148,3 +171,17 @@
     assert_eq!(starts(&bench.claimed("w0", 1)).len(), 1);
     assert_eq!(Id(1).to_string().len(), 32);
 }
+
+#[test]
+fn waking_owner_listens() {
+    let mut bench = Bench::ready(1, machine());
+    bench.now = bench.now.after(Duration::from_secs(30));
+    assert!(starts(&bench.submit(request(1, "a", cores(1)))).is_empty());
+    bench.send(Event::Leave {
+        worker: "w0".into(),
+    });
+    assert!(starts(&bench.wait(2_000)).is_empty());
+    let mut joined = bench.add("w1", "r1", machine());
+    joined.extend(bench.wait(1_500));
+    assert_eq!(starts(&joined).len(), 1);
+}
--- a/crates/decide/tests/route.rs
+++ b/crates/decide/tests/route.rs
@@ -369,6 +369,86 @@
     assert_eq!(entry.answers[&Id(1)], ran(1));
 }
 
+/// A request that was lost with its owner, resumed at the successor, which does not know it.
+fn unknown_to_successor(idempotent: bool) -> TestEntry {
+    let mut entry = TestEntry::new(24);
+    let mut lost = request(1, Duration::from_secs(10));
+    lost.idempotent = idempotent;
+    let sent = entry.submit(lost);
+    entry.view.servers.remove(&sent.server);
+    entry.view.racks.insert(sent.rack, owner(6, 2));
+    entry.show();
+    entry.tell(Event::Broken { call: sent.call });
+    entry.pass(Duration::from_secs(1));
+    let again = entry.last();
+    assert!(again.resume);
+    entry.answer(again.call, refuse(Reason::Refused));
+    entry
+}
+
+#[test]
+fn successor_is_unsure() {
+    let entry = unknown_to_successor(false);
+    assert!(matches!(entry.answers[&Id(1)], Verdict::Unknown { .. }));
+    assert_eq!(entry.sends.len(), 2);
+}
+
+#[test]
+fn unknown_at_handover() {
+    let mut entry = TestEntry::new(26);
+    let sent = entry.submit(request(1, Duration::from_secs(10)));
+    let attempt = Attempt {
+        request: Id(1),
+        number: 2,
+    };
+    entry.answer(sent.call, Verdict::Unknown { attempt });
+    entry.view.racks.insert(sent.rack.clone(), owner(6, 2));
+    entry.show();
+    entry.step();
+    let again = entry.last();
+    assert!(again.resume);
+    assert_eq!(&*again.server, "s6");
+    entry.answer(again.call, refuse(Reason::Refused));
+    entry.step();
+    entry.answer(entry.last().call, ran(1));
+    assert_eq!(entry.answers[&Id(1)], ran(1));
+}
+
+#[test]
+fn unknown_for_good() {
+    for idempotent in [true, false] {
+        let mut entry = TestEntry::new(27);
+        let mut lost = request(1, Duration::from_secs(60));
+        lost.idempotent = idempotent;
+        entry.submit(lost);
+        let attempt = Attempt {
+            request: Id(1),
+            number: 1,
+        };
+        let mut calls = 0;
+        while entry.answers.is_empty() {
+            calls += 1;
+            assert!(calls < 20, "no end");
+            entry.answer(entry.last().call, Verdict::Unknown { attempt });
+            if entry.answers.is_empty() {
+                entry.step();
+            }
+        }
+        assert!(matches!(entry.answers[&Id(1)], Verdict::Unknown { .. }));
+        assert_eq!(calls > 1, idempotent);
+    }
+}
+
+#[test]
+fn refused_after_loss() {
+    let mut entry = unknown_to_successor(true);
+    entry.step();
+    let anew = entry.last();
+    assert!(!anew.resume);
+    entry.answer(anew.call, refuse(Reason::Expired));
+    assert!(matches!(entry.answers[&Id(1)], Verdict::Unknown { .. }));
+}
+
 #[test]
 fn wrong_owner_is_unsure() {
     let mut entry = TestEntry::new(10);
@@ -512,6 +592,23 @@
     assert_eq!(entry.answers[&Id(2)], refuse(Reason::TooLarge));
 }
 
+#[test]
+fn workers_unknown() {
+    let mut entry = TestEntry::new(19);
+    for index in 0..7 {
+        let early = Summary {
+            ceiling: Size::ZERO,
+            ..summary(index, 1, 500)
+        };
+        entry.tell(Event::Summary(early));
+    }
+    entry.submit(request(1, Duration::from_secs(60)));
+    assert!(
+        entry.answers.is_empty(),
+        "an owner that knows no worker yet"
+    );
+}
+
 #[test]
 fn over_limit() {
     let mut entry = TestEntry::new(20);
--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -27,6 +27,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
+use super::super::ledger::{self, Note};
 use super::calls::{Calls, Place, Returned};
 use super::replies::Replies;
 use super::{Handle, Message, Reply, Submission};
@@ -55,6 +56,8 @@
     pub summary: watch::Sender<Option<Arc<Summary>>>,
     /// Who is told of answered claims, and of refusals of a former owner.
     pub membership: membership::Handle,
+    /// What is noted for the bill.
+    pub usage: ledger::Notes,
 }
 
 /// A request that is not answered yet.
@@ -116,6 +119,7 @@
             replies: Replies::default(),
             answers: Map::default(),
             holds: BTreeMap::new(),
+            members: BTreeMap::new(),
             leases: BTreeMap::new(),
             contacts: Map::default(),
             renewals: JoinSet::new(),
@@ -136,6 +140,8 @@
     replies: Replies,
     answers: Map<Attempt, Bytes>,
     holds: BTreeMap<Id, oneshot::Sender<Hold>>,
+    /// The expected members of each gang that has not begun.
+    members: BTreeMap<Id, Vec<Id>>,
     leases: BTreeMap<Name, Lease>,
     contacts: Map<Name, Contact>,
     renewals: JoinSet<()>,
@@ -177,7 +183,7 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(event) => self.tell(event),
-            Message::Expect(submission, reply) => self.register(submission, reply),
+            Message::Expect(submission, reply) => self.expect(submission, reply),
             Message::Submit(submission, reply) => self.submit(submission, reply, Event::Submit),
             Message::Resume(submission, reply) => self.submit(submission, reply, Event::Resume),
             Message::Reserve(ask, reply) => {
@@ -204,8 +210,39 @@
         }
         let known = self.requests.contains_key(&request.id);
         self.register(submission, reply);
-        if !known {
-            self.tell(event(request));
+        let event = event(request);
+        // A member of a gang is known before the machine has it, or after it has dropped it.
+        if !known || matches!(event, Event::Resume(_)) {
+            self.tell(event);
+        }
+    }
+
+    /// Registers a member of a gang.
+    fn expect(&mut self, submission: Submission, reply: oneshot::Sender<Reply>) {
+        if let Some(gang) = submission.request.gang {
+            let members = self.members.entry(gang).or_default();
+            members.push(submission.request.id);
+        }
+        self.register(submission, reply);
+    }
+
+    /// Answers the expected members of a gang that hold no place any more.
+    fn dismiss(&mut self, gang: Id, held: &[Id]) {
+        let Some(members) = self.members.remove(&gang) else {
+            return;
+        };
+        let (stay, go): (Vec<Id>, Vec<Id>) = members
+            .into_iter()
+            .partition(|member| held.contains(member));
+        if !stay.is_empty() {
+            self.members.insert(gang, stay);
+        }
+        for member in go {
+            let verdict = Verdict::NotRun {
+                reason: Reason::Gang,
+                retry_after: None,
+            };
+            self.answer(member, verdict);
         }
     }
 
@@ -234,6 +271,14 @@
     fn tell(&mut self, event: Event) {
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
+            self.note(&event);
+            if let Event::Release { gang } = &event {
+                self.dismiss(*gang, &[]);
+            }
+            let begun = match &event {
+                Event::Commit { gang } => Some(*gang),
+                _ => None,
+            };
             if let Event::Lose { rack } = &event {
                 self.end_leases(rack);
             }
@@ -244,9 +289,36 @@
             self.cell.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
+            if let Some(gang) = begun {
+                self.members.remove(&gang);
+            }
+        }
+    }
+
+    /// Notes for the bill what an event says.
+    fn note(&self, event: &Event) {
+        match event {
+            Event::Claimed(inventory) => self.bill(Note::Only {
+                worker: inventory.worker.clone(),
+                running: inventory.running.clone(),
+            }),
+            Event::Gone { worker } => self.bill(Note::free(worker)),
+            Event::Refused { attempt, .. } => self.bill(Note::Cancel(*attempt)),
+            Event::Ended { attempt, .. } => self.bill(Note::End(*attempt)),
+            Event::Report(report) => self.bill(Note::Report(report.clone())),
+            Event::Lose { rack } => {
+                let lost = self.leases.iter().filter(|(_, lease)| lease.rack == *rack);
+                lost.for_each(|(worker, _)| self.bill(Note::free(worker)));
+            }
+            _ => {}
         }
     }
 
+    fn bill(&self, note: Note) {
+        // The ledger ends after the engine.
+        let _ = self.engine.outputs.usage.send(note);
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Claim { worker, epoch } => self.claim(worker, epoch),
@@ -279,6 +351,8 @@
                 let _ = self.engine.outputs.demands.send(demands);
             }
             Action::Held(hold) => {
+                let held: Vec<Id> = hold.places.iter().map(|place| place.member).collect();
+                self.dismiss(hold.gang, &held);
                 if let Some(reply) = self.holds.remove(&hold.gang) {
                     let _ = reply.send(hold);
                 }
@@ -332,6 +406,10 @@
         };
         let payload = pending.submission.payload.clone();
         let patience = self.patience(request.deadline);
+        self.bill(Note::Begin {
+            worker: worker.clone(),
+            running: order.running.clone(),
+        });
         self.engine.metrics.attempts.add(1, &[]);
         self.calls
             .start(Place { worker, address }, order, payload, patience);
@@ -359,6 +437,9 @@
     }
 
     fn answer(&mut self, request: Id, verdict: Verdict) {
+        if let Verdict::Unknown { attempt } = &verdict {
+            self.bill(Note::End(*attempt));
+        }
         let payload = match &verdict {
             Verdict::Ran { attempt, .. } => self.answers.remove(attempt).unwrap_or_default(),
             Verdict::NotRun { .. } | Verdict::Unknown { .. } => Bytes::new(),
@@ -472,6 +553,7 @@
             interval: self.engine.timing.renewal,
             calls: self.engine.workers.clone(),
             engine: self.engine.handle.clone(),
+            usage: self.engine.outputs.usage.clone(),
             metrics: self.engine.metrics.clone(),
         };
         let halt = CancellationToken::new();
