Workers of a lost rack are renewed until their next owner claims them

Cause: a stopping server gave up its leases as it gave up its racks, so that work in flight was stopped when its lease ended before a successor had claimed the worker. Conclusion: renewing under a lower epoch harms nothing, since a claimed worker refuses it and the renewal ends there.

--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -279,9 +279,6 @@
                 Event::Commit { gang } => Some(*gang),
                 _ => None,
             };
-            if let Event::Lose { rack } = &event {
-                self.end_leases(rack);
-            }
             let now = self.engine.clock.now();
             let recorder = &self.engine.recorder;
             recorder.note(now, || Input::Cell(event.clone()));
@@ -542,6 +539,9 @@
     }
 
     /// Begins to renew a worker under a new epoch.
+    ///
+    /// A worker of a rack that is lost is renewed until it obeys a higher epoch, since work that is
+    /// answered here still runs there.
     fn renew(&mut self, worker: Name, epoch: u64) {
         let Some(contact) = self.contacts.get(&worker).cloned() else {
             return;
@@ -568,16 +568,6 @@
         }
     }
 
-    fn end_leases(&mut self, rack: &Name) {
-        self.leases.retain(|_, lease| {
-            let keep = lease.rack != *rack;
-            if !keep {
-                lease.halt.cancel();
-            }
-            keep
-        });
-    }
-
     fn leased(&self, worker: &Name) -> Option<(Place, u64)> {
         let epoch = self.leases.get(worker)?.epoch;
         let place = Place {
--- a/crates/server/tests/graceful_stop.rs
+++ b/crates/server/tests/graceful_stop.rs
@@ -83,6 +83,46 @@
     Ok(())
 }
 
+/// Leases that end several times while the request runs.
+const SHORT_LEASE: &str =
+    "[timing]\nlinger = 100ms\ninstances = 100ms\nlease = 1s\nrenewal = 200ms\n";
+
+#[tokio::test]
+async fn answer_past_lease() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let mut server = env
+        .server_with("s1", "zrh-a", "ch-north", SHORT_LEASE)
+        .await?;
+    server.ready().await?;
+    assert_eq!(get(server.http, "/readyz").await?.status, 200);
+
+    let key = format!("Bearer {AUDIT}");
+    let headers = [("authorization", key.as_str())];
+    let body = r#"{"run_ms": 2500, "answer": "late but whole"}"#;
+    let request = server.submit("audits", body, &headers);
+    let stop = async {
+        until(async || {
+            env.fleet
+                .records()
+                .iter()
+                .any(|(_, record)| !record.begun.is_empty())
+        })
+        .await;
+        server.signal("TERM")?;
+        until(async || server.logged("stopping").is_some()).await;
+        get(server.http, "/readyz").await
+    };
+    let (answer, ready) = tokio::join!(request, stop);
+
+    assert_eq!(ready?.status, 503);
+    let answer = answer?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(answer.text(), "late but whole");
+    assert!(server.wait().await?.success());
+    assert!(server.logged("stopped").is_some());
+    Ok(())
+}
+
 #[tokio::test]
 async fn hangup_ignored() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
