--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -607,7 +607,7 @@
             "calls": self.calls.count(),
             "kept_replies": self.replies.count(),
             "leases": leases,
-            "cell": format!("{:?}", self.cell),
+            "cell": self.cell.dump(),
         })
     }
 }
