The benchmark writes its resources as operators do

Cause: it wrote rows of resources without the change log, which servers refuse to read since configuration has revisions, so the server took no work.

--- a/crates/server/examples/bench.rs
+++ b/crates/server/examples/bench.rs
@@ -12,13 +12,15 @@
 use anyhow::{Context, Result, ensure};
 use azurepath_decide::attempt::{Attempt, Running};
 use azurepath_decide::class::Class;
+use azurepath_decide::config::{Condition, Proposal};
 use azurepath_decide::request::Id;
 use azurepath_decide::resource::{Queue, Resource, Team};
 use azurepath_decide::size::Size;
-use azurepath_platform::table::{self, Table, Transaction, Write};
+use azurepath_platform::table;
 use azurepath_platform::worker::{self, Claim, Order, Worker};
 use azurepath_server::Server;
 use azurepath_server::settings::Settings;
+use azurepath_server::version::store;
 use azurepath_standin::fleet::{Fleet, Rack};
 use azurepath_standin::worker::{Settings as StandinSettings, Standin};
 use bytes::Bytes;
@@ -168,19 +170,17 @@
         estimate_ms: 1,
         idempotent: true,
     });
-    let write = |resource: Resource| -> Result<Write> {
-        Ok(Write {
-            key: format!("resource/{}/{}", resource.kind(), resource.name()),
-            value: Some(serde_json::to_value(&resource)?),
-        })
-    };
-    let transaction = Transaction {
-        checks: Vec::new(),
-        writes: vec![write(team)?, write(queue)?],
-    };
-    table::Client::new(fleet.address())
-        .transact(transaction)
-        .await?;
+    let table = table::Client::new(fleet.address());
+    for resource in [team, queue] {
+        let proposal = Proposal {
+            write: resource.name().clone(),
+            kind: resource.kind(),
+            name: resource.name().clone(),
+            resource: Some(resource),
+            condition: Condition::Any,
+        };
+        store::edit(&table, proposal).await?;
+    }
     Ok(())
 }
 
