--- a/crates/decide/examples/measure.rs
+++ b/crates/decide/examples/measure.rs
@@ -1,9 +1,13 @@
 //! Measures the policies on generated workloads.
 //!
 //!     cargo run --release -p azurepath-decide --example measure -- [lumen|barafu|letter] [SECONDS]
+//!
+//! With `record-lumen`, `record-barafu` or `record-faults` it prints a trace instead.
 
 #[path = "../tests/support/drive.rs"]
 mod drive;
+#[path = "../tests/support/faults/mod.rs"]
+mod faults;
 #[path = "../tests/support/workload.rs"]
 mod workload;
 
@@ -11,8 +15,10 @@
 use std::time::Duration;
 
 use anyhow::{Context, bail};
+use azurepath_decide::cell::Setup;
 use azurepath_decide::policy::Policy;
 use azurepath_decide::time::Time;
+use azurepath_decide::trace::{self, Header, Record, Writer};
 use strum::IntoEnumIterator;
 
 use drive::{Drive, Result as Run};
@@ -36,12 +42,57 @@
         }
         Some("lumen") => owners("lumen", workload::lumen, seconds.unwrap_or(600)),
         Some("barafu") => owners("barafu", workload::barafu, seconds.unwrap_or(600)),
+        Some("record-lumen") => record(workload::lumen, seconds.unwrap_or(5))?,
+        Some("record-barafu") => record(workload::barafu, seconds.unwrap_or(5))?,
+        Some("record-faults") => record_faults(seconds.unwrap_or(SEED))?,
         Some("letter") => letter(seconds.unwrap_or(300)),
         Some(other) => bail!("no workload {other:?}; give lumen, barafu or letter"),
     }
     Ok(())
 }
 
+/// The longest trace, in bytes.
+const TRACE_LIMIT: u64 = 1 << 20;
+
+fn record(draw: impl Fn(u64, f64, u64) -> Workload, seconds: u64) -> anyhow::Result<()> {
+    // One rack with more work than it can take.
+    let mut work = draw(SEED, 1.1, seconds);
+    work.workers.truncate(8);
+    let setup = drive::setup(Policy::Fair);
+    let end = Time::from_millis(seconds * 1_000);
+    let run = Drive::run(work, setup.clone(), end, true);
+    write(setup, &run.records)
+}
+
+fn record_faults(seed: u64) -> anyhow::Result<()> {
+    let plan = faults::Plan {
+        record: true,
+        ..faults::Plan::FAULTS
+    };
+    let mut world = faults::World::new(seed, plan);
+    if let Err(text) = world.run() {
+        bail!("{text}");
+    }
+    let recorded = world.records();
+    let (setup, records) = recorded.context("the first process died; take another seed")?;
+    write(setup, &records)
+}
+
+fn write(setup: Setup, records: &[Record]) -> anyhow::Result<()> {
+    let header = Header {
+        version: trace::VERSION,
+        cell: Some(setup),
+        router: None,
+    };
+    let mut writer = Writer::new(std::io::stdout().lock(), TRACE_LIMIT, &header)?;
+    for record in records {
+        writer.write(record)?;
+    }
+    writer.flush()?;
+    eprintln!("{} records, {} dropped", records.len(), writer.dropped());
+    Ok(())
+}
+
 fn owners(name: &str, draw: impl Fn(u64, f64, u64) -> Workload, seconds: u64) {
     for load in [0.70, 0.95, 1.10] {
         for policy in Policy::iter() {
--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::base::Base;
 use super::{Limit, Plan, plan};
 use crate::name::Name;
 use crate::ownership::{Outcome, Rack, Stored};
@@ -24,6 +25,13 @@
 /// One input of an escrow.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The number of all racks and the limits of all teams; replaces all earlier ones.
+    Fleet {
+        /// The number of all racks.
+        racks: usize,
+        /// The limits by team.
+        limits: BTreeMap<Name, Size>,
+    },
     /// The owner's machine wants racks to hold other parts.
     Demand(Vec<Demand>),
     /// The answer to [`Action::Read`]; none where the table could not be read.
@@ -58,12 +66,24 @@
     Writing,
 }
 
+/// What a rack wants to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Want {
+    /// The epoch of the rack's ownership when it was demanded.
+    epoch: u64,
+    size: Size,
+    /// Whether it asked for more than the rack held then, so that it gives nothing back.
+    raise: bool,
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Escrow {
     setup: Setup,
     stage: Stage,
-    wants: BTreeMap<(Name, Name), Size>,
+    base: Base,
+    /// What racks want to hold, each under the epoch at which it was demanded.
+    wants: BTreeMap<(Name, Name), Want>,
     /// Whether a demand came since the last round.
     fresh: bool,
     /// When the last round ended.
@@ -77,6 +97,7 @@
         Escrow {
             setup,
             stage: Stage::Idle,
+            base: Base::default(),
             wants: BTreeMap::new(),
             fresh: false,
             ended: None,
@@ -94,7 +115,8 @@
         actions: &mut Vec<Action>,
     ) {
         match event {
-            Event::Demand(demands) => self.demand(demands),
+            Event::Fleet { racks, limits } => self.base.spread(racks, &limits),
+            Event::Demand(demands) => self.demand(demands, racks),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
             Event::Changed => {
@@ -106,10 +128,20 @@
         self.begin(now, racks, actions);
     }
 
-    fn demand(&mut self, demands: Vec<Demand>) {
+    fn demand(&mut self, demands: Vec<Demand>, racks: &BTreeMap<Name, Stored<Rack>>) {
         for demand in demands {
-            let earlier = self.wants.insert((demand.rack, demand.team), demand.want);
-            self.fresh |= earlier != Some(demand.want);
+            let Some(rack) = racks.get(&demand.rack) else {
+                continue;
+            };
+            // What lies idle is kept up to the base part.
+            let size = Size::max(&demand.want, &self.base.part(&demand.team));
+            let want = Want {
+                epoch: rack.row.owner.epoch,
+                size,
+                raise: !size.fits(&held(rack, &demand.team)),
+            };
+            let earlier = self.wants.insert((demand.rack, demand.team), want);
+            self.fresh |= earlier != Some(want);
         }
     }
 
@@ -125,6 +157,7 @@
         }
         self.drop_met(racks);
         let mut teams: BTreeSet<Name> = self.wants.keys().map(|(_, team)| team.clone()).collect();
+        teams.extend(self.missing(racks).into_iter().map(|demand| demand.team));
         if now >= self.review {
             let held = racks.values().flat_map(|rack| rack.row.allotments.keys());
             teams.extend(held.cloned());
@@ -147,12 +180,34 @@
         self.ended.map_or(Time(0), |ended| ended.after(wait))
     }
 
-    /// Forgets demands that are met, and those of racks owned no more.
+    /// Returns demands for the base parts that racks do not hold and nothing else is wanted of.
+    fn missing(&self, racks: &BTreeMap<Name, Stored<Rack>>) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        for (rack, stored) in racks {
+            for team in self.base.teams() {
+                let part = self.base.part(team);
+                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
+                let asked = self.wants.contains_key(&(rack.clone(), team.clone()));
+                if !asked && !part.fits(&have) {
+                    demands.push(Demand {
+                        rack: rack.clone(),
+                        team: team.clone(),
+                        want: Size::max(&part, &have),
+                    });
+                }
+            }
+        }
+        demands
+    }
+
+    /// Forgets demands that are met, and those of racks owned no more or under a later epoch: what
+    /// ran there when they were made is not what runs there now.
     fn drop_met(&mut self, racks: &BTreeMap<Name, Stored<Rack>>) {
         self.wants.retain(|(rack, team), want| {
             racks.get(rack).is_some_and(|stored| {
-                let have = stored.row.allotments.get(team).copied().unwrap_or_default();
-                have != *want
+                let have = held(stored, team);
+                let met = have == want.size || (want.raise && want.size.fits(&have));
+                !met && stored.row.owner.epoch == want.epoch
             })
         });
     }
@@ -166,22 +221,32 @@
     ) {
         self.stage = Stage::Idle;
         self.ended = Some(now);
+        self.drop_met(racks);
         let Some(limits) = limits else {
             return;
         };
+        for (team, limit) in limits {
+            let pressed = limit.row.pressed || !limit.row.is_in_force();
+            self.base.press(team, pressed);
+        }
         if now >= self.review {
             self.review = now.after(self.setup.review);
             self.reclaim(limits, racks, actions);
         }
-        let demands: Vec<Demand> = self
+        let mut demands: Vec<Demand> = self
             .wants
             .iter()
-            .map(|((rack, team), want)| Demand {
-                rack: rack.clone(),
-                team: team.clone(),
-                want: *want,
+            .map(|((rack, team), want)| {
+                let have = racks.get(rack).map(|stored| held(stored, team));
+                let have = have.filter(|_| want.raise).unwrap_or_default();
+                Demand {
+                    rack: rack.clone(),
+                    team: team.clone(),
+                    want: Size::max(&want.size, &have),
+                }
             })
             .collect();
+        demands.extend(self.missing(racks));
         let plan = plan(&demands, limits, racks);
         if !plan.is_empty() {
             self.stage = Stage::Writing;
@@ -221,6 +286,12 @@
     }
 }
 
+/// Returns what a rack holds of a team's limit.
+fn held(rack: &Stored<Rack>, team: &Name) -> Size {
+    let allotments = &rack.row.allotments;
+    allotments.get(team).copied().unwrap_or_default()
+}
+
 /// Returns a rack's part of a lowered limit, in proportion to what it holds of the former one.
 fn lowered(have: &Size, limit: &Limit) -> Size {
     let scale = |have: u64, limit: u64, held: u64| {
@@ -230,7 +301,7 @@
         let part = u128::from(have) * u128::from(limit) / u128::from(held);
         u64::try_from(part).unwrap_or(u64::MAX)
     };
-    let Limit { limit, held } = limit;
+    let Limit { limit, held, .. } = limit;
     Size {
         millicores: scale(have.millicores, limit.millicores, held.millicores),
         memory_mib: scale(have.memory_mib, limit.memory_mib, held.memory_mib),
