--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -11,6 +11,7 @@
 mod place;
 mod preempt;
 mod probe;
+mod racks;
 mod retrial;
 mod summary;
 mod timer;
--- a/crates/decide/src/cell/claim.rs
+++ b/crates/decide/src/cell/claim.rs
@@ -1,4 +1,4 @@
-//! Racks come and go, and workers are claimed before anything is placed on them.
+//! Workers are claimed before anything is placed on them.
 
 use std::time::Duration;
 
@@ -6,18 +6,16 @@
 use crate::attempt::{Attempt, Running};
 use crate::health::Circuit;
 use crate::name::Name;
-use crate::rack::{Allotted, Grant};
 use crate::request::{Id, Request};
-use crate::resource::Team;
 use crate::room::Hold;
 use crate::size::Size;
 use crate::time::Time;
-use crate::verdict::{Reason, Verdict};
+use crate::verdict::Reason;
 use crate::worker::{Inventory, Spec};
 
+use super::Cell;
 use super::job::{Booking, Job, Phase, State};
 use super::timer::Timer;
-use super::{Ceilings, Cell};
 
 /// How long after an unanswered claim the first repetition follows.
 const CLAIM_PAUSE: Duration = Duration::from_millis(250);
@@ -29,95 +27,6 @@
 const CLAIM_DOUBLINGS: u32 = 5;
 
 impl Cell {
-    pub(super) fn configure(&mut self, revision: u64, teams: &[Team]) {
-        if self.revision.is_some_and(|known| known > revision) {
-            return;
-        }
-        self.revision = Some(revision);
-        self.teams.configure(teams);
-    }
-
-    pub(super) fn gain(&mut self, grant: &Grant) {
-        let rack = self.ledger.index(&grant.rack);
-        let known = self.ledger.rack_mut(rack);
-        if known.epoch > grant.epoch {
-            return;
-        }
-        let again = known.owned && known.epoch == grant.epoch;
-        known.epoch = grant.epoch;
-        known.owned = true;
-        self.take_allotments(rack, &grant.allotments);
-        if again {
-            return;
-        }
-        for worker in self.room.rack(rack).to_vec() {
-            self.claim(worker);
-        }
-        self.resize();
-    }
-
-    pub(super) fn allot(&mut self, allotted: &Allotted) {
-        let Some(rack) = self.ledger.find(&allotted.rack) else {
-            return;
-        };
-        let known = self.ledger.rack(rack);
-        if known.owned && known.epoch == allotted.epoch {
-            self.take_allotments(rack, &allotted.allotments);
-        }
-    }
-
-    fn take_allotments(&mut self, rack: usize, allotments: &crate::rack::Allotments) {
-        let teams = &mut self.teams;
-        self.ledger
-            .allot(rack, allotments, self.now, |name| teams.index(name));
-        self.dirty.extend(self.room.rack(rack));
-    }
-
-    pub(super) fn lose(&mut self, rack: &Name) {
-        let Some(rack) = self.ledger.find(rack) else {
-            return;
-        };
-        self.ledger.rack_mut(rack).owned = false;
-        for worker in self.room.rack(rack).to_vec() {
-            self.room.get_mut(worker).hold = Hold::Free;
-            self.refresh(worker);
-            self.unhold(worker);
-        }
-        self.resize();
-        self.give_up_sought(rack);
-        self.give_up_doubts(rack);
-        self.give_up_homeless();
-    }
-
-    /// Answers requests that no remaining rack could hold.
-    fn give_up_homeless(&mut self) {
-        for id in self.queue.ids() {
-            let Some(item) = self.queue.get(id) else {
-                continue;
-            };
-            if !self.could_hold(&item.size, item.rack) {
-                self.deny(id, Reason::Leaving);
-            }
-        }
-        if self.ledger.owned().next().is_none() {
-            self.give_up_backoffs();
-        }
-    }
-
-    /// Sends requests whose fate is sought on a lost rack to its next owner.
-    fn give_up_sought(&mut self, lost: usize) {
-        let asked = |&(_, rack): &(&Id, &Option<usize>)| rack.is_none_or(|rack| rack == lost);
-        let ids: Vec<Id> = self
-            .sought
-            .iter()
-            .filter(asked)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ids {
-            self.deny(id, Reason::NoOwner);
-        }
-    }
-
     pub(super) fn join(&mut self, spec: Spec) {
         let rack = self.ledger.index(&spec.rack);
         let (worker, fresh) = self.room.join(spec, rack);
@@ -367,57 +276,10 @@
         self.dirty.insert(worker);
     }
 
-    /// Works out anew what the own workers hold.
-    fn resize(&mut self) {
-        let mut own = Size::ZERO;
-        self.ceilings = Ceilings::default();
-        for (_, worker) in self.room.iter().filter(|(_, worker)| !worker.gone) {
-            let capacity = worker.spec.capacity;
-            self.ceilings.fleet.insert(capacity);
-            if self.ledger.rack(worker.rack).owned && !worker.leaving {
-                self.ceilings.own.insert(capacity);
-                own = own.plus(&capacity);
-            }
-        }
-        self.teams.resize(own);
-    }
-
     /// Returns the epoch under which a worker is owned.
     pub(super) fn epoch_of(&self, worker: usize) -> u64 {
         self.ledger.rack(self.room.get(worker).rack).epoch
     }
-
-    fn give_up_backoffs(&mut self) {
-        let mut waiting: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.phase == Phase::Backoff)
-            .map(|(id, _)| *id)
-            .collect();
-        waiting.sort_unstable();
-        for id in waiting {
-            self.deny(id, Reason::Leaving);
-        }
-    }
-
-    /// Tells a caller that its request did not run, and forgets the request.
-    pub(super) fn deny(&mut self, id: Id, reason: Reason) {
-        self.deny_until(id, reason, None);
-    }
-
-    /// Does as [`Cell::deny`], and says when another try may be worth it.
-    pub(super) fn deny_until(&mut self, id: Id, reason: Reason, retry_after: Option<Duration>) {
-        self.queue.remove(id);
-        self.sought.remove(&id);
-        self.unpress(id);
-        let past = self.jobs.get(&id).and_then(|job| job.past.clone());
-        let verdict = past.unwrap_or(Verdict::NotRun {
-            reason,
-            retry_after,
-        });
-        self.answer(id, verdict);
-        self.drop_job(id);
-    }
 }
 
 /// The request of an attempt whose caller is unknown.
--- a/crates/decide/src/cell/retrial.rs
+++ b/crates/decide/src/cell/retrial.rs
@@ -177,6 +177,30 @@
         }
     }
 
+    /// Tells a caller that its request did not run, and forgets the request.
+    pub(super) fn deny(&mut self, id: request::Id, reason: Reason) {
+        self.deny_until(id, reason, None);
+    }
+
+    /// Does as [`Cell::deny`], and says when another try may be worth it.
+    pub(super) fn deny_until(
+        &mut self,
+        id: request::Id,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
+        self.queue.remove(id);
+        self.sought.remove(&id);
+        self.unpress(id);
+        let past = self.jobs.get(&id).and_then(|job| job.past.clone());
+        let verdict = past.unwrap_or(Verdict::NotRun {
+            reason,
+            retry_after,
+        });
+        self.answer(id, verdict);
+        self.drop_job(id);
+    }
+
     /// Forgets a request.
     pub(super) fn drop_job(&mut self, id: request::Id) {
         self.unpress(id);
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -301,3 +301,18 @@
     bench.send(peer("a", cores(1), Size::ZERO));
     assert!(wants(&bench.wait(5_000)).contains(&Size::ZERO));
 }
+
+#[test]
+fn freed_allotment_elsewhere() {
+    let mut bench = Bench::new(Policy::Fair);
+    bench.teams(&[team("a", 1), team("b", 1)]);
+    bench.gain("r1", 1, PLENTY);
+    bench.add("w0", "r1", machine());
+    bench.submit(request(1, "b", cores(28)));
+    bench.submit(request(2, "a", cores(4)));
+    bench.send(allotted(1, cores(8)));
+    bench.add("w1", "r1", machine());
+    assert!(starts(&bench.submit(request(3, "a", cores(8)))).is_empty());
+    let ended = bench.ended(attempt(2, 1), "w0", Outcome::Done);
+    assert_eq!(starts(&ended), [(attempt(3, 1), "w1".to_owned())]);
+}
