--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -11,6 +11,7 @@
 mod place;
 mod preempt;
 mod probe;
+mod racks;
 mod retrial;
 mod summary;
 mod timer;
@@ -105,6 +106,7 @@
     published: Option<(Time, Summary)>,
     timers: BTreeSet<(Time, Timer)>,
     dirty: BTreeSet<usize>,
+    loosened: BTreeSet<(usize, usize)>,
     arrivals: u64,
     asked: Option<Time>,
     short: bool,
@@ -139,6 +141,7 @@
             published: None,
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            loosened: BTreeSet::new(),
             arrivals: 0,
             asked: None,
             short: false,
