--- a/crates/decide/tests/support/faults/server.rs
+++ b/crates/decide/tests/support/faults/server.rs
@@ -353,7 +353,7 @@
                 }
             }
             (Op::Intent(id), Reply::Intent(outcome)) => {
-                self.intended(now, id, outcome, inputs, out)
+                self.intended(now, id, outcome, inputs, out);
             }
             _ => {}
         }
--- a/crates/decide/tests/support/faults/worker.rs
+++ b/crates/decide/tests/support/faults/worker.rs
@@ -162,7 +162,7 @@
             return Reply::Refused(Refusal::Leaving);
         }
         // Some of its failures come before the task has begun.
-        if now < self.failing_until && id.0 % 2 == 0 {
+        if now < self.failing_until && id.0.is_multiple_of(2) {
             return Reply::Refused(Refusal::Broken);
         }
         self.running.insert(running.attempt, running.clone());
--- a/crates/decide/tests/support/faults/world.rs
+++ b/crates/decide/tests/support/faults/world.rs
@@ -1,5 +1,8 @@
 //! The world of one seed: processes, workers, the table and the network between them.
 
+// Steps own what they carry.
+#![allow(clippy::needless_pass_by_value)]
+
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
@@ -1000,7 +1003,7 @@
                 |worker, _| worker.failing_until = until,
                 "worker failing",
             ),
-            7 => self.worker_fault(&worker, |worker, now| leave(worker, now), "worker leaving"),
+            7 => self.worker_fault(&worker, leave, "worker leaving"),
             _ => self.worker_death(&worker),
         };
         self.note(|| format!("FAULT {name} {server} {worker} {span:?}"));
