--- a/crates/decide/tests/faults.rs
+++ b/crates/decide/tests/faults.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// A rack starts work within a part of a limit that it has offered back.
+#[test]
+fn offer_overdrawn() {
+    let failed = [20_911, 21_185].map(|seed| failures(seed..seed + 1, Plan::FAULTS));
+    assert_none(&failed.concat());
+}
+
 /// A machine that owns the rack `r1` under an epoch, with one slot for the team, and its worker.
 fn owner_of_one_slot(epoch: u64, worker: &str) -> Cell {
     let slot = size(1);
