An offer stays bound while a worker that joined may hide work

Cause: a rack had offered back a team's part; then a worker joined, which may hide work until it is claimed, and the ledger forgot the offer along with the new one that it must not make.

--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -347,11 +347,13 @@
         let demand = |(rack, wanted): (usize, Size)| {
             let hides = !self.racks[rack].hidden.is_zero();
             let account = self.account_mut(rack, need.team);
+            let offered = account.offer;
             let want = account.want(&wanted, need, now);
             let lowers = want.filter(|want| !account.allotted.fits(want)).is_some();
             if hides && lowers {
-                // What runs on a worker that is not known must stay covered.
-                account.offer = None;
+                // What runs on a worker that is not known must stay covered; what was offered before
+                // may be taken at any time.
+                account.offer = offered;
             }
             self.note(rack, need.team);
             let want = want.filter(|_| !(hides && lowers))?;
--- a/crates/decide/tests/faults.rs
+++ b/crates/decide/tests/faults.rs
@@ -71,7 +71,7 @@
 /// Seeds that failed once; what was seen with each is in the commit that mended it.
 #[test]
 fn kept_seeds() {
-    for seed in [4, 98, 242] {
+    for seed in [4, 98, 242, 20_911, 21_185] {
         assert_none(&failures(seed..seed + 1, Plan::FAULTS));
     }
     for seed in [0, 2, 8, 18, 19] {
@@ -79,13 +79,6 @@
     }
 }
 
-/// A rack starts work within a part of a limit that it has offered back.
-#[test]
-fn offer_overdrawn() {
-    let failed = [20_911, 21_185].map(|seed| failures(seed..seed + 1, Plan::FAULTS));
-    assert_none(&failed.concat());
-}
-
 /// A machine that owns the rack `r1` under an epoch, with one slot for the team, and its worker.
 fn owner_of_one_slot(epoch: u64, worker: &str) -> Cell {
     let slot = size(1);
