Refusals in an outage are true for repeated ids, and workers are told what is booked

Cause: two faults found by reading. A repeat of a non-idempotent request under its caller's id was refused as not_run while the table was down, though it may have run before under that id. A start carried the declared size, so the next owner of the rack adopted less than was booked. Ruled out: reading the intent only, since in an outage it can't be read; learning the size again at the next owner, which takes reports. Waits in tests of the server now fail after two minutes instead of hanging; that is no bound on speed.

--- a/crates/server/src/process/engine/task.rs
+++ b/crates/server/src/process/engine/task.rs
@@ -14,6 +14,7 @@
 use azurepath_decide::rack::Demand;
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::share::Summary;
+use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
 use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
@@ -323,8 +324,8 @@
                 attempt,
                 worker,
                 epoch,
-                size: _,
-            } => self.start(attempt, worker, epoch),
+                size,
+            } => self.start(attempt, worker, epoch, size),
             Action::Attach { attempt, worker } => self.attach(attempt, worker),
             Action::Interrupt {
                 attempt,
@@ -377,7 +378,7 @@
         Claim { epoch, lease_ms }
     }
 
-    fn start(&mut self, attempt: Attempt, worker: Name, epoch: u64) {
+    fn start(&mut self, attempt: Attempt, worker: Name, epoch: u64, size: Size) {
         let pending = self.requests.get(&attempt.request);
         let (Some(pending), Some(address)) = (pending, self.address(&worker)) else {
             self.events.push_back(Event::Refused {
@@ -395,7 +396,8 @@
                 team: request.team.clone(),
                 kind: request.kind.clone(),
                 class: request.class,
-                size: request.size,
+                // What is booked, so that the next owner books no less.
+                size,
                 gang: request.gang,
                 idempotent: request.idempotent,
             },
--- a/crates/server/src/request/http.rs
+++ b/crates/server/src/request/http.rs
@@ -155,6 +155,7 @@
         Err(problem) => return failed(None, problem),
     };
     let id = headers.id;
+    let fresh = id.is_none();
     let task = match admission::admit(process, queue, &headers) {
         Ok(task) => task,
         Err(problem) => return failed(id, problem),
@@ -164,7 +165,7 @@
         Ok(payload) => payload,
         Err(problem) => return failed(id, problem),
     };
-    let result = submit::submit(process, task.clone(), payload).await;
+    let result = submit::submit(process, task.clone(), payload, fresh).await;
     Outcome {
         id,
         task: Some(task),
--- a/crates/server/src/request/intent.rs
+++ b/crates/server/src/request/intent.rs
@@ -55,7 +55,7 @@
 pub enum Refusal {
     /// The request was taken up before; what is known of it follows.
     Duplicate(Ran),
-    /// The table can't be written, so that nothing has started.
+    /// The table can't be written, so that nothing was started now.
     TableUnavailable,
 }
 
--- a/crates/server/src/request/problem.rs
+++ b/crates/server/src/request/problem.rs
@@ -76,6 +76,9 @@
         /// The attempt.
         attempt: u32,
     },
+    /// The table can't tell whether the request was taken up before under the id that its caller
+    /// gave; this time nothing was started.
+    Unread,
     /// A worker ran it, and it failed.
     Failed {
         /// How it ended, by name.
@@ -103,7 +106,7 @@
             Problem::Path | Problem::Queue { .. } => StatusCode::NOT_FOUND,
             Problem::Denied(Denied::Missing | Denied::Invalid) => StatusCode::UNAUTHORIZED,
             Problem::Denied(Denied::Forbidden) => StatusCode::FORBIDDEN,
-            Problem::Denied(Denied::Isolated) | Problem::Stopping => {
+            Problem::Denied(Denied::Isolated) | Problem::Stopping | Problem::Unread => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Problem::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -117,7 +120,7 @@
     /// Returns whether the work ran.
     pub fn ran(&self) -> Ran {
         match self {
-            Problem::Unknown { .. } => Ran::Unknown,
+            Problem::Unknown { .. } | Problem::Unread => Ran::Unknown,
             Problem::Failed { .. } => Ran::Ran,
             Problem::Duplicate { ran } => *ran,
             Problem::Header { .. }
@@ -146,6 +149,7 @@
             Problem::Stopping => "stopping".to_owned(),
             Problem::NotRun { reason, .. } => reason.to_string(),
             Problem::Unknown { .. } => "unknown".to_owned(),
+            Problem::Unread => Reason::TableUnavailable.to_string(),
             Problem::Failed { outcome, .. } => outcome.clone(),
             Problem::Duplicate { .. } => Reason::Duplicate.to_string(),
         }
@@ -174,6 +178,10 @@
                 "attempt {attempt} may have run and its answer is lost; check its effects before \
                  sending the work again"
             ),
+            Problem::Unread => "the table service can't be read, so nothing was started now; \
+                                whether it ran before under this id is not known; send it again \
+                                with the same id"
+                .to_owned(),
             Problem::Failed {
                 outcome,
                 attempt,
--- a/crates/server/src/request/submit.rs
+++ b/crates/server/src/request/submit.rs
@@ -37,6 +37,8 @@
 
 /// Sends a request on its way and waits for its answer.
 ///
+/// `fresh` tells that the id was made here, so that the request can't have come before.
+///
 /// # Errors
 ///
 /// Returns the [`Problem`] that the caller is told.
@@ -44,11 +46,13 @@
     process: &Process,
     request: Request,
     payload: Bytes,
+    fresh: bool,
 ) -> Result<Answer, Problem> {
     if request.idempotent {
         return verdict(run(process, request, payload).await);
     }
-    let intent = process.intents.open(&request).await.map_err(refused)?;
+    let intent = process.intents.open(&request).await;
+    let intent = intent.map_err(|refusal| refused(refusal, fresh))?;
     let reply = run(process, request, payload).await;
     intent.close(known(&reply.verdict));
     verdict(reply)
@@ -81,9 +85,10 @@
     })
 }
 
-fn refused(refusal: intent::Refusal) -> Problem {
+fn refused(refusal: intent::Refusal, fresh: bool) -> Problem {
     match refusal {
         intent::Refusal::Duplicate(ran) => Problem::Duplicate { ran },
+        intent::Refusal::TableUnavailable if !fresh => Problem::Unread,
         intent::Refusal::TableUnavailable => Problem::NotRun {
             reason: Reason::TableUnavailable,
             retry_after: None,
--- a/crates/server/tests/once_only.rs
+++ b/crates/server/tests/once_only.rs
@@ -82,7 +82,9 @@
         down: true,
         ..fault::Gate::default()
     }));
-    let refused = send(&server, AUDIT, "sweep 1").await?;
+    let key = format!("Bearer {AUDIT}");
+    let fresh = [("authorization", key.as_str())];
+    let refused = server.submit("sweep", "sweep 1", &fresh).await?;
     assert_eq!(refused.status, 503, "{}", refused.text());
     assert_eq!(refused.json()["kind"], "table_unavailable");
     assert_eq!(refused.json()["ran"], "not_run");
@@ -96,6 +98,25 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn repeat_in_outage() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let server = env.server("s1", "zrh-a", "ch-north").await?;
+    server.ready().await?;
+    assert_eq!(send(&server, AUDIT, "sweep 1").await?.text(), "sweep 1");
+    env.fleet.platform.fault(&table(fault::Gate {
+        down: true,
+        ..fault::Gate::default()
+    }));
+    let again = send(&server, AUDIT, "sweep 1").await?;
+    assert_eq!(again.status, 503, "{}", again.text());
+    assert_eq!(again.json()["kind"], "table_unavailable");
+    assert_eq!(again.json()["ran"], "unknown", "it ran before");
+    assert!(again.header("retry-after").is_some());
+    assert_eq!(begun(&env), 1);
+    Ok(())
+}
+
 #[tokio::test]
 async fn lost_write_answer() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -31,6 +31,9 @@
 /// The token of the team `ice`.
 pub const ICE: &str = "ice-1.qrstuvwxyzabcdef";
 
+/// How long a test waits before it counts as hung.
+const HANG: Duration = Duration::from_secs(120);
+
 /// The pause between two looks at something that is waited for.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -338,9 +341,11 @@
     })
 }
 
-/// Waits until a condition holds.
+/// Waits until a condition holds; a test that would wait for ever fails instead.
 pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    let begun = tokio::time::Instant::now();
     while !holds().await {
+        assert!(begun.elapsed() < HANG, "what is waited for does not come");
         tokio::time::sleep(LOOK).await;
     }
 }
