--- a/crates/server/examples/capacity.rs
+++ b/crates/server/examples/capacity.rs
@@ -17,6 +17,7 @@
 use azurepath_decide::event::Event;
 use azurepath_decide::fleet::{Owner, Server, View};
 use azurepath_decide::name::Name;
+use azurepath_decide::ownership;
 use azurepath_decide::rack::Grant;
 use azurepath_decide::request::{Id, Request};
 use azurepath_decide::resource::{Kind, Resource, Team};
@@ -87,6 +88,10 @@
         "wire: bytes of a renewal by tasks",
         &renewal_length(&[1, 15, 60])?,
     );
+    show(
+        "table: bytes of a rack's row by teams",
+        &row_length(&[6, 30, 83])?,
+    );
     show(
         "ledger: bytes of a segment by entries",
         &segment_length(&[10, 100, 1_000]),
@@ -481,6 +486,25 @@
     sizes.iter().map(point).collect()
 }
 
+fn row_length(sizes: &[u64]) -> Result<Vec<Point>> {
+    let point = |&size: &u64| {
+        let allotments = (0..size).map(|index| (team(index), self::size(12)));
+        let row = ownership::Rack {
+            owner: Owner {
+                server: "server-zrh-a-01".into(),
+                incarnation: u64::MAX,
+                epoch: 100,
+            },
+            allotments: allotments.collect(),
+            successor: None,
+            predecessor: None,
+        };
+        let cost = serde_json::to_vec(&row)?.len() as f64;
+        Ok(Point { size, cost })
+    };
+    sizes.iter().map(point).collect()
+}
+
 fn attempt(index: u64) -> Attempt {
     Attempt {
         request: Id(u128::MAX - u128::from(index)),
