A rack is told that it keeps what it offered back

Cause: a team idle for some seconds had all of its allotment offered back, and an offer binds the rack until the table has taken it. The escrow keeps a base part with each rack, so it never took it, and the rack started nothing for the team any more. Ruled out: withdrawing an offer after a time, since another rack may hold it by then; taking the base part back and granting it again, which costs two writes a round and leaves the rack bare in an outage. The escrow now says that the rack keeps it, while no plan is on its way that could take it.

--- a/crates/decide/src/allotment/escrow.rs
+++ b/crates/decide/src/allotment/escrow.rs
@@ -56,6 +56,8 @@
     Write(Plan),
     /// A limit was lowered: a rack is to hold no more than its part of the new one.
     Reclaim(Demand),
+    /// A rack offered less than its base part: it keeps what it holds.
+    Keep(Demand),
 }
 
 /// What the escrow waits for.
@@ -116,7 +118,7 @@
     ) {
         match event {
             Event::Fleet { racks, limits } => self.base.spread(racks, &limits),
-            Event::Demand(demands) => self.demand(demands, racks),
+            Event::Demand(demands) => self.demand(demands, racks, actions),
             Event::Read(limits) => self.read(now, limits.as_ref(), racks, actions),
             Event::Wrote(outcome) => self.wrote(now, outcome),
             Event::Changed => {
@@ -128,17 +130,33 @@
         self.begin(now, racks, actions);
     }
 
-    fn demand(&mut self, demands: Vec<Demand>, racks: &BTreeMap<Name, Stored<Rack>>) {
+    fn demand(
+        &mut self,
+        demands: Vec<Demand>,
+        racks: &BTreeMap<Name, Stored<Rack>>,
+        actions: &mut Vec<Action>,
+    ) {
         for demand in demands {
             let Some(rack) = racks.get(&demand.rack) else {
                 continue;
             };
             // What lies idle is kept up to the base part.
             let size = Size::max(&demand.want, &self.base.part(&demand.team));
+            let have = held(rack, &demand.team);
+            // No plan is on its way that could still take it.
+            if size == have && demand.want != have && self.stage != Stage::Writing {
+                self.wants
+                    .remove(&(demand.rack.clone(), demand.team.clone()));
+                actions.push(Action::Keep(Demand {
+                    want: have,
+                    ..demand
+                }));
+                continue;
+            }
             let want = Want {
                 epoch: rack.row.owner.epoch,
                 size,
-                raise: !size.fits(&held(rack, &demand.team)),
+                raise: !size.fits(&have),
             };
             let earlier = self.wants.insert((demand.rack, demand.team), want);
             self.fresh |= earlier != Some(want);
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -209,6 +209,7 @@
             Event::Lost { attempt, worker } => self.lost(attempt, &worker),
             Event::Peer(summary) => self.teams.hear(summary),
             Event::Reclaim(demand) => self.reclaim(&demand),
+            Event::Keep(demand) => self.keep(&demand),
             Event::Report(report) => self.report(&report),
             Event::Probed { worker, healthy } => self.probed(&worker, healthy),
             Event::Reserve(ask) => self.reserve(ask),
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -47,6 +47,18 @@
         self.out.push(Action::Allot { demands });
     }
 
+    /// Uses what a rack had offered back and keeps.
+    pub(super) fn keep(&mut self, demand: &Demand) {
+        let Some(rack) = self.ledger.find(&demand.rack) else {
+            return;
+        };
+        let team = self.teams.index(&demand.team);
+        if self.ledger.keep(rack, team, &demand.want) {
+            let workers = self.room.rack(rack).iter();
+            self.dirty.extend(workers.copied());
+        }
+    }
+
     pub(super) fn ask(&mut self) {
         let pause = if self.short { SHORT_PAUSE } else { PAUSE };
         let due = self.asked.is_none_or(|at| self.now.since(at) >= pause);
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -34,6 +34,8 @@
     /// A limit was lowered: the rack is to hold no more than this, or as little as what runs there
     /// allows; answered by a demand.
     Reclaim(rack::Demand),
+    /// What a rack offered back stays with it, and no other rack is given it: it holds this again.
+    Keep(rack::Demand),
     /// The instance list names a live worker.
     Join(worker::Spec),
     /// A worker is leaving, by the instance list or its own word.
--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -23,6 +23,8 @@
     pub cap: Option<Size>,
     /// What it has offered to keep at most, until the table has taken the rest back.
     offer: Option<Size>,
+    /// What it is let keep while nothing of the team waits.
+    base: Size,
     /// What is booked there for the team.
     pub used: Size,
     /// When it was last in use or grew.
@@ -65,7 +67,8 @@
         let recent = if need.pressed {
             self.used
         } else {
-            Size::max(&self.earlier, &self.peak)
+            let base = Size::min(&self.base, &self.allotted);
+            Size::max(&base, &Size::max(&self.earlier, &self.peak))
         };
         let fed = self.feeds(&need.starved);
         let want = match (self.cap, self.offer) {
@@ -241,6 +244,19 @@
         Size::max(&floor, &hidden)
     }
 
+    /// Withdraws what a rack offered where it keeps all that it holds, and tells whether it had
+    /// offered anything.
+    pub fn keep(&mut self, rack: usize, team: usize, held: &Size) -> bool {
+        let account = self.account_mut(rack, team);
+        if account.allotted != *held {
+            return false;
+        }
+        account.base = *held;
+        let offered = account.offer.take().is_some();
+        self.note(rack, team);
+        offered
+    }
+
     /// Sets what may run on workers of a rack that are not known, and tells whether it shrank.
     pub fn hide(&mut self, rack: usize, hidden: Size) -> bool {
         let before = std::mem::replace(&mut self.racks[rack].hidden, hidden);
--- a/crates/decide/tests/allotment.rs
+++ b/crates/decide/tests/allotment.rs
@@ -57,6 +57,7 @@
     late: Vec<Plan>,
     fault: Fault,
     reclaimed: Vec<Demand>,
+    kept: Vec<Demand>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -93,6 +94,7 @@
             late: Vec::new(),
             fault: Fault::None,
             reclaimed: Vec::new(),
+            kept: Vec::new(),
         }
     }
 
@@ -118,6 +120,7 @@
                     }
                     Action::Write(plan) => queue.push(Event::Wrote(self.write(plan))),
                     Action::Reclaim(demand) => self.reclaimed.push(demand),
+                    Action::Keep(demand) => self.kept.push(demand),
                 }
             }
         }
@@ -281,6 +284,11 @@
     fleet.feed(1, Event::Demand(vec![demand("r1", "shop", slots(0))]));
     fleet.wait(2_000);
     assert_eq!(fleet.held("r1"), slots(2));
+    let told = fleet
+        .kept
+        .iter()
+        .any(|kept| *kept == demand("r1", "shop", slots(2)));
+    assert!(told, "the rack is told that it keeps what it offered");
     fleet.feed(0, Event::Demand(vec![demand("r0", "shop", slots(16))]));
     fleet.wait(1_000);
     assert_eq!(fleet.held("r0"), slots(10));
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -121,6 +121,24 @@
     assert!(of_a.all(|offer| offer.want == cores(2)));
 }
 
+#[test]
+fn kept_offer_used() {
+    let mut bench = bench(cores(8));
+    assert!(!demands(&bench.wait(12_000)).is_empty(), "all is offered");
+    assert!(starts(&bench.submit(request(1, "a", cores(2)))).is_empty());
+    let keep = Demand {
+        rack: "r1".into(),
+        team: "a".into(),
+        want: cores(8),
+    };
+    assert_eq!(starts(&bench.send(Event::Keep(keep.clone()))).len(), 1);
+    bench.ended(attempt(1, 1), "w0", Outcome::Done);
+    // What is kept is not offered again while nothing waits.
+    let offers = demands(&bench.wait(12_000));
+    assert!(offers.iter().all(|offer| &*offer.team != "a"));
+    assert_eq!(starts(&bench.submit(request(2, "a", cores(2)))).len(), 1);
+}
+
 #[test]
 fn lowered_limit_holds() {
     let mut bench = bench(PLENTY);
--- a/crates/decide/tests/support/faults/server.rs
+++ b/crates/decide/tests/support/faults/server.rs
@@ -467,6 +467,9 @@
             match action {
                 allotment::Action::Read { teams } => out.push(Output::Table(Op::Limits(teams))),
                 allotment::Action::Write(plan) => out.push(Output::Table(Op::Plan(plan))),
+                allotment::Action::Keep(demand) => {
+                    inputs.push_back(Input::Cell(Event::Keep(demand)));
+                }
                 allotment::Action::Reclaim(demand) => {
                     inputs.push_back(Input::Cell(Event::Reclaim(demand)));
                 }
--- a/crates/server/src/process/allotment.rs
+++ b/crates/server/src/process/allotment.rs
@@ -118,6 +118,7 @@
                 });
             }
             Action::Reclaim(demand) => self.process.engine.event(event::Event::Reclaim(demand)),
+            Action::Keep(demand) => self.process.engine.event(event::Event::Keep(demand)),
         }
     }
 
