Tests of a stop and of a killed owner share their course

Cause: two tests of graceful_stop and two of server_death repeated the same 25 and 15 lines with other numbers and queue names. Ruled out: one parametrised test each, since the tests differ in settings and in what is asserted after.

--- a/crates/server/tests/graceful_stop.rs
+++ b/crates/server/tests/graceful_stop.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurepath_server::process::stop::{Inflight, Phase, drain};
-use support::{AUDIT, TestEnv, get, until};
+use support::{AUDIT, Process, TestEnv, get, until};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -49,17 +49,14 @@
     assert_eq!(handover.await.expect("it ends"), Phase::Leaving);
 }
 
-#[tokio::test]
-async fn answer_before_exit() -> anyhow::Result<()> {
-    let env = TestEnv::start().await?;
-    let mut server = env.server("s1", "zrh-a", "ch-north").await?;
-    server.ready().await?;
+/// Stops a server while a request of `run_ms` is in flight, which is answered whole before the exit.
+async fn stops_after_answer(env: &TestEnv, mut server: Process, run_ms: u64) -> anyhow::Result<()> {
     assert_eq!(get(server.http, "/readyz").await?.status, 200);
 
     let key = format!("Bearer {AUDIT}");
     let headers = [("authorization", key.as_str())];
-    let body = r#"{"run_ms": 1500, "answer": "late but whole"}"#;
-    let request = server.submit("audits", body, &headers);
+    let body = format!(r#"{{"run_ms": {run_ms}, "answer": "late but whole"}}"#);
+    let request = server.submit("audits", &body, &headers);
     let stop = async {
         until(async || {
             env.fleet
@@ -83,6 +80,14 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn answer_before_exit() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let server = env.server("s1", "zrh-a", "ch-north").await?;
+    server.ready().await?;
+    stops_after_answer(&env, server, 1_500).await
+}
+
 /// Leases that end several times while the request runs.
 const SHORT_LEASE: &str =
     "[timing]\nlinger = 100ms\ninstances = 100ms\nlease = 1s\nrenewal = 200ms\n";
@@ -90,37 +95,11 @@
 #[tokio::test]
 async fn answer_past_lease() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
-    let mut server = env
+    let server = env
         .server_with("s1", "zrh-a", "ch-north", SHORT_LEASE)
         .await?;
     server.ready().await?;
-    assert_eq!(get(server.http, "/readyz").await?.status, 200);
-
-    let key = format!("Bearer {AUDIT}");
-    let headers = [("authorization", key.as_str())];
-    let body = r#"{"run_ms": 2500, "answer": "late but whole"}"#;
-    let request = server.submit("audits", body, &headers);
-    let stop = async {
-        until(async || {
-            env.fleet
-                .records()
-                .iter()
-                .any(|(_, record)| !record.begun.is_empty())
-        })
-        .await;
-        server.signal("TERM")?;
-        until(async || server.logged("stopping").is_some()).await;
-        get(server.http, "/readyz").await
-    };
-    let (answer, ready) = tokio::join!(request, stop);
-
-    assert_eq!(ready?.status, 503);
-    let answer = answer?;
-    assert_eq!(answer.status, 200, "{}", answer.text());
-    assert_eq!(answer.text(), "late but whole");
-    assert!(server.wait().await?.success());
-    assert!(server.logged("stopped").is_some());
-    Ok(())
+    stops_after_answer(&env, server, 2_500).await
 }
 
 #[tokio::test]
--- a/crates/server/tests/server_death.rs
+++ b/crates/server/tests/server_death.rs
@@ -92,29 +92,40 @@
     assert_eq!(answer.text(), format!("answer of {id}"));
 }
 
-#[tokio::test]
-async fn killed_owner() -> anyhow::Result<()> {
-    let env = TestEnv::start().await?;
-    let [mut s1, s2, s3] = start(&env).await?;
-    assert!(racks_of(&s2, "s1").await? > 0, "s1 owns no rack");
-
-    let (s2, s3, env) = (&s2, &s3, &env);
-    let calls = (1..=REQUESTS).flat_map(|number| [(s2, 2 * number), (s3, 2 * number + 1)]);
+/// Sends requests through two servers while a third, which owns racks, is killed.
+async fn owner_dies(
+    env: &TestEnv,
+    mut owner: Process,
+    entries: [&Process; 2],
+    queue: &str,
+) -> anyhow::Result<Vec<(u128, Answer)>> {
+    let [first, second] = entries;
+    let calls = (1..=REQUESTS).flat_map(|number| [(first, 2 * number), (second, 2 * number + 1)]);
     let calls = calls.map(|(server, id)| async move {
         // Requests go on arriving while the owner dies.
         tokio::time::sleep(Duration::from_millis(10 * u64::try_from(id / 2)?)).await;
-        anyhow::Ok((id, send(server, "audits", id).await?))
+        anyhow::Ok((id, send(server, queue, id).await?))
     });
     let death = async {
         until(async || begun(env).len() >= 40).await;
-        s1.kill()
+        owner.kill()
     };
     let (answers, killed) = tokio::join!(join_all(calls), death);
     killed?;
+    answers.into_iter().collect()
+}
+
+#[tokio::test]
+async fn killed_owner() -> anyhow::Result<()> {
+    let env = TestEnv::start().await?;
+    let [s1, s2, s3] = start(&env).await?;
+    assert!(racks_of(&s2, "s1").await? > 0, "s1 owns no rack");
+
+    let (s2, s3, env) = (&s2, &s3, &env);
+    let answers = owner_dies(env, s1, [s2, s3], "audits").await?;
     let begun = begun(env);
     let mut ran = 0;
-    for answer in answers {
-        let (id, answer) = answer?;
+    for (id, answer) in answers {
         // A refusal is an answer as well, but it must be true.
         if answer.header("azurepath-ran") == Some("not_run") {
             assert_eq!(begun.get(&Id(id)), None, "{id}: {}", answer.text());
@@ -153,22 +164,11 @@
 #[tokio::test]
 async fn killed_owner_once_only() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
-    let [mut s1, s2, s3] = start(&env).await?;
+    let [s1, s2, s3] = start(&env).await?;
     let (s2, s3, env) = (&s2, &s3, &env);
-    let calls = (1..=REQUESTS).flat_map(|number| [(s2, 2 * number), (s3, 2 * number + 1)]);
-    let calls = calls.map(|(server, id)| async move {
-        tokio::time::sleep(Duration::from_millis(10 * u64::try_from(id / 2)?)).await;
-        anyhow::Ok((id, send(server, "sweep", id).await?))
-    });
-    let death = async {
-        until(async || begun(env).len() >= 40).await;
-        s1.kill()
-    };
-    let (answers, killed) = tokio::join!(join_all(calls), death);
-    killed?;
+    let answers = owner_dies(env, s1, [s2, s3], "sweep").await?;
     let begun = begun(env);
-    for answer in answers {
-        let (id, answer) = answer?;
+    for (id, answer) in answers {
         let count = begun.get(&Id(id)).copied().unwrap_or_default();
         assert!(count <= 1, "{id} began {count} times");
         match answer.header("azurepath-ran") {
