Plain names for parts of a limit that can't be used or are given away

Cause: read as a newcomer, ledger.rs had a splinter that feeds others; neither is a term of the field. Ruled out: splitting Account::want, whose rules depend on each other's order.

--- a/crates/decide/src/ledger.rs
+++ b/crates/decide/src/ledger.rs
@@ -12,7 +12,7 @@
 const IDLE: Duration = Duration::from_secs(5);
 
 /// How long a part in which nothing fits is kept while work waits.
-const SPLINTER: Duration = Duration::from_secs(2);
+const UNUSABLE: Duration = Duration::from_secs(2);
 
 /// What one rack holds for one team.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,7 +40,7 @@
 impl Account {
     /// Returns the part of what is held that goes to where nothing is held: half of it, or more
     /// where half would lack a resource.
-    fn feeds(&self, starved: &Size) -> Size {
+    fn released_to(&self, starved: &Size) -> Size {
         let half = starved.part_within(&self.allotted.half());
         if half.is_zero() {
             starved.part_within(&self.allotted)
@@ -50,9 +50,9 @@
     }
 
     /// Tells whether it holds a part of the limit in which nothing of what waits has fitted.
-    fn is_splinter(&self, now: Time) -> bool {
+    fn is_unusable(&self, now: Time) -> bool {
         let unused = self.used.is_zero() && !self.allotted.is_zero();
-        unused && now.since(self.idle) >= SPLINTER
+        unused && now.since(self.idle) >= UNUSABLE
     }
 
     /// Returns what is to be held where `wanted` is wanted besides what is used, if that differs
@@ -70,16 +70,16 @@
             let base = Size::min(&self.base, &self.allotted);
             Size::max(&base, &Size::max(&self.earlier, &self.peak))
         };
-        let fed = self.feeds(&need.starved);
+        let released = self.released_to(&need.starved);
         let want = match (self.cap, self.offer) {
             (Some(cap), _) => self.floor(cap),
             (None, Some(offer)) => Size::max(&offer, &self.used),
-            (None, None) if need.pressed && self.is_splinter(now) => {
+            (None, None) if need.pressed && self.is_unusable(now) => {
                 self.offer = Some(Size::ZERO);
                 Size::ZERO
             }
-            (None, None) if !fed.is_zero() => {
-                let kept = self.allotted.minus(&fed);
+            (None, None) if !released.is_zero() => {
+                let kept = self.allotted.minus(&released);
                 self.offer = Some(kept);
                 Size::max(&kept, &self.used)
             }
