--- a/crates/ctl/src/usage.rs
+++ b/crates/ctl/src/usage.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use azurepath_decide::usage::Period;
-use azurepath_platform::usage::Record;
-use azurepath_platform::{object, table, usage};
+use azurepath_services::usage::Record;
+use azurepath_services::{object, table, usage};
 use serde_json::{Value, json};
 
 use crate::cli;
--- a/crates/ctl/tests/usage.rs
+++ b/crates/ctl/tests/usage.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use anyhow::Result;
-use azurepath_platform::object::{self, Store};
+use azurepath_services::object::{self, Store};
 use support::TestEnv;
 
 const DOCUMENTS: &str = r#"
--- /dev/null
+++ b/crates/decide/src/batch/event.rs
@@ -0,0 +1,134 @@
+//! What the scheduler tells its callers and wants done.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+use super::Attempt;
+use super::advice::Question;
+
+/// The state of a job as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// No task has started yet.
+    Queued,
+    /// Some task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// The client has cancelled it.
+    Cancelled,
+}
+
+impl State {
+    /// Tells whether nothing follows.
+    pub fn is_final(self) -> bool {
+        matches!(self, State::Completed | State::Failed | State::Cancelled)
+    }
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The job is stored.
+    Accepted,
+    /// The job was not stored and never runs; another try may be worth it after the pause.
+    Refused(Duration),
+    /// The job is cancelled, and that is stored.
+    Cancelled,
+    /// There is no such job.
+    Unknown,
+}
+
+/// Why a worker did not start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// It obeys a later scheduler.
+    Superseded,
+    /// The run is not higher than one that has ended there.
+    OldRun,
+    /// The order came after its time.
+    Late,
+    /// It has no room.
+    NoRoom,
+    /// The ticket does not hold.
+    Ticket,
+    /// It is unhealthy.
+    Unhealthy,
+    /// Another worker listens there.
+    Replaced,
+    /// No connection could be made, so nothing was sent.
+    Unreachable,
+    /// The order made no sense to it.
+    Invalid,
+}
+
+/// What became of an order to start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// It runs.
+    Running,
+    /// It does not run, and this order never starts it.
+    Refused(Refusal),
+    /// No answer came: it may run, or start later.
+    Lost,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Start a task.
+    Start {
+        /// The worker by number.
+        worker: usize,
+        /// The attempt.
+        attempt: Attempt,
+        /// What is run.
+        payload: Name,
+        /// The checkpoint that it goes on from.
+        checkpoint: Option<Name>,
+        /// The permission of the advice service.
+        ticket: Option<Name>,
+    },
+    /// Stop a run.
+    Stop {
+        /// The worker by number.
+        worker: usize,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// Tell a worker that ends up to a number are stored.
+    Acknowledge {
+        /// The worker by number.
+        worker: usize,
+        /// The number.
+        number: u64,
+    },
+    /// Ask which workers may run a step.
+    Ask(Question),
+    /// Answer a call.
+    Answer {
+        /// The call.
+        call: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Begin to claim and renew a worker.
+    Attach {
+        /// The worker by number.
+        worker: usize,
+    },
+    /// Renew a worker no longer.
+    Detach {
+        /// The worker by number.
+        worker: usize,
+    },
+    /// Step down: a worker obeys a later scheduler.
+    Resign,
+}
--- /dev/null
+++ b/crates/decide/src/batch/fleet.rs
@@ -0,0 +1,130 @@
+//! The workers as the scheduler knows them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::name::Name;
+use crate::size::Size;
+use crate::time::Time;
+
+use super::{Attempt, JobId};
+
+/// A worker's entry in the registry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The worker's id.
+    pub id: Name,
+    /// The pool that it belongs to.
+    pub pool: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Its rack.
+    pub rack: Name,
+    /// Its labels, among them its kind.
+    pub labels: Vec<Name>,
+    /// What it holds.
+    pub capacity: Size,
+    /// Whether it takes new tasks.
+    pub standing: Standing,
+    /// When this life of the worker began, in milliseconds since 1970.
+    pub born_ms: u64,
+}
+
+/// Whether a worker takes new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// How far the scheduler rules a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Contact {
+    /// It has not answered yet: what runs there is unknown.
+    Unclaimed,
+    /// It answers.
+    Claimed,
+    /// It stopped answering.
+    Silent,
+    /// This life of it is over.
+    Gone,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its entry.
+    pub entry: Entry,
+    /// How far it is ruled.
+    pub contact: Contact,
+    /// Whether the registry lists it.
+    pub listed: bool,
+    /// What is not booked.
+    pub free: Size,
+    /// The attempts that are booked.
+    pub attempts: BTreeSet<Attempt>,
+    /// The highest number of an end that was taken in.
+    pub seen: u64,
+    /// Ends that were taken in but are not stored yet.
+    pub unstored: BTreeSet<u64>,
+    /// The job that this worker is being emptied for.
+    pub earmark: Option<JobId>,
+    /// Failures of different jobs in a row.
+    pub failures: BTreeSet<JobId>,
+    /// Until when nothing is started there, since all that was started failed.
+    pub shunned_until: Option<Time>,
+}
+
+impl Worker {
+    /// Makes a worker that was not heard yet.
+    pub fn new(entry: Entry) -> Worker {
+        Worker {
+            free: entry.capacity,
+            entry,
+            contact: Contact::Unclaimed,
+            listed: true,
+            attempts: BTreeSet::new(),
+            seen: 0,
+            unstored: BTreeSet::new(),
+            earmark: None,
+            failures: BTreeSet::new(),
+            shunned_until: None,
+        }
+    }
+
+    /// Tells whether tasks may be started there.
+    pub fn is_open(&self, now: Time) -> bool {
+        self.contact == Contact::Claimed
+            && self.listed
+            && self.entry.standing == Standing::Ready
+            && self.shunned_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns the number up to which ends are stored.
+    pub fn acknowledged(&self) -> u64 {
+        match self.unstored.first() {
+            Some(first) => first - 1,
+            None => self.seen,
+        }
+    }
+
+    /// Books an attempt.
+    pub fn book(&mut self, attempt: Attempt, size: &Size) {
+        if self.attempts.insert(attempt) {
+            self.free = self.free.minus(size);
+        }
+    }
+
+    /// Gives the room of an attempt back.
+    pub fn release(&mut self, attempt: &Attempt, size: &Size) {
+        if self.attempts.remove(attempt) {
+            self.free = self.free.plus(size);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/id.rs
@@ -0,0 +1,98 @@
+//! Names of jobs, their steps and their tasks.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// The hexadecimal digits of a job's id.
+const DIGITS: usize = 16;
+
+/// A text that names no job, step or task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("this is no id; give 16 lower-case hexadecimal digits")]
+pub struct Invalid;
+
+/// A job, by the id that its client chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId(pub u64);
+
+/// A step of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// The step, counted from 0.
+    pub step: u16,
+}
+
+/// A task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// The task, counted from 0.
+    pub index: u32,
+}
+
+/// One run of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the run, which only grows.
+    pub run: u64,
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The zero is the occurrence, of which a job has only one.
+        write!(f, "{}.0.{}", self.job, self.step)
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<JobId, Invalid> {
+        let digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != DIGITS || !text.bytes().all(digit) {
+            return Err(Invalid);
+        }
+        u64::from_str_radix(text, 16)
+            .map(JobId)
+            .map_err(|_| Invalid)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<TaskId, Invalid> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or(Invalid);
+        let job = next()?.parse()?;
+        let occurrence: u32 = next()?.parse().map_err(|_| Invalid)?;
+        let step = next()?.parse().map_err(|_| Invalid)?;
+        let index = next()?.parse().map_err(|_| Invalid)?;
+        if occurrence != 0 || parts.next().is_some() {
+            return Err(Invalid);
+        }
+        Ok(TaskId {
+            step: StepId { job, step },
+            index,
+        })
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/job.rs
@@ -0,0 +1,238 @@
+//! A job and its tasks while the scheduler drives them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::name::Name;
+use crate::time::Time;
+
+use super::record::{self, Record};
+use super::spec::Spec;
+use super::{Attempt, State, StepId, TaskId};
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The queue.
+    pub queue: Name,
+    /// The client account.
+    pub account: Option<Name>,
+    /// When it was accepted.
+    pub accepted: Time,
+    /// The same in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// What it consists of; dropped once it is over.
+    pub spec: Option<Spec>,
+    /// Its steps.
+    pub steps: Vec<Step>,
+    /// Its state.
+    pub state: State,
+    /// Whether it is stored.
+    pub stored: bool,
+    /// Whether its present state, if final, is stored.
+    pub settled: bool,
+    /// Whether it was accepted by an earlier scheduler, so that tasks may run where nobody has
+    /// looked yet.
+    pub inherited: bool,
+    /// Whether its account had used up its share when it came.
+    pub excess: bool,
+    /// When its state became final.
+    pub ended: Option<Time>,
+}
+
+/// A step.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// The workers that may run it, as far as known.
+    pub advice: Advice,
+    /// The highest run of any task, for gangs, whose members share it.
+    pub run: u64,
+    /// Workers whose room is kept for members of a gang that waits for tickets, by task.
+    pub reserved: Vec<usize>,
+    /// Until when the room is kept.
+    pub reserved_until: Time,
+}
+
+/// What the advice service has said of a step.
+#[derive(Clone, Debug, Default)]
+pub struct Advice {
+    /// Workers that it was asked about, by number.
+    pub asked: BTreeSet<usize>,
+    /// Workers that may run the step, with their tickets.
+    pub tickets: BTreeMap<usize, Ticket>,
+    /// Until when an answer to an open question is waited for.
+    pub open_until: Option<Time>,
+}
+
+/// A permission to run a step on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// What is shown to the worker.
+    pub text: Name,
+    /// Until when it holds.
+    pub until: Time,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Where it is.
+    pub place: Place,
+    /// How many of its runs have failed.
+    pub failures: u32,
+    /// The highest run.
+    pub run: u64,
+    /// Its newest checkpoint.
+    pub checkpoint: Option<Name>,
+    /// The worker on which it failed last.
+    pub avoid: Option<usize>,
+}
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Place {
+    /// Nowhere.
+    #[default]
+    Waiting,
+    /// It was ordered to start on a worker, or runs there.
+    On {
+        /// The worker by number.
+        worker: usize,
+        /// The run.
+        run: u64,
+        /// What is known.
+        phase: Phase,
+        /// When it was ordered to start.
+        since: Time,
+    },
+    /// It is done.
+    Done,
+}
+
+/// What is known of a task that was ordered to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The order is under way for the n-th time.
+    Ordered(u32),
+    /// It runs.
+    Running,
+    /// Orders stayed without an answer; none of them starts it after this time of the worker's
+    /// clock, in milliseconds.
+    Doubtful(u64),
+}
+
+impl Job {
+    /// Makes a job from what is stored of it.
+    pub fn from_record(record: Record, accepted: Time, run: u64) -> Job {
+        let gang = |index: usize| {
+            let spec = record.spec.as_ref();
+            spec.is_some_and(|spec| spec.steps.get(index).is_some_and(|step| step.gang))
+        };
+        let step = |(index, tasks): (usize, &Vec<record::Task>)| {
+            let done = tasks.iter().filter(|task| task.done).count();
+            // One member's end stands for the whole gang.
+            let over = done > 0 && gang(index);
+            Step {
+                left: if over { 0 } else { (tasks.len() - done) as u32 },
+                run,
+                tasks: tasks.iter().map(|task| Task::new(task, run)).collect(),
+                ..Step::default()
+            }
+        };
+        let steps = record.steps.iter().enumerate().map(step).collect();
+        Job {
+            queue: record.queue,
+            account: record.account,
+            accepted,
+            accepted_ms: record.accepted_ms,
+            spec: record.spec,
+            steps,
+            state: record.state,
+            stored: true,
+            settled: true,
+            inherited: true,
+            excess: false,
+            ended: None,
+        }
+    }
+
+    /// Returns what is stored of the job.
+    pub fn record(&self) -> Record {
+        let over = self.state.is_final();
+        let task = |task: &Task| record::Task {
+            done: task.place == Place::Done,
+            failures: task.failures,
+            checkpoint: task.checkpoint.clone(),
+        };
+        let step = |step: &Step| step.tasks.iter().map(task).collect();
+        Record {
+            queue: self.queue.clone(),
+            account: self.account.clone(),
+            accepted_ms: self.accepted_ms,
+            state: self.state,
+            spec: self.spec.clone().filter(|_| !over),
+            steps: if over {
+                Vec::new()
+            } else {
+                self.steps.iter().map(step).collect()
+            },
+        }
+    }
+
+    /// Tells whether all steps that a step waits for are done.
+    pub fn is_due(&self, step: usize) -> bool {
+        let Some(spec) = &self.spec else {
+            return false;
+        };
+        let before = &spec.steps[step].after;
+        before
+            .iter()
+            .all(|&earlier| self.steps[usize::from(earlier)].left == 0)
+    }
+
+    /// Finds a task.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let step = self.steps.get_mut(usize::from(id.step.step))?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// Returns all attempts that run or may run, with their workers.
+    pub fn placed(&self, id: super::JobId) -> Vec<(Attempt, usize)> {
+        let mut placed = Vec::new();
+        for (number, step) in self.steps.iter().enumerate() {
+            for (index, task) in step.tasks.iter().enumerate() {
+                if let Place::On { worker, run, .. } = task.place {
+                    let step = StepId {
+                        job: id,
+                        step: number as u16,
+                    };
+                    let task = TaskId {
+                        step,
+                        index: index as u32,
+                    };
+                    placed.push((Attempt { task, run }, worker));
+                }
+            }
+        }
+        placed
+    }
+}
+
+impl Task {
+    fn new(record: &record::Task, run: u64) -> Task {
+        Task {
+            place: if record.done {
+                Place::Done
+            } else {
+                Place::Waiting
+            },
+            failures: record.failures,
+            run,
+            checkpoint: record.checkpoint.clone(),
+            avoid: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler.rs
@@ -0,0 +1,228 @@
+//! The machine that drives all jobs on all workers of the fleet.
+
+mod ask;
+mod dump;
+mod end;
+mod intake;
+mod place;
+mod start;
+mod worker;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::name::{Map, Name};
+use crate::size::Size;
+use crate::time::Time;
+
+use super::config::Config;
+use super::event::Action;
+use super::fleet::{Contact, Worker};
+use super::job::Job;
+use super::journal::Journal;
+use super::order::Durations;
+use super::record::Record;
+use super::{Attempt, JobId, State};
+
+pub use dump::Dump;
+pub use place::Account;
+
+/// The runs that one scheduler may number before the numbers of its successor begin.
+const RUNS_PER_EPOCH: u64 = 1_000;
+
+/// How long a final state is kept for clients to ask for: the platform's `status_s` and a margin.
+const KEEP: Duration = Duration::from_secs(125);
+
+/// How often a stop that has not taken effect is ordered again.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+
+/// What a scheduler is made with.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// The scheduler's epoch; each successor has a higher one.
+    pub epoch: u64,
+    /// The wall clock at time 0, in milliseconds since 1970.
+    pub origin_ms: u64,
+    /// How long tasks may run on workers that nobody has heard of since the takeover.
+    pub write_off: Duration,
+}
+
+impl Setup {
+    /// Returns the number that the runs of this scheduler come after.
+    fn first_run(&self) -> u64 {
+        (self.epoch - 1) * RUNS_PER_EPOCH
+    }
+}
+
+/// The machine.
+#[derive(Debug)]
+pub struct Scheduler {
+    setup: Setup,
+    now: Time,
+    /// Until when tasks of inherited jobs may run on workers that were not heard yet.
+    settled_at: Time,
+    config: Arc<Config>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs with a step that is due and has waiting tasks.
+    ready: BTreeSet<JobId>,
+    workers: Vec<Worker>,
+    by_id: BTreeMap<Name, usize>,
+    accounts: BTreeMap<Name, Account>,
+    durations: Map<Name, Durations>,
+    journal: Journal,
+    stopping: BTreeMap<Attempt, (usize, Time)>,
+    ended: BTreeMap<Time, Vec<JobId>>,
+    /// When steps were last placed.
+    placed_at: Time,
+    dirty: bool,
+    out: Vec<Action>,
+}
+
+impl Scheduler {
+    /// Makes a scheduler that goes on from what its predecessors have stored.
+    pub fn new(
+        setup: Setup,
+        now: Time,
+        config: Arc<Config>,
+        records: Vec<(JobId, Record)>,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler {
+            setup,
+            now,
+            settled_at: now.after(setup.write_off),
+            config,
+            jobs: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            workers: Vec::new(),
+            by_id: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            durations: Map::default(),
+            journal: Journal::default(),
+            stopping: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            placed_at: Time::default(),
+            dirty: true,
+            out: Vec::new(),
+        };
+        for (id, record) in records {
+            scheduler.inherit(id, record);
+        }
+        scheduler
+    }
+
+    fn inherit(&mut self, id: JobId, record: Record) {
+        let wall_ms = self.wall_ms();
+        let age = Duration::from_millis(wall_ms.saturating_sub(record.accepted_ms));
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let accepted = Time(self.now.0.saturating_sub(age));
+        let mut job = Job::from_record(record, accepted, self.setup.first_run());
+        if job.state.is_final() {
+            job.ended = Some(self.now);
+            self.ended.entry(self.now).or_default().push(id);
+        } else {
+            self.ready.insert(id);
+        }
+        self.jobs.insert(id, job);
+    }
+
+    /// Takes a newer configuration.
+    pub fn configure(&mut self, config: Arc<Config>) {
+        self.config = config;
+        self.dirty = true;
+    }
+
+    /// Returns the state of a job, or `None` where there is no such job.
+    ///
+    /// An end is shown only once it is stored: a successor could otherwise run the job again.
+    pub fn state(&self, id: JobId) -> Option<State> {
+        let job = self.jobs.get(&id)?;
+        if job.state.is_final() && !job.settled {
+            return Some(State::Running);
+        }
+        Some(job.state)
+    }
+
+    /// Returns how many stored jobs of a queue have no task that has started.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let waits = |job: &&Job| job.stored && job.state == State::Queued && *job.queue == *queue;
+        self.jobs.values().filter(waits).count() as u64
+    }
+
+    /// Moves the time on and places what can be placed; appends what is to be done.
+    pub fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.forget();
+        self.repeat_stops();
+        self.place();
+        actions.append(&mut self.out);
+    }
+
+    /// Takes jobs that changed for the next write, `most` at most; none while one is under way.
+    ///
+    /// `None` in place of a record removes it.
+    pub fn write(&mut self, most: usize) -> Option<Vec<(JobId, Option<Record>)>> {
+        let jobs = self.journal.take(most)?;
+        let record = |id: JobId| (id, self.jobs.get(&id).map(Job::record));
+        Some(jobs.into_iter().map(record).collect())
+    }
+
+    /// Takes in that the last write is stored.
+    pub fn written(&mut self) {
+        for (id, deferred) in self.journal.written() {
+            self.settle(id, &deferred);
+        }
+    }
+
+    /// Tells whether everything that changed is stored.
+    pub fn is_stored(&self) -> bool {
+        self.journal.is_idle()
+    }
+
+    /// Drops jobs whose final state was shown long enough.
+    fn forget(&mut self) {
+        while let Some(first) = self.ended.first_entry() {
+            if self.now < first.key().after(KEEP) {
+                return;
+            }
+            for id in first.remove() {
+                self.jobs.remove(&id);
+                self.journal.note(id, None);
+            }
+        }
+    }
+
+    fn repeat_stops(&mut self) {
+        let workers = &self.workers;
+        self.stopping
+            .retain(|_, (worker, _)| workers[*worker].contact != Contact::Gone);
+        let due = self.stopping.iter().filter(|(_, (_, at))| *at <= self.now);
+        let due: Vec<(Attempt, usize)> = due
+            .map(|(attempt, (worker, _))| (*attempt, *worker))
+            .collect();
+        for (attempt, worker) in due {
+            self.stop(worker, attempt);
+        }
+    }
+
+    /// Orders a run to stop; the order is repeated until the run is known to have ended.
+    fn stop(&mut self, worker: usize, attempt: Attempt) {
+        let again = self.now.after(STOP_AGAIN);
+        self.stopping.insert(attempt, (worker, again));
+        self.out.push(Action::Stop { worker, attempt });
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.setup.origin_ms + self.now.0 / 1_000
+    }
+
+    fn size_of(&self, attempt: &Attempt) -> Option<Size> {
+        let job = self.jobs.get(&attempt.task.step.job)?;
+        let step = job
+            .spec
+            .as_ref()?
+            .steps
+            .get(usize::from(attempt.task.step.step))?;
+        Some(step.size)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -0,0 +1,147 @@
+//! Tickets: which workers the advice service is asked about, and when.
+//!
+//! What it says of a step and a worker never changes, only the ticket expires. So a step asks about
+//! all workers once, and later only about workers that have room for it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::super::StepId;
+use super::super::advice::{Advice, Question};
+use super::super::config::{Advised, Queue};
+use super::super::event::Action;
+use super::super::job::{self, Ticket};
+use super::Scheduler;
+
+/// How long an answer is waited for beyond what the question takes.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// What is taken off a ticket's validity for the way of the ticket and of the order.
+const TICKET_MARGIN: Duration = Duration::from_millis(150);
+
+/// The most workers of one question, as the platform documents it.
+const WORKERS: usize = 100;
+
+impl job::Advice {
+    /// Tells whether a ticket for a worker still holds.
+    pub(super) fn holds(&self, worker: usize, now: crate::time::Time) -> bool {
+        self.tickets
+            .get(&worker)
+            .is_some_and(|ticket| ticket.until > now)
+    }
+}
+
+impl Scheduler {
+    /// Tells whether the service has named a worker for a step.
+    pub(super) fn is_advised(&self, id: StepId) -> bool {
+        !self.advice_of(id).tickets.is_empty()
+    }
+
+    fn advice_of(&self, id: StepId) -> &job::Advice {
+        &self.jobs[&id.job].steps[usize::from(id.step)].advice
+    }
+
+    /// Asks about all workers.
+    pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) {
+        let all: Vec<usize> = self.open_workers(queue);
+        self.ask_some(id, queue, &all);
+    }
+
+    /// Asks for new tickets of the workers that may run a step.
+    pub(super) fn ask_eligible(&mut self, id: StepId, queue: &Queue) {
+        let now = self.now;
+        let known = self.advice_of(id).tickets.keys().copied();
+        let open: Vec<usize> = known
+            .filter(|&worker| self.workers[worker].is_open(now))
+            .collect();
+        self.ask_some(id, queue, &open);
+    }
+
+    /// Asks about workers that came after the last question.
+    pub(super) fn ask_new(&mut self, id: StepId, queue: &Queue) {
+        if queue.advice.is_none() {
+            return;
+        }
+        let asked = &self.advice_of(id).asked;
+        let open = self.open_workers(queue);
+        let new: Vec<usize> = open
+            .into_iter()
+            .filter(|worker| !asked.contains(worker))
+            .collect();
+        self.ask_some(id, queue, &new);
+    }
+
+    fn open_workers(&self, queue: &Queue) -> Vec<usize> {
+        let fits = |&index: &usize| {
+            let worker = &self.workers[index];
+            worker.is_open(self.now) && worker.entry.pool == queue.pool
+        };
+        (0..self.workers.len()).filter(fits).collect()
+    }
+
+    /// Asks about some workers, unless a question of the step is open.
+    pub(super) fn ask_some(&mut self, id: StepId, queue: &Queue, workers: &[usize]) {
+        let Some(advised) = queue.advice else {
+            return;
+        };
+        let now = self.now;
+        if workers.is_empty()
+            || self
+                .advice_of(id)
+                .open_until
+                .is_some_and(|until| until > now)
+        {
+            return;
+        }
+        let distinct: BTreeSet<usize> = workers.iter().copied().take(WORKERS).collect();
+        let takes = duration(&advised, distinct.len());
+        let names = distinct
+            .iter()
+            .map(|&worker| self.workers[worker].entry.id.clone());
+        let question = Question {
+            step: id,
+            workers: names.collect(),
+            takes,
+            priority: queue.priority,
+        };
+        self.out.push(Action::Ask(question));
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            let advice = &mut job.steps[usize::from(id.step)].advice;
+            advice.asked.extend(distinct);
+            advice.open_until = Some(now.after(takes + PATIENCE));
+        }
+    }
+
+    /// Takes in what the service has answered; `None` where no answer came.
+    pub fn advised(&mut self, id: StepId, advice: Option<&Advice>) {
+        self.dirty = true;
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let validity = self.config.queue(&job.queue).and_then(|queue| queue.advice);
+        let validity = validity.map_or(Duration::ZERO, |advised| advised.validity);
+        let until = now.after(validity.saturating_sub(TICKET_MARGIN));
+        let Some(step) = job.steps.get_mut(usize::from(id.step)) else {
+            return;
+        };
+        step.advice.open_until = None;
+        let Some(advice) = advice else {
+            return;
+        };
+        for (worker, text) in &advice.tickets {
+            if let Some(&index) = self.by_id.get(worker) {
+                let text = text.clone();
+                step.advice.tickets.insert(index, Ticket { text, until });
+            }
+        }
+        if step.advice.tickets.is_empty() {
+            // No worker that was asked about may run it: only a new one can help.
+            step.advice.open_until = Some(now.after(PATIENCE));
+        }
+    }
+}
+
+fn duration(advised: &Advised, workers: usize) -> Duration {
+    advised.base + advised.each * u32::try_from(workers).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -0,0 +1,185 @@
+//! Tasks end, and their jobs go on from there.
+
+use super::super::fleet::Contact;
+use super::super::job::Place;
+use super::super::journal::Deferred;
+use super::super::report::{End, How};
+use super::super::{Attempt, State};
+use super::Scheduler;
+
+impl Scheduler {
+    /// Takes in the end of an attempt on a worker.
+    pub(super) fn end(&mut self, index: usize, end: &End) {
+        self.stopping.remove(&end.attempt);
+        let id = end.attempt.task.step.job;
+        let size = self.size_of(&end.attempt);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let over = job.state.is_final();
+        let account = job.account.clone();
+        let inherited = job.inherited;
+        let Some(task) = job.task_mut(end.attempt.task) else {
+            return;
+        };
+        let current = matches!(task.place, Place::On { worker, run, .. }
+            if worker == index && run == end.attempt.run);
+        // Before it was adopted, an inherited task's end counts as well.
+        let unheard = inherited && task.place == Place::Waiting;
+        if !current && !unheard {
+            return;
+        }
+        let since = match task.place {
+            Place::On { since, .. } => Some(since),
+            Place::Waiting | Place::Done => None,
+        };
+        task.place = Place::Waiting;
+        task.run = task.run.max(end.attempt.run);
+        if end.checkpoint.is_some() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if current && let Some(size) = size {
+            self.workers[index].release(&end.attempt, &size);
+            self.refund(account.as_ref(), &size);
+        }
+        self.dirty = true;
+        if over {
+            return;
+        }
+        self.workers[index].unstored.insert(end.number);
+        let deferred = Deferred::End {
+            worker: index,
+            number: end.number,
+        };
+        self.journal.note(id, Some(deferred));
+        match end.how {
+            How::Done => {
+                self.note_health(index, id, false);
+                if let Some(since) = since.filter(|_| !inherited) {
+                    let ran = self.now.since(since);
+                    self.note_duration(&end.attempt, ran);
+                }
+                self.done(&end.attempt);
+            }
+            How::Failed => {
+                self.note_health(index, id, true);
+                self.failed(index, &end.attempt);
+            }
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
+            self.ready.insert(id);
+        }
+    }
+
+    fn note_duration(&mut self, attempt: &Attempt, ran: std::time::Duration) {
+        if let Some(job) = self.jobs.get(&attempt.task.step.job) {
+            let queue = job.queue.clone();
+            self.durations.entry(queue).or_default().note(ran);
+        }
+    }
+
+    /// Takes in that a task, or the whole gang that it belongs to, is done.
+    fn done(&mut self, attempt: &Attempt) {
+        let id = attempt.task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let number = usize::from(attempt.task.step.step);
+        let gang = job
+            .spec
+            .as_ref()
+            .is_some_and(|spec| spec.steps[number].gang);
+        let step = &mut job.steps[number];
+        if gang {
+            // One member's end stands for all; the others' rooms are freed when theirs are listed.
+            step.left = 0;
+        }
+        let task = &mut step.tasks[attempt.task.index as usize];
+        if task.place != Place::Done {
+            task.place = Place::Done;
+            if !gang {
+                step.left -= 1;
+            }
+        }
+        if job.steps.iter().all(|step| step.left == 0) {
+            self.finish_done(id);
+        }
+    }
+
+    /// Completes a job; members of a gang that have not listed their end yet are not stopped.
+    fn finish_done(&mut self, id: super::super::JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = State::Completed;
+        job.settled = false;
+        job.ended = Some(self.now);
+        self.ready.remove(&id);
+        self.ended.entry(self.now).or_default().push(id);
+        self.journal.note(id, None);
+    }
+
+    /// Counts a failure; a job whose task has failed too often has failed.
+    fn failed(&mut self, index: usize, attempt: &Attempt) {
+        let id = attempt.task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let attempts = self.config.queue(&job.queue).map(|queue| queue.attempts);
+        let number = usize::from(attempt.task.step.step);
+        let gang = job
+            .spec
+            .as_ref()
+            .is_some_and(|spec| spec.steps[number].gang);
+        let step = &mut job.steps[number];
+        let task = &mut step.tasks[attempt.task.index as usize];
+        task.avoid = Some(index);
+        task.failures += 1;
+        let failures: u32 = if gang {
+            step.tasks.iter().map(|task| task.failures).sum()
+        } else {
+            task.failures
+        };
+        if attempts.is_some_and(|attempts| failures >= attempts) {
+            self.finish(id, State::Failed);
+        }
+    }
+
+    /// Takes in that an attempt does not run and never will, without an end that counts.
+    pub(super) fn lose(&mut self, index: usize, attempt: Attempt) {
+        self.stopping.remove(&attempt);
+        let id = attempt.task.step.job;
+        let size = self.size_of(&attempt);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.workers[index].attempts.remove(&attempt);
+            return;
+        };
+        let over = job.state.is_final();
+        let account = job.account.clone();
+        if let Some(task) = job.task_mut(attempt.task)
+            && matches!(task.place, Place::On { worker, run, .. }
+                if worker == index && run == attempt.run)
+        {
+            task.place = Place::Waiting;
+            if !over {
+                self.ready.insert(id);
+            }
+        }
+        if let Some(size) = size {
+            self.workers[index].release(&attempt, &size);
+            self.refund(account.as_ref(), &size);
+        }
+        self.dirty = true;
+    }
+
+    /// Tells whether tasks of inherited jobs may still run on workers that were not heard yet.
+    pub(super) fn is_unsettled(&self) -> bool {
+        self.now < self.settled_at
+            && (self.workers.is_empty()
+                || self
+                    .workers
+                    .iter()
+                    .any(|worker| worker.contact == Contact::Unclaimed))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -0,0 +1,148 @@
+//! Jobs come in, are cancelled, and are stored.
+
+use std::collections::BTreeSet;
+
+use crate::name::Name;
+
+use super::super::event::{Action, Answer};
+use super::super::job::{Job, Step, Task};
+use super::super::journal::Deferred;
+use super::super::spec::Spec;
+use super::super::{JobId, State};
+use super::Scheduler;
+
+impl Scheduler {
+    /// Takes a submitted job; the call is answered once the job is stored.
+    ///
+    /// A job that is known already remains the one that it is.
+    pub fn submit(
+        &mut self,
+        call: u64,
+        id: JobId,
+        queue: &Name,
+        account: Option<Name>,
+        spec: Spec,
+    ) {
+        if let Some(job) = self.jobs.get(&id) {
+            if job.stored {
+                self.answer(call, Answer::Accepted);
+            } else {
+                self.journal.note(id, Some(Deferred::Answer(call)));
+            }
+            return;
+        }
+        let excess = self.is_excess(account.as_ref());
+        if let Some(pause) = self.refuse(queue, &spec, excess) {
+            self.answer(call, Answer::Refused(pause));
+            return;
+        }
+        let run = self.setup.first_run();
+        let task = Task {
+            run,
+            ..Task::default()
+        };
+        let step = |count: u32| Step {
+            tasks: vec![task.clone(); count as usize],
+            left: count,
+            run,
+            ..Step::default()
+        };
+        let job = Job {
+            queue: queue.clone(),
+            account,
+            accepted: self.now,
+            accepted_ms: self.wall_ms(),
+            steps: spec.steps.iter().map(|each| step(each.count)).collect(),
+            spec: Some(spec),
+            state: State::Queued,
+            stored: false,
+            settled: true,
+            inherited: false,
+            excess,
+            ended: None,
+        };
+        self.jobs.insert(id, job);
+        self.ready.insert(id);
+        self.dirty = true;
+        self.journal.note(id, Some(Deferred::Admit));
+        self.journal.note(id, Some(Deferred::Answer(call)));
+    }
+
+    /// Cancels a job; the call is answered once that is stored.
+    pub fn cancel(&mut self, call: u64, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.answer(call, Answer::Unknown);
+            return;
+        };
+        if !job.state.is_final() {
+            self.finish(id, State::Cancelled);
+        }
+        if self.jobs.get(&id).is_some_and(|job| job.settled) {
+            self.answer(call, Answer::Cancelled);
+        } else {
+            self.journal.note(id, Some(Deferred::Answer(call)));
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn finish(&mut self, id: JobId, state: State) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = state;
+        job.settled = false;
+        job.ended = Some(self.now);
+        let placed = job.placed(id);
+        for step in 0..job.steps.len() {
+            self.unreserve(id, step);
+        }
+        self.ready.remove(&id);
+        self.clear_earmarks(id);
+        self.ended.entry(self.now).or_default().push(id);
+        self.journal.note(id, None);
+        for (attempt, worker) in placed {
+            self.stop(worker, attempt);
+        }
+    }
+
+    /// Carries out what waited for a write.
+    pub(super) fn settle(&mut self, id: JobId, deferred: &[Deferred]) {
+        let mut state = None;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stored = true;
+            // A job that came to its end while the write was under way has a write to come.
+            job.settled = !job.state.is_final() || !self.journal.is_waiting(id);
+            state = Some(job.state);
+        }
+        let mut workers = BTreeSet::new();
+        for step in deferred {
+            match *step {
+                Deferred::Admit => self.dirty = true,
+                Deferred::Answer(call) => {
+                    let answer = match state {
+                        Some(State::Cancelled) => Answer::Cancelled,
+                        Some(_) => Answer::Accepted,
+                        None => Answer::Unknown,
+                    };
+                    self.answer(call, answer);
+                }
+                Deferred::End { worker, number } => {
+                    self.workers[worker].unstored.remove(&number);
+                    workers.insert(worker);
+                }
+            }
+        }
+        for worker in workers {
+            self.acknowledge(worker);
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, worker: usize) {
+        let number = self.workers[worker].acknowledged();
+        self.out.push(Action::Acknowledge { worker, number });
+    }
+
+    fn answer(&mut self, call: u64, answer: Answer) {
+        self.out.push(Action::Answer { call, answer });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -0,0 +1,191 @@
+//! Orders to start tasks, and what becomes of them.
+
+use std::time::Duration;
+
+use crate::name::Name;
+
+use super::super::event::{Action, Refusal, Started};
+use super::super::fleet::Contact;
+use super::super::job::{Phase, Place};
+use super::super::{Attempt, State, StepId, TaskId};
+use super::Scheduler;
+
+/// How often the same order is sent while no answer comes.
+const ORDERS: u32 = 3;
+
+/// How long nothing is started on a worker that calls itself unhealthy.
+const UNHEALTHY: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// Orders tasks of one step to start, a task and its worker each.
+    pub(super) fn start(&mut self, id: StepId, tasks: &[(u32, usize)]) {
+        let number = usize::from(id.step);
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(spec) = &job.spec else {
+            return;
+        };
+        let (payload, size) = (spec.payload.clone(), spec.steps[number].size);
+        let gang = spec.steps[number].gang;
+        job.state = State::Running;
+        let account = job.account.clone();
+        let step = &mut job.steps[number];
+        let shared = step.tasks.iter().find_map(|task| task.checkpoint.clone());
+        step.run += 1;
+        let mut orders = Vec::with_capacity(tasks.len());
+        for &(index, worker) in tasks {
+            let task = &mut step.tasks[index as usize];
+            let run = if gang {
+                step.run.max(task.run + 1)
+            } else {
+                task.run + 1
+            };
+            step.run = step.run.max(run);
+            task.run = run;
+            task.place = Place::On {
+                worker,
+                run,
+                phase: Phase::Ordered(1),
+                since: self.now,
+            };
+            let checkpoint = if gang {
+                shared.clone()
+            } else {
+                task.checkpoint.clone()
+            };
+            let ticket = step.advice.tickets.get(&worker);
+            orders.push((
+                index,
+                worker,
+                run,
+                checkpoint,
+                ticket.map(|ticket| ticket.text.clone()),
+            ));
+        }
+        for (index, worker, run, checkpoint, ticket) in orders {
+            let task = TaskId { step: id, index };
+            let attempt = Attempt { task, run };
+            self.workers[worker].book(attempt, &size);
+            self.charge(account.as_ref(), &size);
+            self.out.push(Action::Start {
+                worker,
+                attempt,
+                payload: payload.clone(),
+                checkpoint,
+                ticket,
+            });
+        }
+    }
+
+    /// Takes in what became of an order, which no worker carries out after `until_ms` of its clock.
+    pub fn started(&mut self, worker: usize, attempt: Attempt, started: Started, until_ms: u64) {
+        let id = attempt.task.step;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let over = job.state.is_final();
+        let Some(task) = job.task_mut(attempt.task) else {
+            return;
+        };
+        let checkpoint = task.checkpoint.clone();
+        let Place::On {
+            worker: on,
+            run,
+            phase,
+            ..
+        } = &mut task.place
+        else {
+            return;
+        };
+        let Phase::Ordered(orders) = *phase else {
+            return;
+        };
+        if *on != worker || *run != attempt.run {
+            return;
+        }
+        match started {
+            Started::Running => *phase = Phase::Running,
+            Started::Lost if orders < ORDERS && !over => {
+                *phase = Phase::Ordered(orders + 1);
+                self.order_again(worker, attempt, checkpoint);
+            }
+            // An earlier order that was not answered may have started it.
+            Started::Lost => *phase = Phase::Doubtful(until_ms),
+            Started::Refused(_) if orders > 1 => *phase = Phase::Doubtful(until_ms),
+            Started::Refused(refusal) => self.refused(worker, attempt, refusal),
+        }
+    }
+
+    fn order_again(&mut self, worker: usize, attempt: Attempt, checkpoint: Option<Name>) {
+        let id = attempt.task.step;
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let Some(spec) = &job.spec else {
+            return;
+        };
+        let step = &job.steps[usize::from(id.step)];
+        let gang = spec.steps[usize::from(id.step)].gang;
+        let shared = || step.tasks.iter().find_map(|task| task.checkpoint.clone());
+        let ticket = step.advice.tickets.get(&worker);
+        self.out.push(Action::Start {
+            worker,
+            attempt,
+            payload: spec.payload.clone(),
+            checkpoint: if gang { shared() } else { checkpoint },
+            ticket: ticket.map(|ticket| ticket.text.clone()),
+        });
+    }
+
+    fn refused(&mut self, worker: usize, attempt: Attempt, refusal: Refusal) {
+        let id = attempt.task.step;
+        self.lose(worker, attempt);
+        match refusal {
+            Refusal::Superseded => self.out.push(Action::Resign),
+            Refusal::Ticket => {
+                if let Some(job) = self.jobs.get_mut(&id.job) {
+                    let advice = &mut job.steps[usize::from(id.step)].advice;
+                    if let Some(ticket) = advice.tickets.get_mut(&worker) {
+                        ticket.until = self.now;
+                    }
+                }
+            }
+            Refusal::Unhealthy => {
+                self.workers[worker].shunned_until = Some(self.now.after(UNHEALTHY));
+            }
+            Refusal::Unreachable => {
+                if self.workers[worker].contact == Contact::Claimed {
+                    self.workers[worker].contact = Contact::Silent;
+                }
+            }
+            Refusal::Replaced => self.bury(worker),
+            Refusal::OldRun | Refusal::Late | Refusal::NoRoom | Refusal::Invalid => {}
+        }
+        self.stop_gang(id);
+    }
+
+    /// Stops the members of a gang of which one can't start.
+    fn stop_gang(&mut self, id: StepId) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let number = usize::from(id.step);
+        let gang = job
+            .spec
+            .as_ref()
+            .is_some_and(|spec| spec.steps[number].gang);
+        if !gang {
+            return;
+        }
+        let placed = job.placed(id.job);
+        let members = placed
+            .into_iter()
+            .filter(|(attempt, _)| attempt.task.step == id);
+        for (attempt, worker) in members {
+            if !self.stopping.contains_key(&attempt) {
+                self.stop(worker, attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -0,0 +1,227 @@
+//! Workers come, report, fall silent and go.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::super::event::Action;
+use super::super::fleet::{Contact, Entry, Standing, Worker};
+use super::super::job::{Phase, Place};
+use super::super::report::Report;
+use super::super::{Attempt, JobId, State};
+use super::Scheduler;
+
+/// Failures of different jobs in a row that speak against a worker: with one task in twenty failing
+/// by itself, four in a row are no chance.
+const FAILURES: usize = 4;
+
+/// How long nothing is started on a worker that fails all that it starts.
+const SHUN: Duration = Duration::from_secs(3);
+
+impl Scheduler {
+    /// Takes all entries of the registry.
+    pub fn list(&mut self, entries: Vec<Entry>) {
+        let mut listed = BTreeSet::new();
+        for entry in entries {
+            listed.insert(entry.id.clone());
+            self.enter(entry);
+        }
+        for worker in &mut self.workers {
+            if worker.contact != Contact::Gone {
+                worker.listed = listed.contains(&worker.entry.id);
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn enter(&mut self, entry: Entry) {
+        if let Some(&index) = self.by_id.get(&entry.id) {
+            let worker = &mut self.workers[index];
+            if worker.entry.born_ms == entry.born_ms && worker.entry.address == entry.address {
+                worker.entry.standing = entry.standing;
+                return;
+            }
+            if worker.entry.born_ms > entry.born_ms {
+                return;
+            }
+            self.bury(index);
+        }
+        let index = self.workers.len();
+        self.by_id.insert(entry.id.clone(), index);
+        self.workers.push(Worker::new(entry));
+        self.out.push(Action::Attach { worker: index });
+    }
+
+    /// Returns a worker.
+    pub fn worker(&self, index: usize) -> &Worker {
+        &self.workers[index]
+    }
+
+    /// Ends a life of a worker: nothing runs there any more.
+    pub fn bury(&mut self, index: usize) {
+        if self.workers[index].contact == Contact::Gone {
+            return;
+        }
+        self.workers[index].contact = Contact::Gone;
+        self.workers[index].listed = false;
+        self.out.push(Action::Detach { worker: index });
+        self.write_off(index);
+    }
+
+    /// Takes in that a worker does not answer.
+    pub fn silent(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        if worker.contact == Contact::Claimed {
+            worker.contact = Contact::Silent;
+            self.dirty = true;
+        }
+    }
+
+    /// Takes in that the lease of all that ran on a worker has surely expired.
+    pub fn write_off(&mut self, index: usize) {
+        let attempts: Vec<Attempt> = self.workers[index].attempts.iter().copied().collect();
+        for attempt in attempts {
+            self.lose(index, attempt);
+        }
+        if self.workers[index].contact == Contact::Silent {
+            self.workers[index].contact = Contact::Unclaimed;
+        }
+    }
+
+    /// Takes in that a worker that has left the registry is silent for good.
+    pub fn is_abandoned(&self, index: usize) -> bool {
+        let worker = &self.workers[index];
+        !worker.listed && worker.attempts.is_empty() && worker.contact != Contact::Claimed
+    }
+
+    /// Takes in what a worker says.
+    pub fn report(&mut self, index: usize, report: &Report) {
+        let worker = &mut self.workers[index];
+        if worker.contact == Contact::Gone {
+            return;
+        }
+        if report.born_ms != worker.entry.born_ms && worker.entry.born_ms != 0 {
+            // Another life answers: the registry will list it.
+            self.bury(index);
+            return;
+        }
+        if worker.contact != Contact::Claimed {
+            worker.contact = Contact::Claimed;
+            self.dirty = true;
+        }
+        for running in &report.running {
+            self.runs(index, running.attempt, running.checkpoint.as_ref());
+        }
+        let seen = self.workers[index].seen;
+        for end in report.ended.iter().filter(|end| end.number > seen) {
+            self.workers[index].seen = self.workers[index].seen.max(end.number);
+            self.end(index, end);
+        }
+        self.settle_doubts(index, report);
+        self.acknowledge(index);
+    }
+
+    /// Gives up orders that were not carried out and never will be.
+    fn settle_doubts(&mut self, index: usize, report: &Report) {
+        let doubtful = |attempt: &&Attempt| {
+            let job = self.jobs.get(&attempt.task.step.job);
+            let place = job.and_then(|job| {
+                let step = job.steps.get(usize::from(attempt.task.step.step))?;
+                Some(step.tasks.get(attempt.task.index as usize)?.place)
+            });
+            match place {
+                Some(Place::On {
+                    phase: Phase::Doubtful(until),
+                    ..
+                }) => report.clock_ms > until,
+                _ => false,
+            }
+        };
+        let attempts = self.workers[index].attempts.iter();
+        let over: Vec<Attempt> = attempts.filter(doubtful).copied().collect();
+        for attempt in over {
+            let runs = report.running.iter().any(|run| run.attempt == attempt);
+            if !runs {
+                self.lose(index, attempt);
+            }
+        }
+    }
+
+    /// Takes in that an attempt runs on a worker.
+    fn runs(&mut self, index: usize, attempt: Attempt, checkpoint: Option<&crate::name::Name>) {
+        let id = attempt.task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.stop_stray(index, attempt);
+            return;
+        };
+        let over = job.state.is_final();
+        let inherited = job.inherited;
+        let now = self.now;
+        let first = self.setup.first_run();
+        let Some(task) = job.task_mut(attempt.task) else {
+            self.stop_stray(index, attempt);
+            return;
+        };
+        if let Some(checkpoint) = checkpoint {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+        match &mut task.place {
+            Place::On {
+                worker, run, phase, ..
+            } if *worker == index && *run == attempt.run => {
+                *phase = Phase::Running;
+            }
+            Place::Waiting
+                if inherited && !over && (task.run == first || attempt.run >= task.run) =>
+            {
+                task.place = Place::On {
+                    worker: index,
+                    run: attempt.run,
+                    phase: Phase::Running,
+                    since: now,
+                };
+                task.run = task.run.max(attempt.run);
+                self.adopt(index, attempt);
+            }
+            Place::Waiting | Place::On { .. } | Place::Done => self.stop_stray(index, attempt),
+        }
+    }
+
+    fn adopt(&mut self, index: usize, attempt: Attempt) {
+        let Some(size) = self.size_of(&attempt) else {
+            return;
+        };
+        self.workers[index].book(attempt, &size);
+        if let Some(job) = self.jobs.get_mut(&attempt.task.step.job) {
+            job.state = State::Running;
+            let step = &mut job.steps[usize::from(attempt.task.step.step)];
+            step.run = step.run.max(attempt.run);
+            let account = job.account.clone();
+            self.charge(account.as_ref(), &size);
+        }
+    }
+
+    /// Stops a run that nobody wants, unless it is being stopped already.
+    fn stop_stray(&mut self, index: usize, attempt: Attempt) {
+        if !self.stopping.contains_key(&attempt) {
+            self.stop(index, attempt);
+        }
+    }
+
+    /// Notes that a task of a job has failed on a worker, or not.
+    pub(super) fn note_health(&mut self, index: usize, job: JobId, failed: bool) {
+        let worker = &mut self.workers[index];
+        if !failed {
+            worker.failures.clear();
+            return;
+        }
+        worker.failures.insert(job);
+        if worker.failures.len() >= FAILURES {
+            worker.shunned_until = Some(self.now.after(SHUN));
+        }
+    }
+
+    /// Tells whether a worker is about to leave.
+    pub fn is_draining(&self, index: usize) -> bool {
+        self.workers[index].entry.standing == Standing::Draining
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod action;
 pub mod allotment;
 pub mod attempt;
+pub mod batch;
 pub mod candidate;
 pub mod cell;
 pub mod class;
--- a/crates/platform/src/http.rs
+++ b/crates/http/src/lib.rs
@@ -1,4 +1,7 @@
 //! Calls over HTTP/1.1 that tell "surely not sent" from "may have been sent".
+//!
+//! A call that runs out of time closes its connection, so a connection that has gone silent costs
+//! one call.
 
 use std::error::Error;
 use std::net::SocketAddr;
@@ -25,7 +28,7 @@
 
 /// Why a call gave no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// Nothing was sent.
     NotSent(String),
     /// The call may have been taken.
@@ -34,7 +37,7 @@
 
 impl Failure {
     /// Returns what was seen.
-    pub(crate) fn into_detail(self) -> String {
+    pub fn into_detail(self) -> String {
         match self {
             Failure::NotSent(detail) | Failure::Lost(detail) => detail,
         }
@@ -43,22 +46,22 @@
 
 /// A call.
 #[derive(Clone, Debug)]
-pub(crate) struct Call {
+pub struct Call {
     /// The method.
-    pub(crate) method: Method,
+    pub method: Method,
     /// The path with its query.
-    pub(crate) path: String,
+    pub path: String,
     /// Headers besides those that the client sets.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// The payload.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
     /// How long the whole call may take.
-    pub(crate) timeout: Duration,
+    pub timeout: Duration,
 }
 
 impl Call {
     /// Makes a call without a payload.
-    pub(crate) fn new(method: Method, path: impl Into<String>, timeout: Duration) -> Call {
+    pub fn new(method: Method, path: impl Into<String>, timeout: Duration) -> Call {
         Call {
             method,
             path: path.into(),
@@ -68,8 +71,8 @@
         }
     }
 
-    /// Makes a `POST` of a document.
-    pub(crate) fn post(path: impl Into<String>, body: &impl Serialize, timeout: Duration) -> Call {
+    /// Makes a `POST` of a JSON document.
+    pub fn post(path: impl Into<String>, body: &impl Serialize, timeout: Duration) -> Call {
         let body = serde_json::to_vec(body).unwrap_or_default();
         Call {
             body: Bytes::from(body),
@@ -80,29 +83,33 @@
 
 /// An answer, whole.
 #[derive(Clone, Debug)]
-pub(crate) struct Reply {
+pub struct Reply {
     /// The status.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// The headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// The payload.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 impl Reply {
     /// Returns a header's text.
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
 
     /// Reads the payload as a document.
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Lost`] where the payload is another document.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
         serde_json::from_slice(&self.body)
             .map_err(|error| Failure::Lost(format!("answer is not as agreed: {error}")))
     }
 
     /// Describes the reply for an error.
-    pub(crate) fn describe(&self) -> String {
+    pub fn describe(&self) -> String {
         let text = String::from_utf8_lossy(&self.body);
         let short: String = text.chars().take(200).collect();
         format!("status {}: {short}", self.status.as_u16())
@@ -111,13 +118,13 @@
 
 /// A pool of connections to any number of addresses.
 #[derive(Clone)]
-pub(crate) struct Pool {
+pub struct Pool {
     client: client::Client,
 }
 
 impl Pool {
     /// Makes an empty pool that keeps `idle` unused connections to an address at most.
-    pub(crate) fn new(idle: usize) -> Pool {
+    pub fn new(idle: usize) -> Pool {
         let mut builder = client::Client::builder();
         builder.set_pool_idle_timeout(IDLE_TIMEOUT);
         builder.set_max_idle_per_host(idle);
@@ -126,7 +133,11 @@
     }
 
     /// Calls and waits for the whole answer.
-    pub(crate) async fn call(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure`], which tells whether the call may have been taken.
+    pub async fn call(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
         let timeout = call.timeout;
         match tokio::time::timeout(timeout, self.exchange(address, call)).await {
             Ok(result) => result,
@@ -212,7 +223,7 @@
 }
 
 /// Escapes a text for the query part of a path.
-pub(crate) fn escape(text: &str) -> String {
+pub fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for byte in text.bytes() {
         let plain = byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte);
--- a/crates/server/examples/capacity.rs
+++ b/crates/server/examples/capacity.rs
@@ -28,7 +28,7 @@
 use azurepath_decide::usage;
 use azurepath_decide::usage::{Head, Segment};
 use azurepath_decide::worker::{Inventory, Report, Spec, Usage};
-use azurepath_platform::worker::Renewal;
+use azurepath_services::worker::Renewal;
 use azurepath_wire::codec;
 use azurepath_wire::frame::{Beat, Frame, Task};
 
--- a/crates/server/src/api/observed.rs
+++ b/crates/server/src/api/observed.rs
@@ -2,7 +2,7 @@
 
 use azurepath_decide::fleet::Owner;
 use azurepath_decide::name::Name;
-use azurepath_platform::instance::{Instance, Role};
+use azurepath_services::instance::{Instance, Role};
 use http::StatusCode;
 use serde_json::{Value, json};
 use strum::{Display, EnumIter, EnumString};
--- /dev/null
+++ b/crates/server/src/cluster.rs
@@ -0,0 +1,113 @@
+//! An instance on the users' platform: one of them leads and schedules, all take calls of clients.
+
+mod asker;
+mod clock;
+mod front;
+mod leader;
+mod leadership;
+mod listen;
+mod peer;
+mod renewal;
+mod watch;
+mod writer;
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::batch::config::Config;
+use azurepath_decide::name::Name;
+use azurepath_platform::Pool;
+use azurepath_platform::advice::Advisor;
+use azurepath_platform::store::Store;
+use azurepath_platform::worker::Workers;
+use slog::{Logger, info};
+use tokio::sync::watch as cell;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::logs;
+use crate::metrics::Metrics;
+use crate::process::stop::{Inflight, Phase};
+use crate::settings::cluster::Settings;
+
+/// The connections to one address that are kept while they are unused.
+const IDLE_CONNECTIONS: usize = 8;
+
+/// The part of the grace period that is kept for ending what is in flight.
+const LAST_CALLS: Duration = Duration::from_millis(1_500);
+
+/// What all tasks of the process share.
+#[derive(Clone)]
+pub(crate) struct Context {
+    settings: Arc<Settings>,
+    name: Name,
+    store: Store,
+    workers: Workers,
+    advisor: Option<Advisor>,
+    config: cell::Receiver<Option<Arc<Config>>>,
+    phase: cell::Receiver<Phase>,
+    route: peer::Route,
+    inflight: Inflight,
+    metrics: Arc<Metrics>,
+    log: Logger,
+}
+
+/// Runs an instance until `shutdown` is ready, then stops it gracefully.
+///
+/// # Errors
+///
+/// Returns an error where an address can't be listened on or a task has failed.
+pub async fn run(settings: Settings, shutdown: impl Future<Output = ()>) -> anyhow::Result<()> {
+    let log = logs::logger(&settings.server, logs::Output::Standard);
+    let pool = Pool::new(IDLE_CONNECTIONS);
+    let (config_sender, config) = cell::channel(None);
+    let (phase_sender, phase) = cell::channel(Phase::Serving);
+    let (standing_sender, standing) = cell::channel(peer::Standing::None);
+    let halt = CancellationToken::new();
+    let mut tasks = JoinSet::new();
+    let metrics = Arc::new(Metrics::new()?);
+    let route = peer::connect(standing, &log, &metrics, &halt, &mut tasks);
+    let context = Context {
+        name: settings.server.name.clone(),
+        store: Store::new(pool.clone(), settings.store),
+        workers: Workers::new(pool.clone()),
+        advisor: settings
+            .advice
+            .map(|address| Advisor::new(pool.clone(), address)),
+        config,
+        phase,
+        route,
+        inflight: Inflight::default(),
+        metrics,
+        log: log.clone(),
+        settings: Arc::new(settings),
+    };
+    let servers = listen::start(&context, &halt, &mut tasks).await?;
+    tasks.spawn(watch::configuration(
+        context.clone(),
+        config_sender,
+        halt.clone(),
+    ));
+    tasks.spawn(asker::run(context.clone(), halt.clone()));
+    let leaving = CancellationToken::new();
+    let election = leadership::Election::new(context.clone(), standing_sender);
+    let election = tokio::spawn(election.run(leaving.clone()));
+    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"));
+    shutdown.await;
+    info!(log, "stopping");
+    phase_sender.send_replace(Phase::Leaving);
+    leaving.cancel();
+    tokio::time::sleep(context.settings.grace.saturating_sub(LAST_CALLS) / 2).await;
+    let rest = context.settings.grace / 2;
+    // What is still in flight at the end of the grace period is cut by the platform in any case.
+    let _ = tokio::time::timeout(rest, context.inflight.drained()).await;
+    election.await?;
+    servers.stop().await?;
+    halt.cancel();
+    while let Some(joined) = tasks.join_next().await {
+        joined?;
+    }
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/cluster/asker.rs
@@ -0,0 +1,50 @@
+//! Asks the advice service what the leader wants to know.
+
+use std::time::Duration;
+
+use azurepath_wire::batch::{Call, Reply};
+use slog::debug;
+use tokio_util::sync::CancellationToken;
+
+use super::Context;
+
+/// How long a request for work may take; the leader answers within half of it.
+const WORK_WAIT: Duration = Duration::from_secs(2);
+
+/// The pause after a request for work that failed.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// How long an answer is waited for beyond what the question is expected to take.
+const SLACK: Duration = Duration::from_millis(600);
+
+/// Asks one question after the other until `halt`.
+pub(super) async fn run(context: Context, halt: CancellationToken) {
+    let Some(advisor) = context.advisor.clone() else {
+        return;
+    };
+    let mut answered = None;
+    loop {
+        let call = Call::Work {
+            instance: context.name.to_string(),
+            answered: answered.take(),
+        };
+        let reply = tokio::select! {
+            () = halt.cancelled() => return,
+            reply = context.route.call(call, WORK_WAIT) => reply,
+        };
+        match reply {
+            Ok(Reply::Work(Some(question))) => {
+                let advice = advisor.ask(&question, question.takes + SLACK).await;
+                if let Err(error) = &advice {
+                    debug!(context.log, "no advice"; "step" => %question.step, "error" => error);
+                }
+                answered = Some((question.step, advice.ok()));
+            }
+            Ok(Reply::Work(None)) => {}
+            Ok(_) | Err(_) => tokio::select! {
+                () = halt.cancelled() => return,
+                () = tokio::time::sleep(PAUSE) => {}
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/front.rs
@@ -0,0 +1,251 @@
+//! Calls of clients.
+
+use std::time::Duration;
+
+use azurepath_decide::batch::JobId;
+use azurepath_decide::batch::config::{Config, Queue};
+use azurepath_decide::batch::spec::Spec;
+use azurepath_platform::{entry, job};
+use azurepath_wire::batch::{Call, Reply};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use slog::info;
+use tokio::time::Instant;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+use volo_http::utils::Extension;
+
+use super::Context;
+use crate::connection::call::Broken;
+use crate::process::stop::Phase;
+
+/// The longest body of a job in bytes.
+const BODY_BYTES: usize = 256 * 1024;
+
+/// How long a client waits that does not say so.
+const PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// The part of a client's patience after which it is told that no answer came.
+const PATIENCE_PART: f64 = 0.9;
+
+/// How long a call waits for an instance that leads before it is refused: longer than a planned
+/// change of the leader takes.
+const LEADER_WAIT: Duration = Duration::from_millis(1_200);
+
+/// How long one try of a call may take.
+const TRY_WAIT: Duration = Duration::from_millis(2_500);
+
+/// The pause between two tries.
+const TRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// When clients may come back where nobody leads, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// What a client is told.
+struct Outcome {
+    status: StatusCode,
+    body: String,
+    retry_after_s: Option<u64>,
+}
+
+/// What a client asks for.
+enum Ask {
+    Submit(JobId, Spec),
+    Cancel(JobId),
+    State(JobId),
+    Pending,
+}
+
+/// Makes the routes of clients.
+pub(super) fn routes(context: Context) -> Router {
+    Router::new().fallback(take).layer(Extension(context))
+}
+
+async fn take(Extension(context): Extension<Context>, request: Request) -> Response {
+    let _guard = context.inflight.enter();
+    let begun = Instant::now();
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let outcome = serve(&context, &parts.method, &path, &parts.headers, body).await;
+    let outcome = outcome.unwrap_or_else(|refusal| refusal);
+    // States are asked for many times a second and change nothing.
+    if parts.method != Method::GET || outcome.status.is_server_error() {
+        let version = context
+            .config
+            .borrow()
+            .as_ref()
+            .map(|config| config.version);
+        info!(context.log, "call answered";
+            "path" => path, "method" => %parts.method, "status" => outcome.status.as_u16(),
+            "configuration" => version, "micros" => begun.elapsed().as_micros() as u64);
+    }
+    let leaving = *context.phase.borrow() >= Phase::Leaving;
+    respond(outcome, leaving)
+}
+
+fn respond(outcome: Outcome, leaving: bool) -> Response {
+    let mut response = Response::new(Body::from(outcome.body));
+    *response.status_mut() = outcome.status;
+    let headers = response.headers_mut();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    if let Some(seconds) = outcome.retry_after_s {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if leaving {
+        let close = HeaderValue::from_static("close");
+        headers.insert(header::CONNECTION, close);
+    }
+    response
+}
+
+impl Outcome {
+    fn new(status: StatusCode) -> Outcome {
+        Outcome {
+            status,
+            body: "{}".to_owned(),
+            retry_after_s: None,
+        }
+    }
+
+    fn invalid(detail: &str) -> Outcome {
+        Outcome {
+            body: serde_json::json!({ "error": detail }).to_string(),
+            ..Outcome::new(StatusCode::BAD_REQUEST)
+        }
+    }
+
+    /// Refuses a call that had no effect.
+    fn unavailable(retry_after_s: u64) -> Outcome {
+        Outcome {
+            retry_after_s: Some(retry_after_s),
+            ..Outcome::new(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+async fn serve(
+    context: &Context,
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Outcome, Outcome> {
+    let patience = entry::patience_ms(headers).map_or(PATIENCE, Duration::from_millis);
+    let deadline = Instant::now() + patience.mul_f64(PATIENCE_PART);
+    let body = Limited::new(body, BODY_BYTES).collect().await;
+    let config = context.config.borrow().clone();
+    let config = config.ok_or_else(|| Outcome::unavailable(RETRY_AFTER_S))?;
+    let (queue, account) = admit(&config, path, headers)?;
+    let body =
+        body.map_err(|_| Outcome::invalid("the body is too long or was cut; send it anew"))?;
+    let ask = read(method, &path[queue.prefix.len()..], &body.to_bytes())?;
+    let call = match &ask {
+        Ask::Submit(job, spec) => Call::Submit {
+            job: *job,
+            queue: queue.name.to_string(),
+            account,
+            spec: spec.clone(),
+        },
+        Ask::Cancel(job) => Call::Cancel { job: *job },
+        Ask::State(job) => Call::State { job: *job },
+        Ask::Pending => Call::Pending {
+            queue: queue.name.to_string(),
+        },
+    };
+    let reply = forward(context, &call, deadline).await?;
+    Ok(outcome(&ask, reply))
+}
+
+/// Finds the queue of a call and the account whose key it carries.
+fn admit<'a>(
+    config: &'a Config,
+    path: &str,
+    headers: &HeaderMap,
+) -> Result<(&'a Queue, Option<String>), Outcome> {
+    let host = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    // A port may follow the name.
+    let host = host
+        .unwrap_or_default()
+        .split(':')
+        .next()
+        .unwrap_or_default();
+    let queue = config.route(host, path);
+    let queue = queue.ok_or_else(|| Outcome::new(StatusCode::NOT_FOUND))?;
+    let account = entry::key(headers).and_then(|key| config.account_of(key));
+    if account.is_none() && !queue.open {
+        return Err(Outcome::new(StatusCode::UNAUTHORIZED));
+    }
+    Ok((queue, account.map(|account| account.name.to_string())))
+}
+
+fn read(method: &Method, rest: &str, body: &[u8]) -> Result<Ask, Outcome> {
+    if *method == Method::GET && rest.is_empty() {
+        return Ok(Ask::Pending);
+    }
+    let id = rest
+        .parse::<JobId>()
+        .map_err(|error| Outcome::invalid(&error.to_string()))?;
+    match *method {
+        Method::GET => Ok(Ask::State(id)),
+        Method::DELETE => Ok(Ask::Cancel(id)),
+        Method::POST => {
+            let spec = job::read(body).map_err(|error| Outcome::invalid(&error))?;
+            Ok(Ask::Submit(id, spec))
+        }
+        _ => Err(Outcome::new(StatusCode::METHOD_NOT_ALLOWED)),
+    }
+}
+
+/// Calls the instance that leads, again if need be: all calls may be repeated.
+async fn forward(context: &Context, call: &Call, deadline: Instant) -> Result<Reply, Outcome> {
+    let give_up = deadline.min(Instant::now() + LEADER_WAIT);
+    let mut sent = false;
+    let mut route = context.route.clone();
+    loop {
+        let now = Instant::now();
+        let wait = deadline.saturating_duration_since(now).min(TRY_WAIT);
+        match context.route.call(call.clone(), wait).await {
+            Ok(Reply::NotLeading) | Err(Broken::Unsent) => {}
+            Ok(reply) => return Ok(reply),
+            Err(Broken::Lost) => sent = true,
+        }
+        let now = Instant::now();
+        if sent && now >= deadline {
+            return Err(Outcome::new(StatusCode::GATEWAY_TIMEOUT));
+        }
+        if !sent && now >= give_up {
+            return Err(Outcome::unavailable(RETRY_AFTER_S));
+        }
+        tokio::select! {
+            () = route.changed() => {}
+            () = tokio::time::sleep(TRY_PAUSE) => {}
+        }
+    }
+}
+
+fn outcome(ask: &Ask, reply: Reply) -> Outcome {
+    match (ask, reply) {
+        (Ask::Submit(..), Reply::Accepted | Reply::Cancelled) => Outcome::new(StatusCode::OK),
+        (Ask::Cancel(_), Reply::Cancelled | Reply::Accepted) => Outcome::new(StatusCode::OK),
+        (Ask::Submit(..), Reply::Refused { retry_after_ms }) => Outcome {
+            retry_after_s: Some(retry_after_ms.div_ceil(1_000)),
+            ..Outcome::new(StatusCode::TOO_MANY_REQUESTS)
+        },
+        (Ask::State(_), Reply::State(state)) => Outcome {
+            body: entry::state(state),
+            ..Outcome::new(StatusCode::OK)
+        },
+        (Ask::Pending, Reply::Pending(count)) => Outcome {
+            body: entry::pending(count),
+            ..Outcome::new(StatusCode::OK)
+        },
+        (Ask::State(_) | Ask::Cancel(_), Reply::Unknown) => Outcome::new(StatusCode::GONE),
+        // A reply to another kind of call: nothing is known of this one.
+        (_, _) => Outcome::new(StatusCode::BAD_GATEWAY),
+    }
+}
--- a/crates/server/src/connection/call.rs
+++ b/crates/server/src/connection/call.rs
@@ -14,7 +14,7 @@
 use crate::process::engine::Reply;
 
 /// The path of all streams between servers.
-pub(super) const PATH: &str = "/azurepath";
+pub(crate) const PATH: &str = "/azurepath";
 
 /// How long a call waits for a connection at most.
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
@@ -34,21 +34,21 @@
 }
 
 /// A request on its way to an owner.
-pub(super) struct Call<'a> {
+pub(crate) struct Call<'a> {
     /// The request as a frame.
-    pub(super) task: Task,
+    pub(crate) task: Task,
     /// Whether it is resumed.
-    pub(super) resume: bool,
+    pub(crate) resume: bool,
     /// Its payload.
-    pub(super) payload: &'a Bytes,
+    pub(crate) payload: &'a Bytes,
     /// The longest answer that is taken, in bytes.
-    pub(super) limit: u64,
+    pub(crate) limit: u64,
     /// When its patience ends.
-    pub(super) deadline: Option<Instant>,
+    pub(crate) deadline: Option<Instant>,
 }
 
 /// Sends a request and waits for its whole reply.
-pub(super) async fn submit(link: &Handle, call: Call<'_>) -> Result<Reply, Broken> {
+pub(crate) async fn submit(link: &Handle, call: Call<'_>) -> Result<Reply, Broken> {
     let wait = match call.deadline {
         Some(deadline) => CONNECT_WAIT.min(deadline.saturating_duration_since(Instant::now()) / 4),
         None => CONNECT_WAIT,
@@ -71,7 +71,7 @@
 }
 
 /// Sends a control frame and waits for its reply.
-pub(super) async fn control(link: &Handle, frame: &Frame, wait: Duration) -> Result<Frame, Broken> {
+pub(crate) async fn control(link: &Handle, frame: &Frame, wait: Duration) -> Result<Frame, Broken> {
     let end = Instant::now() + wait;
     let sender = ready(link, wait).await.ok_or(Broken::Unsent)?;
     let exchange = async {
--- a/crates/server/src/connection/link.rs
+++ b/crates/server/src/connection/link.rs
@@ -27,30 +27,30 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Sends requests over the connection that is in use now.
-pub(super) type Sender = SendRequest<Bytes>;
+pub(crate) type Sender = SendRequest<Bytes>;
 
 /// A way to use a link.
 #[derive(Clone, Debug)]
 pub struct Handle {
     /// The connection in use; none while there is none.
-    pub(super) sender: watch::Receiver<Option<Sender>>,
+    pub(crate) sender: watch::Receiver<Option<Sender>>,
     /// Asks for a ping at once.
-    pub(super) hurry: Arc<Notify>,
+    pub(crate) hurry: Arc<Notify>,
 }
 
 /// The task of a link.
-pub(super) struct Link {
-    pub(super) server: Server,
-    pub(super) pace: Pace,
-    pub(super) sender: watch::Sender<Option<Sender>>,
-    pub(super) hurry: Arc<Notify>,
-    pub(super) metrics: Arc<Metrics>,
-    pub(super) log: Logger,
+pub(crate) struct Link {
+    pub(crate) server: Server,
+    pub(crate) pace: Pace,
+    pub(crate) sender: watch::Sender<Option<Sender>>,
+    pub(crate) hurry: Arc<Notify>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Logger,
 }
 
 impl Link {
     /// Runs until `halt`.
-    pub(super) async fn run(self, halt: CancellationToken) {
+    pub(crate) async fn run(self, halt: CancellationToken) {
         let mut failures = 0;
         loop {
             let attempt = tokio::select! {
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -15,6 +15,7 @@
 use h2::RecvStream;
 use h2::server::{Builder, Connection, SendResponse};
 use http::{Request, Response, StatusCode};
+use opentelemetry::metrics::Counter;
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -37,6 +38,28 @@
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Serves the streams of peers.
+pub trait Serve: Clone + Send + 'static {
+    /// Returns what serves one more connection.
+    fn connected(&self) -> Self;
+
+    /// Returns how connections are pinged.
+    fn pace(&self) -> Pace;
+
+    /// Returns the logger.
+    fn log(&self) -> &Logger;
+
+    /// Returns the counter of frames that could not be served.
+    fn faults(&self) -> &Counter<u64>;
+
+    /// Reads one request and answers it.
+    fn answer(
+        &self,
+        reader: &mut Reader,
+        writer: &mut Writer,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+}
+
 /// What streams of peers are served with.
 #[derive(Clone)]
 pub struct Service {
@@ -65,7 +88,7 @@
 }
 
 /// Accepts connections of peers until `halt`, then closes those that are open.
-pub async fn run(listener: TcpListener, service: Service, halt: CancellationToken) {
+pub async fn run(listener: TcpListener, service: impl Serve + Sync, halt: CancellationToken) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
@@ -75,7 +98,7 @@
                     connections.spawn(serve(socket, service.clone(), halt.clone()));
                 }
                 Err(error) => {
-                    debug!(service.log, "accept failed"; "error" => %error);
+                    debug!(service.log(), "accept failed"; "error" => %error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -85,7 +108,7 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve(socket: TcpStream, service: Service, halt: CancellationToken) {
+async fn serve(socket: TcpStream, service: impl Serve + Sync, halt: CancellationToken) {
     // A socket that can't be tuned still works.
     let _ = socket.set_nodelay(true);
     let handshake = Builder::new()
@@ -96,18 +119,15 @@
         .max_header_list_size(tuning::HEADER_BYTES)
         .handshake::<_, Bytes>(socket);
     let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
-        service.metrics.peer_faults.add(1, &[]);
+        service.faults().add(1, &[]);
         return;
     };
     let Some(pings) = connection.ping_pong() else {
         return;
     };
-    let service = Service {
-        last: Arc::default(),
-        ..service
-    };
+    let service = service.connected();
     let mut streams = JoinSet::new();
-    let watch = ping::watch(pings, service.pace, Arc::new(Notify::new()));
+    let watch = ping::watch(pings, service.pace(), Arc::new(Notify::new()));
     tokio::pin!(watch);
     let halted = tokio::select! {
         () = accept(&mut connection, &service, &mut streams) => false,
@@ -128,7 +148,7 @@
 
 async fn accept(
     connection: &mut Connection<TcpStream, Bytes>,
-    service: &Service,
+    service: &(impl Serve + Sync),
     streams: &mut JoinSet<()>,
 ) {
     loop {
@@ -144,7 +164,11 @@
     }
 }
 
-async fn stream(request: Request<RecvStream>, mut response: SendResponse<Bytes>, service: Service) {
+async fn stream(
+    request: Request<RecvStream>,
+    mut response: SendResponse<Bytes>,
+    service: impl Serve + Sync,
+) {
     let known = request.uri().path() == call::PATH;
     let status = if known {
         StatusCode::OK
@@ -162,8 +186,8 @@
     let mut writer = Writer::new(stream);
     let mut reader = Reader::new(request.into_body());
     if let Err(error) = service.answer(&mut reader, &mut writer).await {
-        service.metrics.peer_faults.add(1, &[]);
-        debug!(service.log, "stream of a peer failed"; "error" => %error);
+        service.faults().add(1, &[]);
+        debug!(service.log(), "stream of a peer failed"; "error" => %error);
         let fault = Frame::Fault(Fault {
             kind: "unserved".to_owned(),
             remedy: error.to_string(),
@@ -173,7 +197,26 @@
     }
 }
 
-impl Service {
+impl Serve for Service {
+    fn connected(&self) -> Service {
+        Service {
+            last: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    fn pace(&self) -> Pace {
+        self.pace
+    }
+
+    fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    fn faults(&self) -> &Counter<u64> {
+        &self.metrics.peer_faults
+    }
+
     async fn answer(&self, reader: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
         let reply = match reader.frame().await? {
             Frame::Submit(task) => return self.request(task, false, reader, writer).await,
@@ -205,7 +248,9 @@
         };
         writer.send(&reply, true).await
     }
+}
 
+impl Service {
     async fn request(
         &self,
         task: Task,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod cli;
+pub mod cluster;
 pub mod connection;
 pub mod logs;
 pub mod metrics;
--- a/crates/server/src/logs.rs
+++ b/crates/server/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on the standard error stream.
+//! Logs as JSON lines.
 
 use std::io::Write;
 
@@ -8,11 +8,24 @@
 
 const QUEUE_LINES: usize = 4096;
 
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// The standard output stream.
+    Standard,
+    /// The standard error stream.
+    Error,
+}
+
 /// Makes the root logger of a server.
 ///
 /// Lines that can't be written are dropped rather than holding up the server.
-pub fn logger(server: &Server) -> Logger {
-    let json = slog_json::Json::new(std::io::stderr())
+pub fn logger(server: &Server, output: Output) -> Logger {
+    let stream: Box<dyn Write + Send> = match output {
+        Output::Standard => Box::new(std::io::stdout()),
+        Output::Error => Box::new(std::io::stderr()),
+    };
+    let json = slog_json::Json::new(stream)
         .add_default_keys()
         .build()
         .ignore_res();
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,9 +1,29 @@
 //! The `azurepath` server.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use azurepath_server::cli::{self, Command};
-use azurepath_server::{logs, settings::Settings};
+use azurepath_server::logs;
+use azurepath_server::settings::{Error, Settings, cluster};
+use tokio::runtime::Builder;
+
+/// What the settings make of the process.
+enum Mode {
+    /// A server on a table of its own.
+    Single(Box<Settings>),
+    /// An instance on the users' platform.
+    Cluster(Box<cluster::Settings>),
+}
+
+impl Mode {
+    fn load(path: &Path) -> Result<Mode, Error> {
+        match cluster::Settings::load(path)? {
+            Some(settings) => Ok(Mode::Cluster(Box::new(settings))),
+            None => Settings::load(path).map(|settings| Mode::Single(Box::new(settings))),
+        }
+    }
+}
 
 fn main() -> ExitCode {
     let command = match cli::parse(std::env::args().skip(1)) {
@@ -15,15 +35,15 @@
             println!("{text}");
             ExitCode::SUCCESS
         }
-        Command::Check(path) => match Settings::load(&path) {
+        Command::Check(path) => match Mode::load(&path) {
             Ok(_) => {
                 println!("{}: the settings are valid", path.display());
                 ExitCode::SUCCESS
             }
             Err(error) => usage(&error),
         },
-        Command::Run(path) => match Settings::load(&path) {
-            Ok(settings) => serve(settings),
+        Command::Run(path) => match Mode::load(&path) {
+            Ok(mode) => serve(mode),
             Err(error) => usage(&error),
         },
     }
@@ -34,8 +54,13 @@
     ExitCode::from(cli::USAGE)
 }
 
-fn serve(settings: Settings) -> ExitCode {
-    let runtime = match tokio::runtime::Runtime::new() {
+fn serve(mode: Mode) -> ExitCode {
+    let mut builder = match &mode {
+        Mode::Single(_) => Builder::new_multi_thread(),
+        // Instances on the platform have one core: threads would only take turns.
+        Mode::Cluster(_) => Builder::new_current_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("azurepath: the runtime could not start: {error}");
@@ -44,7 +69,10 @@
     };
     let outcome = runtime.block_on(async {
         let stop = azurepath_server::process::stop::signal()?;
-        azurepath_server::run(settings, stop).await
+        match mode {
+            Mode::Single(settings) => azurepath_server::run(*settings, stop).await,
+            Mode::Cluster(settings) => azurepath_server::cluster::run(*settings, stop).await,
+        }
     });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/server/src/process/allotment.rs
+++ b/crates/server/src/process/allotment.rs
@@ -8,7 +8,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::ownership::{Outcome, Stored};
 use azurepath_decide::rack::{Allotted, Demand};
-use azurepath_platform::table::{Error, Transaction};
+use azurepath_services::table::{Error, Transaction};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
@@ -154,7 +154,7 @@
 }
 
 async fn read(
-    table: &dyn azurepath_platform::table::Table,
+    table: &dyn azurepath_services::table::Table,
     teams: BTreeSet<Name>,
 ) -> Result<BTreeMap<Name, Stored<Limit>>, Error> {
     let mut limits = BTreeMap::new();
--- a/crates/server/src/process/engine/calls.rs
+++ b/crates/server/src/process/engine/calls.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::attempt::Attempt;
 use azurepath_decide::name::Name;
 use azurepath_decide::worker::{Interrupt, Inventory};
-use azurepath_platform::worker::{Answer, Claim, Error, Order, Worker};
+use azurepath_services::worker::{Answer, Claim, Error, Order, Worker};
 use bytes::Bytes;
 use tokio::task::JoinSet;
 
--- a/crates/server/src/process/entry.rs
+++ b/crates/server/src/process/entry.rs
@@ -9,9 +9,7 @@
 use volo::net::conn::Conn;
 use volo::net::incoming::{DefaultIncoming, Incoming, MakeIncoming};
 use volo_http::server::Server;
-
-use super::Process;
-use crate::request::http;
+use volo_http::server::route::Router;
 
 /// The HTTP server as a task.
 pub struct Entry {
@@ -48,14 +46,14 @@
 
 impl Entry {
     /// Starts to serve.
-    pub fn start(process: Process, listener: TcpListener) -> Entry {
+    pub fn start(router: Router, listener: TcpListener) -> Entry {
         let close = CancellationToken::new();
         let listener = Listener {
             incoming: DefaultIncoming::from(listener),
             close: close.clone(),
         };
         let drained = close.clone();
-        let server = Server::new(http::routes(process))
+        let server = Server::new(router)
             // On a signal the library would wait some 30 s and give up. The hook holds it back
             // until everything in flight has been answered, and it accepts meanwhile.
             .register_shutdown_hook(move || Box::pin(async move { drained.cancelled().await }));
--- a/crates/server/src/process/instances.rs
+++ b/crates/server/src/process/instances.rs
@@ -6,7 +6,7 @@
 
 use azurepath_decide::event::Event;
 use azurepath_decide::name::Name;
-use azurepath_platform::instance::{Instance, List, State};
+use azurepath_services::instance::{Instance, List, State};
 use slog::{Logger, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
--- a/crates/server/src/process/jobs/rows.rs
+++ b/crates/server/src/process/jobs/rows.rs
@@ -4,7 +4,7 @@
 
 use azurepath_decide::job::{Event, Fate, Row, State};
 use azurepath_decide::name::Name;
-use azurepath_platform::table::{self, Check, Error, Table, Transaction, Write};
+use azurepath_services::table::{self, Check, Error, Table, Transaction, Write};
 use slog::{Logger, warn};
 
 /// The beginning of the rows' keys.
--- a/crates/server/src/process/membership.rs
+++ b/crates/server/src/process/membership.rs
@@ -9,7 +9,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::ownership::{self, Action, Member, Place, Rack, Setup, Stored};
 use azurepath_decide::rack::Allotments;
-use azurepath_platform::instance::Instance;
+use azurepath_services::instance::Instance;
 use azurepath_wire::frame::{Frame, Handover};
 use slog::{error, info};
 use tokio::sync::{mpsc, watch};
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -23,7 +23,7 @@
 
 use azurepath_decide::config::Snapshot;
 use azurepath_decide::fleet::View;
-use azurepath_platform::instance::Instance;
+use azurepath_services::instance::Instance;
 use azurepath_wire::frame::Frame;
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
--- a/crates/server/src/process/platform.rs
+++ b/crates/server/src/process/platform.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azurepath_platform::{instance, object, table, worker};
+use azurepath_services::{instance, object, table, worker};
 
 /// The clients of the platform, behind their traits.
 #[derive(Clone)]
--- a/crates/server/src/process/renewal.rs
+++ b/crates/server/src/process/renewal.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::attempt::Refusal;
 use azurepath_decide::event::Event;
 use azurepath_decide::name::Name;
-use azurepath_platform::worker::{Claim, Error, Renewal, Worker};
+use azurepath_services::worker::{Claim, Error, Renewal, Worker};
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/server/src/process/router.rs
+++ b/crates/server/src/process/router.rs
@@ -12,7 +12,7 @@
 use azurepath_decide::share::Summary;
 use azurepath_decide::trace::Input;
 use azurepath_decide::verdict::{Reason, Verdict};
-use azurepath_platform::instance::Instance;
+use azurepath_services::instance::Instance;
 use bytes::Bytes;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot, watch};
--- a/crates/server/src/process/rows.rs
+++ b/crates/server/src/process/rows.rs
@@ -5,7 +5,7 @@
 
 use azurepath_decide::name::Name;
 use azurepath_decide::ownership::{Heartbeat, Key, Outcome, Rack, Rows, Stored, Write};
-use azurepath_platform::table::{Error, Table, Transaction};
+use azurepath_services::table::{Error, Table, Transaction};
 use serde::de::DeserializeOwned;
 
 use crate::version::{rows, store};
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -8,7 +8,7 @@
 use azurepath_decide::config::Snapshot;
 use azurepath_decide::fleet::View;
 use azurepath_decide::{route, trace};
-use azurepath_platform::{instance, object, table, worker};
+use azurepath_services::{instance, object, table, worker};
 use rand::Rng;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
@@ -75,7 +75,7 @@
             http: http.local_addr().context("the address is unknown")?,
             peers: peers.local_addr().context("the address is unknown")?,
         };
-        let log = logs::logger(&settings.server);
+        let log = logs::logger(&settings.server, logs::Output::Error);
         let metrics = Arc::new(Metrics::new()?);
         let parts = Parts::new(&settings);
         let process = parts.process(settings, addresses, platform, log, metrics);
@@ -336,7 +336,7 @@
             metrics: process.metrics.clone(),
         };
         writer.spawn(intents.run(self.intents.1, halt.clone()));
-        let entry = super::entry::Entry::start(process.clone(), http);
+        let entry = super::entry::Entry::start(entry::routes(process.clone()), http);
         self.phase.send_replace(Phase::Serving);
         info!(process.log, "listening";
             "http" => %process.addresses.http, "peers" => %process.addresses.peers);
--- a/crates/server/src/request/intent.rs
+++ b/crates/server/src/request/intent.rs
@@ -9,7 +9,7 @@
 
 use azurepath_decide::name::Name;
 use azurepath_decide::request::{Id, Request};
-use azurepath_platform::table::{Check, Commit, Error, Row, Table, Transaction, Write};
+use azurepath_services::table::{Check, Commit, Error, Row, Table, Transaction, Write};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -6,6 +6,7 @@
 
 use azurepath_decide::name::Name;
 
+pub mod cluster;
 mod document;
 mod unit;
 
@@ -97,6 +98,25 @@
     pub max_size: u64,
 }
 
+impl Server {
+    fn read(document: &mut Document) -> Server {
+        Server {
+            name: document.name("server", "name"),
+            region: document.name("server", "region"),
+            failure_domain: document.name("server", "failure_domain"),
+            http: document.address("server", "http"),
+            peers: document.address("server", "peers"),
+        }
+    }
+}
+
+fn load_text(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|error| Error::Unreadable {
+        file: path.display().to_string(),
+        detail: error.to_string(),
+    })
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -104,10 +124,7 @@
     ///
     /// Returns [`Error`] with every fault, each with its line, its key and its remedy.
     pub fn load(path: &Path) -> Result<Settings, Error> {
-        let text = std::fs::read_to_string(path).map_err(|error| Error::Unreadable {
-            file: path.display().to_string(),
-            detail: error.to_string(),
-        })?;
+        let text = load_text(path)?;
         Settings::parse(&path.display().to_string(), &text)
     }
 
@@ -119,13 +136,7 @@
     pub fn parse(file: &str, text: &str) -> Result<Settings, Error> {
         let mut document = Document::parse(file, text)?;
         let settings = Settings {
-            server: Server {
-                name: document.name("server", "name"),
-                region: document.name("server", "region"),
-                failure_domain: document.name("server", "failure_domain"),
-                http: document.address("server", "http"),
-                peers: document.address("server", "peers"),
-            },
+            server: Server::read(&mut document),
             platform: Platform {
                 table: document.address("platform", "table"),
                 objects: document.address("platform", "objects"),
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -154,6 +154,12 @@
         self.sections.contains_key(section)
     }
 
+    /// Tells whether a section has a key.
+    pub(super) fn has(&self, section: &str, key: &str) -> bool {
+        self.entries
+            .contains_key(&(section.to_owned(), key.to_owned()))
+    }
+
     /// Reads a name: letters, digits, `-`, `_` and `.`.
     pub(super) fn name(&mut self, section: &'static str, key: &'static str) -> Name {
         let remedy = "give a name of letters, digits, '-', '_' and '.'";
--- a/crates/server/src/version/rows.rs
+++ b/crates/server/src/version/rows.rs
@@ -4,7 +4,7 @@
 use azurepath_decide::config::{Change, Entry, Head, Rows};
 use azurepath_decide::ownership::Stored;
 use azurepath_decide::resource::Kind;
-use azurepath_platform::table::{Check, Error, Row, Transaction, Write};
+use azurepath_services::table::{Check, Error, Row, Transaction, Write};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
--- a/crates/server/src/version/store.rs
+++ b/crates/server/src/version/store.rs
@@ -5,7 +5,7 @@
 };
 use azurepath_decide::ownership::{Outcome, Stored};
 use azurepath_decide::resource::Kind;
-use azurepath_platform::table::{Error, Table};
+use azurepath_services::table::{Error, Table};
 use serde::de::DeserializeOwned;
 
 use super::rows;
--- a/crates/server/src/version/task.rs
+++ b/crates/server/src/version/task.rs
@@ -9,7 +9,7 @@
 use azurepath_decide::fleet::Server;
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
-use azurepath_platform::instance::{Instance, State as Listed};
+use azurepath_services::instance::{Instance, State as Listed};
 use azurepath_wire::frame::{Beat, Document, Fault, Frame};
 use serde_json::{Value, json};
 use slog::{info, warn};
--- a/crates/server/tests/long_work.rs
+++ b/crates/server/tests/long_work.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::job::State;
 use azurepath_decide::resource::{Job, Resource, Service};
 use azurepath_decide::size::Size;
-use azurepath_platform::table::{Client, Table};
+use azurepath_services::table::{Client, Table};
 use support::TestEnv;
 
 const SIZE: Size = Size {
--- a/crates/server/tests/usage_record.rs
+++ b/crates/server/tests/usage_record.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use azurepath_decide::usage::{Amount, Bill, Period};
-use azurepath_platform::object::{self, Store};
-use azurepath_platform::table;
-use azurepath_platform::usage::{self, Record};
+use azurepath_services::object::{self, Store};
+use azurepath_services::table;
+use azurepath_services::usage::{self, Record};
 use azurepath_standin::fault::{self, Gate};
 use bytes::Bytes;
 use support::{AUDIT, TestEnv};
--- a/crates/platform/src/instance.rs
+++ b/crates/services/src/instance.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{Method, StatusCode};
 use async_trait::async_trait;
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::worker;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::http::{Call, Pool};
+use azurepath_http::{Call, Pool};
 
 /// How long the reading of the list may take.
 const TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/platform/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -1,12 +1,10 @@
 //! Clients of the platform: the table service, the object store, the instance list and the
 //! workers. `docs/PLATFORM.md` gives the protocol that they speak.
 
-mod http;
-
 pub mod instance;
 pub mod object;
 pub mod table;
 pub mod usage;
 pub mod worker;
 
-pub use http::CHECKSUM;
+pub use azurepath_http::CHECKSUM;
--- a/crates/platform/src/object.rs
+++ b/crates/services/src/object.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{Method, StatusCode};
 use async_trait::async_trait;
 use bytes::Bytes;
+use http::{Method, StatusCode};
 
-use crate::http::{Call, Failure, Pool, Reply, escape};
+use azurepath_http::{Call, Failure, Pool, Reply, escape};
 
 /// How long a call to the object store may take.
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/platform/src/table.rs
+++ b/crates/services/src/table.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{Method, StatusCode};
 use async_trait::async_trait;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::http::{Call, Failure, Pool, escape};
+use azurepath_http::{Call, Failure, Pool, escape};
 
 /// How long a call to the table may take.
 const TIMEOUT: Duration = Duration::from_secs(3);
@@ -144,7 +144,7 @@
         }
     }
 
-    async fn get(&self, path: String) -> Result<crate::http::Reply, Error> {
+    async fn get(&self, path: String) -> Result<azurepath_http::Reply, Error> {
         let call = Call::new(Method::GET, path, TIMEOUT);
         let unavailable = |failure: Failure| Error::Unavailable {
             detail: failure.into_detail(),
@@ -215,7 +215,7 @@
 }
 
 /// Reads the document of a successful read.
-fn found<T: serde::de::DeserializeOwned>(reply: &crate::http::Reply) -> Result<T, Error> {
+fn found<T: serde::de::DeserializeOwned>(reply: &azurepath_http::Reply) -> Result<T, Error> {
     match reply.status {
         StatusCode::OK => reply.json().map_err(|failure| Error::Unavailable {
             detail: failure.into_detail(),
--- a/crates/platform/src/worker.rs
+++ b/crates/services/src/worker.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{HeaderValue, Method, StatusCode};
 use async_trait::async_trait;
 use azurepath_decide::attempt::{Attempt, Outcome, Refusal, Running};
 use azurepath_decide::worker::{Interrupt, Inventory, Report};
 use bytes::Bytes;
+use http::{HeaderValue, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::http::{Call, Failure, Pool, Reply};
+use azurepath_http::{Call, Failure, Pool, Reply};
 
 /// How long a call that runs no task of a caller may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
-use azurepath_platform::instance::{Instance, Role, State};
+use azurepath_services::instance::{Instance, Role, State};
 
 use crate::{platform, worker};
 
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -124,7 +124,7 @@
         if let Ok(value) = HeaderValue::from_str(&sum) {
             response
                 .headers_mut()
-                .insert(azurepath_platform::CHECKSUM, value);
+                .insert(azurepath_services::CHECKSUM, value);
         }
         if self.cut {
             let declared = HeaderValue::from(length.max(1));
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Result;
 use azurepath_decide::name::Name;
-use azurepath_platform::instance::Instance;
+use azurepath_services::instance::Instance;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use azurepath_platform::table::{Check, Commit, Page, Row, Transaction};
+use azurepath_services::table::{Check, Commit, Page, Row, Transaction};
 use serde_json::Value;
 
 /// The most rows of one scan.
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -9,7 +9,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::request;
 use azurepath_decide::size::Size;
-use azurepath_platform::worker::{
+use azurepath_services::worker::{
     ATTEMPT, Claim, Interruption, ORDER, OUTCOME, Order, Probe, Refused,
 };
 use http::{HeaderValue, Method, StatusCode};
--- a/crates/standin/src/worker/state.rs
+++ b/crates/standin/src/worker/state.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::request;
 use azurepath_decide::size::Size;
 use azurepath_decide::worker::{Interrupt, Inventory, Report, Usage};
-use azurepath_platform::worker::{self, Claim, Order, Renewal};
+use azurepath_services::worker::{self, Claim, Order, Renewal};
 use bytes::Bytes;
 
 use super::record::{Begun, Ended, Record, unix_micros};
--- a/crates/standin/tests/instance_list.rs
+++ b/crates/standin/tests/instance_list.rs
@@ -1,8 +1,8 @@
 //! The object store and the lagging list of instances.
 
-use azurepath_platform::instance::List;
-use azurepath_platform::object::Store;
-use azurepath_platform::{instance, object};
+use azurepath_services::instance::List;
+use azurepath_services::object::Store;
+use azurepath_services::{instance, object};
 use azurepath_standin::fault;
 use azurepath_standin::fleet::{Fleet, Rack};
 use bytes::Bytes;
--- a/crates/standin/tests/table_service.rs
+++ b/crates/standin/tests/table_service.rs
@@ -1,6 +1,6 @@
 //! The table service of the stand-in, met through the client.
 
-use azurepath_platform::table::{Check, Client, Error, Table, Transaction, Write};
+use azurepath_services::table::{Check, Client, Error, Table, Transaction, Write};
 use azurepath_standin::fault::{self, Gate};
 use azurepath_standin::platform::Standin;
 use serde_json::json;
--- a/crates/standin/tests/worker_promises.rs
+++ b/crates/standin/tests/worker_promises.rs
@@ -7,7 +7,7 @@
 use azurepath_decide::request;
 use azurepath_decide::size::Size;
 use azurepath_decide::worker::Interrupt;
-use azurepath_platform::worker::{Claim, Client, Error, Order, Worker};
+use azurepath_services::worker::{Claim, Client, Error, Order, Worker};
 use azurepath_standin::fault;
 use azurepath_standin::worker::{Settings, Standin};
 use bytes::Bytes;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::batch;
 use crate::summary::Summary;
 
 /// One frame.
@@ -44,6 +45,10 @@
     Commit(Target),
     /// The gang gives its places back.
     Release(Target),
+    /// A call to the instance that leads; answered by `Reply`.
+    Call(Box<batch::Call>),
+    /// The reply to a `Call`.
+    Reply(Box<batch::Reply>),
     /// The control frame was taken.
     Done,
     /// The frame could not be served.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Frames that servers exchange over `h2` streams, and their codec.
 
+pub mod batch;
 pub mod codec;
 mod convert;
 pub mod frame;
