Takeover finds every worker and counts every end once; a stop answers its last calls

Now the roster of workers is stored before anything starts on them, ends are counted by their run, a worker with runs that nobody booked takes nothing, and calls end before the grace period does.

The random-fault test plays dead leaders, late and lost orders, reborn and cut workers on the scheduler.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 use crate::size::Size;
 use crate::time::Time;
@@ -10,7 +12,7 @@
 use super::{Attempt, JobId};
 
 /// A worker's entry in the registry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The worker's id.
     pub id: Name,
@@ -33,7 +35,7 @@
 }
 
 /// Whether a worker takes new tasks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
     /// It does.
@@ -65,10 +67,15 @@
     pub contact: Contact,
     /// Whether the registry lists it.
     pub listed: bool,
+    /// Whether it stands in the stored roster. A successor would not look for tasks on a worker
+    /// that does not, so nothing is started there.
+    pub recorded: bool,
     /// What is not booked.
     pub free: Size,
     /// The attempts that are booked.
     pub attempts: BTreeSet<Attempt>,
+    /// What runs there unasked: it takes room until it has stopped, and nobody knows how much.
+    pub strays: BTreeSet<Attempt>,
     /// The highest number of an end that was taken in.
     pub seen: u64,
     /// Ends that were taken in but are not stored yet.
@@ -89,7 +96,9 @@
             entry,
             contact: Contact::Unclaimed,
             listed: true,
+            recorded: false,
             attempts: BTreeSet::new(),
+            strays: BTreeSet::new(),
             seen: 0,
             unstored: BTreeSet::new(),
             earmark: None,
@@ -102,6 +111,8 @@
     pub fn is_open(&self, now: Time) -> bool {
         self.contact == Contact::Claimed
             && self.listed
+            && self.recorded
+            && self.strays.is_empty()
             && self.entry.standing == Standing::Ready
             && self.shunned_until.is_none_or(|until| now >= until)
     }
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -85,6 +85,8 @@
     pub failures: u32,
     /// The highest run.
     pub run: u64,
+    /// The runs whose end is counted.
+    pub ended: Vec<u64>,
     /// Its newest checkpoint.
     pub checkpoint: Option<Name>,
     /// The worker on which it failed last.
@@ -165,6 +167,7 @@
         let task = |task: &Task| record::Task {
             done: task.place == Place::Done,
             failures: task.failures,
+            ended: task.ended.clone(),
             checkpoint: task.checkpoint.clone(),
         };
         let step = |step: &Step| step.tasks.iter().map(task).collect();
@@ -230,7 +233,8 @@
                 Place::Waiting
             },
             failures: record.failures,
-            run,
+            run: run.max(record.ended.iter().copied().max().unwrap_or(0)),
+            ended: record.ended.clone(),
             checkpoint: record.checkpoint.clone(),
             avoid: None,
         }
--- a/crates/decide/src/batch/journal.rs
+++ b/crates/decide/src/batch/journal.rs
@@ -30,7 +30,7 @@
 
     /// Moves up to `most` jobs into the next write; none while one is under way.
     pub(super) fn take(&mut self, most: usize) -> Option<Vec<JobId>> {
-        if self.writing.is_some() || self.waiting.is_empty() {
+        if self.writing.is_some() {
             return None;
         }
         let rest = match self.waiting.keys().nth(most).copied() {
--- a/crates/decide/src/batch/record.rs
+++ b/crates/decide/src/batch/record.rs
@@ -4,8 +4,27 @@
 
 use crate::name::Name;
 
-use super::State;
+use super::fleet::Entry;
 use super::spec::Spec;
+use super::{JobId, State};
+
+/// One write.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Jobs that have changed; `None` in place of a record removes it.
+    pub jobs: Vec<(JobId, Option<Record>)>,
+    /// All workers on which tasks may run, where they have changed.
+    pub roster: Option<Vec<Entry>>,
+}
+
+/// What a scheduler's predecessors have stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// All jobs.
+    pub jobs: Vec<(JobId, Record)>,
+    /// All workers on which tasks may run.
+    pub roster: Vec<Entry>,
+}
 
 /// A job as stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +50,9 @@
     pub done: bool,
     /// How many of its runs have failed.
     pub failures: u32,
+    /// The runs whose end is counted: a worker lists an end until it is acknowledged, so a
+    /// successor sees it again, and not always in the order of the runs.
+    pub ended: Vec<u64>,
     /// Its newest checkpoint when a run last ended.
     pub checkpoint: Option<Name>,
 }
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -18,11 +18,11 @@
 
 use super::config::Config;
 use super::event::Action;
-use super::fleet::{Contact, Worker};
+use super::fleet::{Contact, Entry, Worker};
 use super::job::Job;
 use super::journal::Journal;
 use super::order::Durations;
-use super::record::Record;
+use super::record::{Batch, Record, Stored};
 use super::{Attempt, JobId, State};
 
 pub use dump::Dump;
@@ -71,6 +71,10 @@
     accounts: BTreeMap<Name, Account>,
     durations: Map<Name, Durations>,
     journal: Journal,
+    /// Whether workers have come or gone since the roster was last written.
+    roster_changed: bool,
+    /// How many workers the write that is under way takes in, if it holds the roster.
+    recording: Option<usize>,
     stopping: BTreeMap<Attempt, (usize, Time)>,
     ended: BTreeMap<Time, Vec<JobId>>,
     /// When steps were last placed.
@@ -81,12 +85,7 @@
 
 impl Scheduler {
     /// Makes a scheduler that goes on from what its predecessors have stored.
-    pub fn new(
-        setup: Setup,
-        now: Time,
-        config: Arc<Config>,
-        records: Vec<(JobId, Record)>,
-    ) -> Scheduler {
+    pub fn new(setup: Setup, now: Time, config: Arc<Config>, stored: Stored) -> Scheduler {
         let mut scheduler = Scheduler {
             setup,
             now,
@@ -99,15 +98,20 @@
             accounts: BTreeMap::new(),
             durations: Map::default(),
             journal: Journal::default(),
+            roster_changed: false,
+            recording: None,
             stopping: BTreeMap::new(),
             ended: BTreeMap::new(),
             placed_at: Time::default(),
             dirty: true,
             out: Vec::new(),
         };
-        for (id, record) in records {
+        for (id, record) in stored.jobs {
             scheduler.inherit(id, record);
         }
+        for entry in stored.roster {
+            scheduler.inherit_worker(entry);
+        }
         scheduler
     }
 
@@ -158,22 +162,45 @@
         actions.append(&mut self.out);
     }
 
-    /// Takes jobs that changed for the next write, `most` at most; none while one is under way.
-    ///
-    /// `None` in place of a record removes it.
-    pub fn write(&mut self, most: usize) -> Option<Vec<(JobId, Option<Record>)>> {
+    /// Takes what has changed for the next write, `most` jobs at most; `None` where nothing has or
+    /// a write is under way.
+    pub fn write(&mut self, most: usize) -> Option<Batch> {
         let jobs = self.journal.take(most)?;
+        let roster = self.roster_changed.then(|| self.roster());
+        if jobs.is_empty() && roster.is_none() {
+            self.journal.written();
+            return None;
+        }
+        self.roster_changed = false;
         let record = |id: JobId| (id, self.jobs.get(&id).map(Job::record));
-        Some(jobs.into_iter().map(record).collect())
+        let jobs = jobs.into_iter().map(record).collect();
+        if roster.is_some() {
+            self.recording = Some(self.workers.len());
+        }
+        Some(Batch { jobs, roster })
     }
 
     /// Takes in that the last write is stored.
     pub fn written(&mut self) {
+        if let Some(count) = self.recording.take() {
+            for worker in &mut self.workers[..count] {
+                worker.recorded = true;
+            }
+            self.dirty = true;
+        }
         for (id, deferred) in self.journal.written() {
             self.settle(id, &deferred);
         }
     }
 
+    fn roster(&self) -> Vec<Entry> {
+        let alive = self
+            .workers
+            .iter()
+            .filter(|worker| worker.contact != Contact::Gone);
+        alive.map(|worker| worker.entry.clone()).collect()
+    }
+
     /// Tells whether everything that changed is stored.
     pub fn is_stored(&self) -> bool {
         self.journal.is_idle()
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,6 +1,6 @@
 //! Tasks end, and their jobs go on from there.
 
-use super::super::fleet::Contact;
+use super::super::fleet::{Contact, Worker};
 use super::super::job::Place;
 use super::super::journal::Deferred;
 use super::super::report::{End, How};
@@ -25,8 +25,14 @@
         let current = matches!(task.place, Place::On { worker, run, .. }
             if worker == index && run == end.attempt.run);
         // Before it was adopted, an inherited task's end counts as well.
-        let unheard = inherited && task.place == Place::Waiting;
+        let counted = task.ended.contains(&end.attempt.run);
+        let unheard = inherited && task.place == Place::Waiting && !counted;
         if !current && !unheard {
+            if inherited && !counted && end.how == How::Failed {
+                // A worker that was heard late: the failure counts, though another run has begun.
+                task.ended.push(end.attempt.run);
+                self.count_failure(index, end);
+            }
             return;
         }
         let since = match task.place {
@@ -35,6 +41,7 @@
         };
         task.place = Place::Waiting;
         task.run = task.run.max(end.attempt.run);
+        task.ended.push(end.attempt.run);
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
@@ -72,6 +79,14 @@
         }
     }
 
+    fn count_failure(&mut self, index: usize, end: &End) {
+        let id = end.attempt.task.step.job;
+        if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
+            self.failed(index, &end.attempt);
+            self.journal.note(id, None);
+        }
+    }
+
     fn note_duration(&mut self, attempt: &Attempt, ran: std::time::Duration) {
         if let Some(job) = self.jobs.get(&attempt.task.step.job) {
             let queue = job.queue.clone();
@@ -175,11 +190,7 @@
 
     /// Tells whether tasks of inherited jobs may still run on workers that were not heard yet.
     pub(super) fn is_unsettled(&self) -> bool {
-        self.now < self.settled_at
-            && (self.workers.is_empty()
-                || self
-                    .workers
-                    .iter()
-                    .any(|worker| worker.contact == Contact::Unclaimed))
+        let unheard = |worker: &Worker| worker.recorded && worker.contact == Contact::Unclaimed;
+        self.now < self.settled_at && self.workers.iter().any(unheard)
     }
 }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -45,9 +45,23 @@
             }
             self.bury(index);
         }
+        self.roster_changed = true;
+        self.attach(Worker::new(entry));
+    }
+
+    /// Takes a worker of the stored roster, on which tasks may run though the registry has lost it.
+    pub(super) fn inherit_worker(&mut self, entry: Entry) {
+        self.attach(Worker {
+            listed: false,
+            recorded: true,
+            ..Worker::new(entry)
+        });
+    }
+
+    fn attach(&mut self, worker: Worker) {
         let index = self.workers.len();
-        self.by_id.insert(entry.id.clone(), index);
-        self.workers.push(Worker::new(entry));
+        self.by_id.insert(worker.entry.id.clone(), index);
+        self.workers.push(worker);
         self.out.push(Action::Attach { worker: index });
     }
 
@@ -63,6 +77,7 @@
         }
         self.workers[index].contact = Contact::Gone;
         self.workers[index].listed = false;
+        self.roster_changed = true;
         self.out.push(Action::Detach { worker: index });
         self.write_off(index);
     }
@@ -108,6 +123,7 @@
             worker.contact = Contact::Claimed;
             self.dirty = true;
         }
+        let strays = !std::mem::take(&mut self.workers[index].strays).is_empty();
         for running in &report.running {
             self.runs(index, running.attempt, running.checkpoint.as_ref());
         }
@@ -116,6 +132,7 @@
             self.workers[index].seen = self.workers[index].seen.max(end.number);
             self.end(index, end);
         }
+        self.dirty |= strays && self.workers[index].strays.is_empty();
         self.settle_doubts(index, report);
         self.acknowledge(index);
     }
@@ -202,6 +219,7 @@
 
     /// Stops a run that nobody wants, unless it is being stopped already.
     fn stop_stray(&mut self, index: usize, attempt: Attempt) {
+        self.workers[index].strays.insert(attempt);
         if !self.stopping.contains_key(&attempt) {
             self.stop(index, attempt);
         }
--- /dev/null
+++ b/crates/decide/tests/batch_faults.rs
@@ -0,0 +1,89 @@
+//! The scheduler of jobs under random faults: late and lost orders, dead leaders, reborn workers.
+
+#[path = "support/batch/mod.rs"]
+mod batch;
+
+use std::time::Duration;
+
+use azurepath_decide::time::Time;
+use batch::world::{Faults, World};
+
+/// Plays jobs under faults for twenty seconds and lets them come to their end.
+fn play(seed: u64, faults: Faults) -> Vec<String> {
+    let mut world = World::new(seed, faults, Time::from_millis(20_000));
+    for number in 0..60 {
+        let after = Duration::from_millis(200 * number);
+        world.submit(
+            after,
+            number % 5 == 0,
+            1 + (number % 4) as u32,
+            number % 3 == 0,
+        );
+    }
+    world.play(Duration::from_secs(110));
+    assert!(!world.accepted.is_empty(), "no job was accepted");
+    world.check.broken
+}
+
+fn hold(seeds: std::ops::Range<u64>, faults: Faults) {
+    for seed in seeds {
+        let broken = play(seed, faults);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    }
+}
+
+#[test]
+fn calm() {
+    hold(0..3, Faults::default());
+}
+
+#[test]
+fn late_orders() {
+    let faults = Faults {
+        late: 0.1,
+        lost: 0.1,
+        ..Faults::default()
+    };
+    hold(0..20, faults);
+}
+
+#[test]
+fn dead_leaders() {
+    let faults = Faults {
+        death: 0.004,
+        ..Faults::default()
+    };
+    hold(0..20, faults);
+}
+
+#[test]
+fn reborn_workers() {
+    let faults = Faults {
+        reborn: 0.0005,
+        ..Faults::default()
+    };
+    hold(0..20, faults);
+}
+
+#[test]
+fn cut_workers() {
+    let faults = Faults {
+        cut: 0.001,
+        unlisted: 0.001,
+        ..Faults::default()
+    };
+    hold(0..20, faults);
+}
+
+#[test]
+fn all_together() {
+    let faults = Faults {
+        late: 0.05,
+        lost: 0.05,
+        death: 0.004,
+        reborn: 0.0003,
+        unlisted: 0.001,
+        cut: 0.001,
+    };
+    hold(0..60, faults);
+}
--- /dev/null
+++ b/crates/decide/tests/support/batch/worker.rs
@@ -0,0 +1,179 @@
+//! A worker as the platform describes it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use azurepath_decide::batch::report::{End, How, Report, Running};
+use azurepath_decide::batch::{Attempt, Refusal, Started, TaskId};
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+
+/// How long a worker takes to stop a task.
+const STOP_MS: u64 = 200;
+
+/// A task that runs.
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub run: u64,
+    pub size: Size,
+    pub ends: Time,
+    pub how: How,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub born: Time,
+    pub capacity: Size,
+    pub fence: u64,
+    pub lease: Time,
+    pub running: BTreeMap<TaskId, Task>,
+    pub ended: Vec<End>,
+    pub next_end: u64,
+    /// Ends since which the lease has expired: acknowledging them means nothing any more.
+    pub void: BTreeSet<u64>,
+    /// The highest run of each task that was stopped or has ended.
+    pub over: BTreeMap<TaskId, u64>,
+}
+
+impl Worker {
+    pub fn new(born: Time, capacity: Size) -> Worker {
+        Worker {
+            born,
+            capacity,
+            fence: 0,
+            lease: born,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            void: BTreeSet::new(),
+            over: BTreeMap::new(),
+        }
+    }
+
+    pub fn clock_ms(&self, now: Time) -> u64 {
+        now.since(self.born).as_millis() as u64
+    }
+
+    /// Lets time pass: tasks end, and all of them when the lease expires.
+    pub fn advance(&mut self, now: Time) {
+        let due: Vec<TaskId> = self
+            .running
+            .iter()
+            .filter(|(_, task)| task.ends <= now.min(self.lease))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let how = self.running[&id].how;
+            self.end(id, how);
+        }
+        if now > self.lease {
+            let rest: Vec<TaskId> = self.running.keys().copied().collect();
+            for id in rest {
+                self.end(id, How::Lapsed);
+            }
+            self.void.extend(self.ended.iter().map(|end| end.number));
+        }
+    }
+
+    pub fn start(
+        &mut self,
+        now: Time,
+        fence: u64,
+        attempt: Attempt,
+        until_ms: u64,
+        task: Task,
+    ) -> Started {
+        self.advance(now);
+        if fence < self.fence {
+            return Started::Refused(Refusal::Superseded);
+        }
+        self.fence = fence;
+        if self.clock_ms(now) > until_ms {
+            return Started::Refused(Refusal::Late);
+        }
+        if let Some(known) = self.running.get(&attempt.task) {
+            return if known.run == attempt.run {
+                Started::Running
+            } else {
+                Started::Refused(Refusal::OldRun)
+            };
+        }
+        if self
+            .over
+            .get(&attempt.task)
+            .is_some_and(|&run| run >= attempt.run)
+        {
+            return Started::Refused(Refusal::OldRun);
+        }
+        let until = Time(self.born.0 + until_ms * 1_000);
+        self.lease = self.lease.max(until);
+        self.running.insert(attempt.task, task);
+        Started::Running
+    }
+
+    pub fn stop(&mut self, now: Time, fence: u64, attempt: Attempt) {
+        self.advance(now);
+        if fence < self.fence {
+            return;
+        }
+        self.fence = fence;
+        let over = self.over.entry(attempt.task).or_default();
+        *over = (*over).max(attempt.run);
+        if let Some(task) = self.running.get_mut(&attempt.task)
+            && task.run == attempt.run
+        {
+            task.ends = task.ends.min(Time(now.0 + STOP_MS * 1_000));
+            task.how = How::Stopped;
+        }
+    }
+
+    /// Renews and reports; `None` where the epoch is too low.
+    pub fn hold(
+        &mut self,
+        now: Time,
+        fence: u64,
+        acknowledged: u64,
+        until_ms: Option<u64>,
+    ) -> Option<Report> {
+        self.advance(now);
+        if fence < self.fence {
+            return None;
+        }
+        self.fence = fence;
+        self.ended.retain(|end| end.number > acknowledged);
+        if let Some(until) = until_ms {
+            self.lease = self.lease.max(Time(self.born.0 + until * 1_000));
+        }
+        let running = self.running.iter().map(|(id, task)| Running {
+            attempt: Attempt {
+                task: *id,
+                run: task.run,
+            },
+            checkpoint: None,
+        });
+        Some(Report {
+            clock_ms: self.clock_ms(now),
+            born_ms: self.born.0 / 1_000 + 1,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    fn end(&mut self, id: TaskId, how: How) {
+        let Some(task) = self.running.remove(&id) else {
+            return;
+        };
+        let over = self.over.entry(id).or_default();
+        *over = (*over).max(task.run);
+        self.ended.push(End {
+            number: self.next_end,
+            attempt: Attempt {
+                task: id,
+                run: task.run,
+            },
+            how,
+            checkpoint: None,
+        });
+        self.next_end += 1;
+    }
+}
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -24,6 +24,7 @@
 use slog::{Logger, info};
 use tokio::sync::watch as cell;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::logs;
@@ -34,8 +35,15 @@
 /// The connections to one address that are kept while they are unused.
 const IDLE_CONNECTIONS: usize = 8;
 
-/// The part of the grace period that is kept for ending what is in flight.
-const LAST_CALLS: Duration = Duration::from_millis(1_500);
+/// What is left of the grace period when the last calls are answered, for ending the process.
+const LAST_CALLS: Duration = Duration::from_millis(900);
+
+/// How long a process that stops takes new connections: two questions of the balancer, a second
+/// apart, and the time of an answer.
+const LINGER: Duration = Duration::from_millis(2_300);
+
+/// How long it takes to write an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// What all tasks of the process share.
 #[derive(Clone)]
@@ -47,6 +55,8 @@
     advisor: Option<Advisor>,
     config: cell::Receiver<Option<Arc<Config>>>,
     phase: cell::Receiver<Phase>,
+    /// When the last calls of clients are answered, while the process stops.
+    end: cell::Receiver<Option<Instant>>,
     route: peer::Route,
     inflight: Inflight,
     metrics: Arc<Metrics>,
@@ -63,6 +73,7 @@
     let pool = Pool::new(IDLE_CONNECTIONS);
     let (config_sender, config) = cell::channel(None);
     let (phase_sender, phase) = cell::channel(Phase::Serving);
+    let (end_sender, end) = cell::channel(None);
     let (standing_sender, standing) = cell::channel(peer::Standing::None);
     let halt = CancellationToken::new();
     let mut tasks = JoinSet::new();
@@ -77,6 +88,7 @@
             .map(|address| Advisor::new(pool.clone(), address)),
         config,
         phase,
+        end,
         route,
         inflight: Inflight::default(),
         metrics,
@@ -92,19 +104,22 @@
     tasks.spawn(asker::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = leadership::Election::new(context.clone(), standing_sender);
-    let election = tokio::spawn(election.run(leaving.clone()));
+    let election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"));
     shutdown.await;
-    info!(log, "stopping");
+    let end = Instant::now() + context.settings.grace.saturating_sub(LAST_CALLS);
+    info!(log, "stopping"; "in_flight" => context.inflight.count());
     phase_sender.send_replace(Phase::Leaving);
+    end_sender.send_replace(Some(end));
     leaving.cancel();
-    tokio::time::sleep(context.settings.grace.saturating_sub(LAST_CALLS) / 2).await;
-    let rest = context.settings.grace / 2;
-    // What is still in flight at the end of the grace period is cut by the platform in any case.
-    let _ = tokio::time::timeout(rest, context.inflight.drained()).await;
-    election.await?;
+    // The balancer takes two misses to send new connections elsewhere.
+    tokio::time::sleep(LINGER).await;
+    // Calls end at `end` at the latest, so a longer wait would change nothing.
+    let _ = tokio::time::timeout_at(end + ANSWER_TIME, context.inflight.drained()).await;
+    info!(log, "drained"; "in_flight" => context.inflight.count());
     servers.stop().await?;
     halt.cancel();
+    election.await?;
     while let Some(joined) = tasks.join_next().await {
         joined?;
     }
--- a/crates/server/src/cluster/front.rs
+++ b/crates/server/src/cluster/front.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use slog::info;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -203,6 +204,24 @@
 
 /// Calls the instance that leads, again if need be: all calls may be repeated.
 async fn forward(context: &Context, call: &Call, deadline: Instant) -> Result<Reply, Outcome> {
+    let mut end = context.end.clone();
+    tokio::select! {
+        result = call_leader(context, call, deadline) => result,
+        // The process ends before the call's own deadline.
+        () = ended(&mut end) => Err(Outcome::new(StatusCode::GATEWAY_TIMEOUT)),
+    }
+}
+
+/// Waits until the last calls are to be answered.
+async fn ended(end: &mut watch::Receiver<Option<Instant>>) {
+    match end.wait_for(Option::is_some).await.map(|end| *end) {
+        Ok(Some(end)) => tokio::time::sleep_until(end).await,
+        // Without a sender the process ends in another way.
+        Ok(None) | Err(_) => std::future::pending().await,
+    }
+}
+
+async fn call_leader(context: &Context, call: &Call, deadline: Instant) -> Result<Reply, Outcome> {
     let give_up = deadline.min(Instant::now() + LEADER_WAIT);
     let mut sent = false;
     let mut route = context.route.clone();
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -7,10 +7,10 @@
 use azurepath_decide::batch::advice::Desk;
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::batch::fleet::{Contact, Entry};
-use azurepath_decide::batch::record::Record;
+use azurepath_decide::batch::record::{Batch, Stored};
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::batch::scheduler::{Scheduler, Setup};
-use azurepath_decide::batch::{Action, Answer, Attempt, JobId, Started};
+use azurepath_decide::batch::{Action, Answer, Attempt, Started};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Start};
@@ -151,7 +151,7 @@
         writer: Writer,
         sent: Time,
         config: Arc<Config>,
-        records: Vec<(JobId, Record)>,
+        stored: Stored,
     ) -> (Leader, Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let lease = context.settings.lease.mul_f64(LEASE_PART);
@@ -171,7 +171,7 @@
             sender: sender.clone(),
         };
         let leader = Leader {
-            scheduler: Scheduler::new(setup, now, config, records),
+            scheduler: Scheduler::new(setup, now, config, stored),
             authority: Arc::new(Authority::new(sent, AUTHORITY)),
             sender,
             calls: BTreeMap::new(),
@@ -378,14 +378,14 @@
         if self.writer.is_none() {
             return;
         }
-        let jobs = match self.scheduler.write(writer::MOST) {
-            Some(jobs) => jobs,
-            None if self.write_begun.elapsed() >= BEAT => Vec::new(),
+        let batch = match self.scheduler.write(writer::MOST) {
+            Some(batch) => batch,
+            None if self.write_begun.elapsed() >= BEAT => Batch::default(),
             None => return,
         };
         if let Some(writer) = self.writer.take() {
             self.write_begun = Instant::now();
-            self.writing.spawn(writer.write(jobs));
+            self.writing.spawn(writer.write(batch));
         }
     }
 
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::config::Config;
+use azurepath_decide::batch::record::Stored;
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{Error, Page};
 use rand::Rng;
@@ -14,12 +15,15 @@
 use super::leader::Leader;
 use super::peer::{self, Standing};
 use super::watch::{READ_TIMEOUT, read_all};
-use super::writer::{self, JOBS, LEADER, Seat, TABLE, Writer};
+use super::writer::{self, JOBS, LEADER, ROSTER, Seat, TABLE, Writer};
 use super::{Context, clock};
 
 /// How often the leader's row is read.
 const INTERVAL: Duration = Duration::from_millis(400);
 
+/// How often it is read by an instance that stops and has calls for the next leader.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long the leader's row stands still before the leader counts as dead: several of its beats.
 const DEAD: Duration = Duration::from_millis(1_800);
 
@@ -74,31 +78,28 @@
         }
     }
 
-    /// Follows and leads until `leaving`; then follows on until the process ends.
-    pub(super) async fn run(mut self, leaving: CancellationToken) {
-        while !leaving.is_cancelled() {
+    /// Follows and leads until `leaving`; then only follows until `halt`, for the calls that still
+    /// come.
+    pub(super) async fn run(mut self, leaving: CancellationToken, halt: CancellationToken) {
+        while !halt.is_cancelled() {
             let read = self.read().await;
             if read
+                && !leaving.is_cancelled()
                 && self.is_free()
                 && let Some(config) = self.config()
             {
                 self.lead(config, &leaving).await;
                 continue;
             }
+            let pause = if leaving.is_cancelled() {
+                LEAVING_INTERVAL
+            } else {
+                INTERVAL
+            };
             tokio::select! {
-                () = leaving.cancelled() => {}
-                () = tokio::time::sleep(INTERVAL) => {}
-            }
-        }
-        // Calls that still come go to the next leader.
-        while self.context.inflight.count() > 0 || !self.standing.is_closed() {
-            if !self.read().await {
-                tokio::time::sleep(INTERVAL).await;
-            }
-            if matches!(&*self.standing.borrow(), Standing::There(_)) {
-                return;
+                () = halt.cancelled() => {}
+                () = tokio::time::sleep(pause) => {}
             }
-            tokio::time::sleep(INTERVAL / 4).await;
         }
     }
 
@@ -109,7 +110,7 @@
     /// Reads the leader's row; returns whether it could be read.
     async fn read(&mut self) -> bool {
         let before = clock::now();
-        let read = self.context.store.read(TABLE, "", READ_TIMEOUT).await;
+        let read = self.context.store.get(TABLE, LEADER, READ_TIMEOUT).await;
         let now = clock::now();
         let Ok(Page { rows, .. }) = read else {
             return false;
@@ -185,13 +186,13 @@
         };
         let epoch = writer.seat().epoch;
         info!(self.context.log, "seat taken"; "epoch" => epoch, "before" => version);
-        let Some(records) = self.records().await else {
+        let Some(stored) = self.stored().await else {
             writer.release().await;
             return;
         };
-        info!(self.context.log, "leading"; "epoch" => epoch, "jobs" => records.len());
+        info!(self.context.log, "leading"; "epoch" => epoch, "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
         let (leader, handle, receiver) =
-            Leader::new(self.context.clone(), writer, sent, config, records);
+            Leader::new(self.context.clone(), writer, sent, config, stored);
         self.standing.send_replace(Standing::Here(handle));
         let ended = leader.run(receiver, leaving).await;
         self.standing.send_replace(Standing::None);
@@ -218,28 +219,11 @@
         .await
     }
 
-    /// Reads all stored jobs.
-    async fn records(
-        &self,
-    ) -> Option<
-        Vec<(
-            azurepath_decide::batch::JobId,
-            azurepath_decide::batch::record::Record,
-        )>,
-    > {
+    /// Reads what earlier leaders have stored.
+    async fn stored(&self) -> Option<Stored> {
         for _ in 0..READS {
-            match read_all(&self.context.store, JOBS).await {
-                Ok(page) => {
-                    let decoded = page.rows.iter().map(writer::decode);
-                    let good = decoded.filter_map(|row| {
-                        let unreadable = |error: &String| {
-                            warn!(self.context.log, "a stored job can't be read"; "error" => error);
-                        };
-                        row.inspect_err(unreadable).ok()
-                    });
-                    return Some(good.collect());
-                }
-                Err(Error::HistoryGone | Error::Conflict(_)) => return None,
+            match self.read_stored().await {
+                Ok(stored) => return Some(stored),
                 Err(error) => {
                     warn!(self.context.log, "stored jobs can't be read"; "error" => %error);
                     tokio::time::sleep(INTERVAL / 4).await;
@@ -248,4 +232,22 @@
         }
         None
     }
+
+    async fn read_stored(&self) -> Result<Stored, Error> {
+        let store = &self.context.store;
+        let unreadable = |error: &String| {
+            warn!(self.context.log, "a stored row can't be read"; "error" => error);
+        };
+        let jobs = read_all(store, JOBS).await?;
+        let jobs = jobs.rows.iter().map(writer::decode);
+        let jobs = jobs.filter_map(|row| row.inspect_err(unreadable).ok());
+        let own = read_all(store, TABLE).await?;
+        let roster = own.rows.iter().find(|row| row.key == ROSTER);
+        let roster = roster.map(writer::decode_roster);
+        let roster = roster.and_then(|row| row.inspect_err(unreadable).ok());
+        Ok(Stored {
+            jobs: jobs.collect(),
+            roster: roster.unwrap_or_default(),
+        })
+    }
 }
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::JobId;
-use azurepath_decide::batch::record::Record;
+use azurepath_decide::batch::fleet::Entry;
+use azurepath_decide::batch::record::{Batch, Record};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{Error, Row, Store, TRANSACTION_ENTRIES, Transaction};
 use bincode::config;
 use rand::Rng;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, warn};
 
@@ -26,11 +28,14 @@
 /// The key of the leader's row.
 pub(super) const LEADER: &str = "leader";
 
+/// The key of the row with all workers on which tasks may run.
+pub(super) const ROSTER: &str = "roster";
+
 /// The table with the jobs.
 pub(super) const JOBS: &str = "jobs";
 
-/// The most jobs of one write; the leader's row takes an entry as well.
-pub(super) const MOST: usize = TRANSACTION_ENTRIES - 1;
+/// The most jobs of one write; the leader's row takes a condition and a put, the roster a put.
+pub(super) const MOST: usize = TRANSACTION_ENTRIES - 3;
 
 /// How long a write may take before its connection counts as lost.
 const TIMEOUT: Duration = Duration::from_millis(700);
@@ -105,7 +110,7 @@
             log: Arc::new(log.clone()),
         };
         let sent = clock::now();
-        let transaction = writer.transaction(&[]);
+        let transaction = writer.transaction(&Batch::default());
         match store.transact(&transaction, TIMEOUT).await {
             Ok(version) => {
                 writer.version = version;
@@ -122,9 +127,9 @@
     }
 
     /// Writes jobs, however long that takes.
-    pub(super) async fn write(mut self, jobs: Vec<(JobId, Option<Record>)>) -> (Writer, Outcome) {
+    pub(super) async fn write(mut self, batch: Batch) -> (Writer, Outcome) {
         self.seat.write += 1;
-        let outcome = self.persist(&jobs).await;
+        let outcome = self.persist(&batch).await;
         (self, outcome)
     }
 
@@ -133,15 +138,16 @@
         self.seat.write += 1;
         self.seat.released = true;
         // Where this fails, the others see that the row stands still.
-        let release = self.persist(&[]);
+        let empty = Batch::default();
+        let release = self.persist(&empty);
         let _ = tokio::time::timeout(TIMEOUT, release).await;
     }
 
-    async fn persist(&mut self, jobs: &[(JobId, Option<Record>)]) -> Outcome {
+    async fn persist(&mut self, batch: &Batch) -> Outcome {
         let mut failures = 0_u32;
         loop {
             let sent = clock::now();
-            let transaction = self.transaction(jobs);
+            let transaction = self.transaction(batch);
             let error = match self.store.transact(&transaction, TIMEOUT).await {
                 Ok(version) => {
                     self.version = version;
@@ -168,7 +174,7 @@
             if failures == 0 {
                 warn!(self.log, "write failed";
                     "epoch" => self.seat.epoch, "write" => self.seat.write,
-                    "jobs" => jobs.len(), "error" => %error);
+                    "jobs" => batch.jobs.len(), "error" => %error);
             }
             failures += 1;
             let bound = PAUSE
@@ -179,13 +185,17 @@
         }
     }
 
-    fn transaction(&self, jobs: &[(JobId, Option<Record>)]) -> Transaction {
+    fn transaction(&self, batch: &Batch) -> Transaction {
         let mut transaction = Transaction {
             conditions: vec![(TABLE, LEADER.to_owned(), self.version)],
             puts: vec![(TABLE, LEADER.to_owned(), self.seat.bytes())],
             removals: Vec::new(),
         };
-        for (id, record) in jobs {
+        if let Some(roster) = &batch.roster {
+            let row = (TABLE, ROSTER.to_owned(), encode(roster));
+            transaction.puts.push(row);
+        }
+        for (id, record) in &batch.jobs {
             match record {
                 Some(record) => transaction
                     .puts
@@ -197,9 +207,9 @@
     }
 }
 
-fn encode(record: &Record) -> Vec<u8> {
+fn encode(value: &impl Serialize) -> Vec<u8> {
     // A struct of plain fields always has a form in bytes.
-    bincode::serde::encode_to_vec(record, config::standard()).unwrap_or_default()
+    bincode::serde::encode_to_vec(value, config::standard()).unwrap_or_default()
 }
 
 /// Reads a stored job.
@@ -212,8 +222,21 @@
         .key
         .parse::<JobId>()
         .map_err(|error| error.to_string())?;
+    Ok((id, read(row)?))
+}
+
+/// Reads the workers on which tasks may run.
+///
+/// # Errors
+///
+/// Returns what is wrong with a row that holds no roster.
+pub(super) fn decode_roster(row: &Row) -> Result<Vec<Entry>, String> {
+    read(row)
+}
+
+fn read<T: DeserializeOwned>(row: &Row) -> Result<T, String> {
     let bytes = row.value.as_deref().unwrap_or_default();
-    let (record, _) = bincode::serde::decode_from_slice(bytes, config::standard())
+    let (value, _) = bincode::serde::decode_from_slice(bytes, config::standard())
         .map_err(|error| error.to_string())?;
-    Ok((id, record))
+    Ok(value)
 }
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -187,7 +187,10 @@
     let mut reader = Reader::new(request.into_body());
     if let Err(error) = service.answer(&mut reader, &mut writer).await {
         service.faults().add(1, &[]);
-        debug!(service.log(), "stream of a peer failed"; "error" => %error);
+        // A task that ends drops its calls, and there may be thousands of them.
+        if !matches!(error, Error::Ended) {
+            debug!(service.log(), "stream of a peer failed"; "error" => %error);
+        }
         let fault = Frame::Fault(Fault {
             kind: "unserved".to_owned(),
             remedy: error.to_string(),
