--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -4,6 +4,7 @@
 //! What was accepted and what has ended is written down before anybody is told, so a successor goes
 //! on from the stored [`record::Record`]s and from what the workers report.
 
+pub mod admission;
 pub mod advice;
 pub mod config;
 pub mod event;
--- a/crates/decide/src/batch/advice.rs
+++ b/crates/decide/src/batch/advice.rs
@@ -16,7 +16,7 @@
 use super::StepId;
 
 /// A question that takes longer is slow.
-const SLOW: Duration = Duration::from_millis(200);
+pub(super) const SLOW: Duration = Duration::from_millis(200);
 
 /// One in so many instances is kept free of slow questions.
 const KEPT_FREE: usize = 3;
@@ -104,6 +104,11 @@
         Some(question)
     }
 
+    /// Returns how many instances ask questions.
+    pub fn askers(&self) -> usize {
+        self.askers.len()
+    }
+
     /// Returns how many questions wait.
     pub fn waiting(&self) -> usize {
         self.quick.len() + self.slow.len()
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::size::Size;
 use crate::time::Time;
 
+use super::admission::Backlog;
 use super::config::Config;
 use super::event::Action;
 use super::fleet::{Contact, Entry, Worker};
@@ -23,7 +24,7 @@
 use super::journal::Journal;
 use super::order::Durations;
 use super::record::{Batch, Record, Stored};
-use super::{Attempt, JobId, State};
+use super::{Attempt, JobId, State, StepId};
 
 pub use dump::Dump;
 pub use place::Account;
@@ -76,6 +77,13 @@
     /// How many workers the write that is under way takes in, if it holds the roster.
     recording: Option<usize>,
     stopping: BTreeMap<Attempt, (usize, Time)>,
+    /// How many instances ask the advice service.
+    askers: usize,
+    /// Slow questions that are open, with the time until which they count.
+    slow_questions: BTreeMap<StepId, Time>,
+    backlog: Backlog,
+    /// What all workers hold that take tasks, as of the last placing.
+    capacity: Size,
     ended: BTreeMap<Time, Vec<JobId>>,
     /// When steps were last placed.
     placed_at: Time,
@@ -101,6 +109,10 @@
             roster_changed: false,
             recording: None,
             stopping: BTreeMap::new(),
+            askers: 1,
+            slow_questions: BTreeMap::new(),
+            backlog: Backlog::default(),
+            capacity: Size::ZERO,
             ended: BTreeMap::new(),
             placed_at: Time::default(),
             dirty: true,
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::super::StepId;
-use super::super::advice::{Advice, Question};
+use super::super::advice::{Advice, Question, SLOW};
 use super::super::config::{Advised, Queue};
 use super::super::event::Action;
 use super::super::job::{self, Ticket};
@@ -16,6 +16,9 @@
 /// How long an answer is waited for beyond what the question takes.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// How long a slow question counts as open where no answer comes.
+const SLOW_PATIENCE: Duration = Duration::from_secs(4);
+
 /// What is taken off a ticket's validity for the way of the ticket and of the order.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
 
@@ -95,6 +98,9 @@
         }
         let distinct: BTreeSet<usize> = workers.iter().copied().take(WORKERS).collect();
         let takes = duration(&advised, distinct.len());
+        if takes > SLOW && !self.may_ask_slowly(id) {
+            return;
+        }
         let names = distinct
             .iter()
             .map(|&worker| self.workers[worker].entry.id.clone());
@@ -112,9 +118,30 @@
         }
     }
 
+    /// Takes in how many instances ask questions.
+    pub fn set_askers(&mut self, askers: usize) {
+        self.askers = askers;
+    }
+
+    /// Tells whether one more slow question may be open, and counts it.
+    ///
+    /// More questions than instances would wait in line and be answered too late, while the room
+    /// that is kept for their gangs stands empty.
+    fn may_ask_slowly(&mut self, id: StepId) -> bool {
+        let now = self.now;
+        self.slow_questions.retain(|_, until| *until > now);
+        if self.slow_questions.len() >= self.askers.max(1) {
+            return false;
+        }
+        let until = now.after(SLOW_PATIENCE);
+        self.slow_questions.insert(id, until);
+        true
+    }
+
     /// Takes in what the service has answered; `None` where no answer came.
     pub fn advised(&mut self, id: StepId, advice: Option<&Advice>) {
         self.dirty = true;
+        self.slow_questions.remove(&id);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -11,6 +11,7 @@
 use crate::size::Size;
 use crate::time::Time;
 
+use super::super::admission::Backlog;
 use super::super::config::Queue;
 use super::super::fleet::Worker;
 use super::super::job::{Job, Place};
@@ -37,6 +38,9 @@
 /// What a worker outside the rack with the step's data counts more.
 const FAR_PENALTY: f64 = 2.0;
 
+/// When clients may come back whose queue is not known here yet.
+const UNKNOWN_QUEUE_PAUSE: Duration = Duration::from_secs(1);
+
 /// The seconds of its weight in jobs that an account may send at once.
 const EXCESS_WINDOW: f64 = 2.0;
 
@@ -67,7 +71,8 @@
             worker.earmark = None;
         }
         let config = self.config.clone();
-        for rank in self.ranks() {
+        let ranks = self.ranks();
+        for &rank in &ranks {
             let Some(job) = self.jobs.get(&rank.step.job) else {
                 continue;
             };
@@ -86,6 +91,7 @@
             };
             self.place_step(&candidate);
         }
+        self.measure_backlog(&ranks);
     }
 
     /// Returns the steps that are due and have waiting tasks, first things first.
@@ -236,25 +242,33 @@
         let step = &self.jobs[&id.job].steps[number];
         let fresh = |worker: &usize| step.advice.holds(*worker, now);
         let usable = reserved.iter().all(open);
+        let asking = step.advice.open_until.is_some_and(|until| until > now);
         if usable && reserved.iter().all(fresh) {
             self.unreserve(id.job, number);
             let starts: Vec<(u32, usize)> = (0..).zip(reserved.iter().copied()).collect();
             self.start(id, &starts);
-        } else if !usable || step.reserved_until <= now {
+        } else if !usable || (step.reserved_until <= now && !asking) {
             self.unreserve(id.job, number);
             self.dirty = true;
-        } else if step.advice.open_until.is_none_or(|until| until <= now) {
+        } else if !asking {
             self.ask_some(id, candidate.queue, reserved);
         }
     }
 
     fn reserve(&mut self, candidate: &Candidate<'_>, workers: Vec<usize>) {
         let id = candidate.id;
+        self.ask_some(id, candidate.queue, &workers);
+        let open = self.jobs[&id.job].steps[usize::from(id.step)]
+            .advice
+            .open_until;
+        if open.is_none_or(|until| until <= self.now) {
+            // No instance is free to ask: the room is of more use to others.
+            return;
+        }
         for &worker in &workers {
             let worker = &mut self.workers[worker];
             worker.free = worker.free.minus(&candidate.step.size);
         }
-        self.ask_some(id, candidate.queue, &workers);
         let until = self.now.after(RESERVATION);
         if let Some(job) = self.jobs.get_mut(&id.job) {
             let step = &mut job.steps[usize::from(id.step)];
@@ -502,13 +516,67 @@
 
     /// Returns the pause after which a job may be sent again, where it is not taken now.
     pub(super) fn refuse(
-        &self,
+        &mut self,
         queue: &Name,
-        _spec: &spec::Spec,
-        _excess: bool,
+        spec: &spec::Spec,
+        excess: bool,
     ) -> Option<Duration> {
-        const PAUSE: Duration = Duration::from_secs(1);
-        self.config.queue(queue).is_none().then_some(PAUSE)
+        let Some(queue) = self.config.queue(queue) else {
+            return Some(UNKNOWN_QUEUE_PAUSE);
+        };
+        let chain = spec.longest_chain(|step| self.task_time(&queue.name, step));
+        let slack = chain.mul_f64((queue.stretch - 1.0).max(0.0)) + queue.objective;
+        let pause = self.backlog.refuse(queue.priority, slack, excess);
+        if pause.is_none() {
+            // Until the next placing, what comes counts as waiting: a burst comes in one go.
+            let priority = queue.priority;
+            let name = queue.name.clone();
+            for step in &spec.steps {
+                let time = self.task_time(&name, step);
+                let part = self.part_of_fleet(&step.size.times(u64::from(step.count)));
+                self.backlog.add(priority, part, time);
+            }
+        }
+        pause
+    }
+
+    /// Works out anew what waits, but for work that is late already: it goes last.
+    fn measure_backlog(&mut self, ranks: &[Rank]) {
+        self.capacity = self.open_capacity();
+        let mut backlog = Backlog::default();
+        for rank in ranks
+            .iter()
+            .filter(|rank| rank.lateness <= Lateness::Excess)
+        {
+            let Some(job) = self.jobs.get(&rank.step.job) else {
+                continue;
+            };
+            let number = usize::from(rank.step.step);
+            let Some(step) = job.spec.as_ref().map(|spec| &spec.steps[number]) else {
+                continue;
+            };
+            let tasks = job.steps[number].tasks.iter();
+            let waiting = tasks.filter(|task| task.place == Place::Waiting).count() as u64;
+            let time = self.task_time(&job.queue, step);
+            let part = self.part_of_fleet(&step.size.times(waiting));
+            backlog.add(rank.priority, part, time);
+        }
+        self.backlog = backlog;
+    }
+
+    fn part_of_fleet(&self, size: &Size) -> f64 {
+        if self.capacity.is_zero() {
+            return 0.0;
+        }
+        size.dominant(&self.capacity)
+    }
+
+    fn open_capacity(&self) -> Size {
+        let open = self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_open(self.now));
+        open.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
     }
 }
 
