Stand-ins of the platform's protocol, and tests that drive the real binary on them

The store with conditions, feed, dropped history and lost answers; the advice service; workers with leases, fences and numbered ends. Ten process tests: calm path, bad calls, killed and stopped leader, all killed, lost writes, outage, withdrawn key, cancel, strange entries. store_outage failed first: it repeated an id whose write was in doubt, which can't be refused truly; it now sends new ids.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -12,6 +12,7 @@
 mod writer;
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
 pub(crate) struct Context {
     settings: Arc<Settings>,
     name: Name,
+    /// Where this instance listens for its peers.
+    peers: SocketAddr,
     store: Store,
     workers: Workers,
     advisor: Option<Advisor>,
@@ -70,6 +73,7 @@
 /// Returns an error where an address can't be listened on or a task has failed.
 pub async fn run(settings: Settings, shutdown: impl Future<Output = ()>) -> anyhow::Result<()> {
     let log = logs::logger(&settings.server, logs::Output::Standard);
+    let listeners = listen::Listeners::bind(&settings).await?;
     let pool = Pool::new(IDLE_CONNECTIONS);
     let (config_sender, config) = cell::channel(None);
     let (phase_sender, phase) = cell::channel(Phase::Serving);
@@ -81,6 +85,7 @@
     let route = peer::connect(standing, &log, &metrics, &halt, &mut tasks);
     let context = Context {
         name: settings.server.name.clone(),
+        peers: listeners.peers_address,
         store: Store::new(pool.clone(), settings.store),
         workers: Workers::new(pool.clone()),
         advisor: settings
@@ -95,7 +100,7 @@
         log: log.clone(),
         settings: Arc::new(settings),
     };
-    let servers = listen::start(&context, &halt, &mut tasks).await?;
+    let servers = listeners.serve(&context, &halt, &mut tasks)?;
     tasks.spawn(watch::configuration(
         context.clone(),
         config_sender,
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -9,7 +9,7 @@
 use azurepath_decide::batch::fleet::{Contact, Entry};
 use azurepath_decide::batch::record::{Batch, Stored};
 use azurepath_decide::batch::report::Report;
-use azurepath_decide::batch::scheduler::{Scheduler, Setup};
+use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
 use azurepath_decide::batch::{Action, Answer, Attempt, Started};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
@@ -79,6 +79,8 @@
     Started(usize, Attempt, Started, u64),
     /// All entries of the registry.
     Registry(Vec<Entry>),
+    /// Asks for the state.
+    Dump(oneshot::Sender<Dump>),
 }
 
 /// A way to talk to the leader.
@@ -96,6 +98,13 @@
             .ok()?;
         receiver.await.ok()
     }
+
+    /// Returns the state in numbers; `None` where the leader has ended.
+    pub(super) async fn dump(&self) -> Option<Dump> {
+        let (sender, receiver) = oneshot::channel();
+        self.sender.send(Message::Dump(sender)).ok()?;
+        receiver.await.ok()
+    }
 }
 
 /// Why the leader has ended.
@@ -303,9 +312,9 @@
             Message::Started(worker, attempt, started, until_ms) => {
                 self.scheduler.started(worker, attempt, started, until_ms);
             }
-            Message::Registry(entries) => {
-                self.scheduler.list(entries);
-            }
+            Message::Registry(entries) => self.scheduler.list(entries),
+            // Whoever asked may have gone.
+            Message::Dump(reply) => drop(reply.send(self.scheduler.dump())),
         }
     }
 
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -205,7 +205,7 @@
         let seat = Seat {
             name: self.context.name.clone(),
             incarnation: self.incarnation,
-            address: self.context.settings.server.peers,
+            address: self.context.peers,
             epoch: epoch + 1,
             write: 0,
             released: false,
--- a/crates/server/src/cluster/listen.rs
+++ b/crates/server/src/cluster/listen.rs
@@ -1,7 +1,11 @@
 //! The listeners of the process.
 
+use std::net::SocketAddr;
+
 use azurepath_platform::entry::READY;
 use http::StatusCode;
+use slog::info;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use volo_http::server::route::{Router, get};
@@ -12,6 +16,7 @@
 use crate::process::entry::Entry;
 use crate::process::stop::Phase;
 use crate::request::http::bind;
+use crate::settings::cluster::Settings;
 
 /// The HTTP servers of the process.
 pub(super) struct Servers {
@@ -32,39 +37,67 @@
     }
 }
 
-/// Begins to listen for clients, the balancer, peers and readers of metrics.
-///
-/// # Errors
-///
-/// Returns an error where an address can't be listened on.
-pub(super) async fn start(
-    context: &Context,
-    halt: &CancellationToken,
-    tasks: &mut JoinSet<()>,
-) -> anyhow::Result<Servers> {
-    let settings = &context.settings;
-    let clients = bind(settings.server.http).await?;
-    let balancer = bind(settings.ready).await?;
-    let watchers = bind(settings.metrics).await?;
-    let peers = bind(settings.server.peers).await?;
-    let service = peer::Service {
-        route: context.route.clone(),
-        faults: context.metrics.peer_faults.clone(),
-        log: context.log.clone(),
-    };
-    tasks.spawn(listener::run(peers, service, halt.clone()));
-    let ready_routes = Router::new()
-        .route(READY, get(ready))
-        .layer(Extension(context.clone()));
-    let metrics_routes = Router::new()
-        .route("/metrics", get(metrics))
-        .layer(Extension(context.clone()));
-    let entries = vec![
-        Entry::start(front::routes(context.clone()), clients),
-        Entry::start(ready_routes, balancer),
-        Entry::start(metrics_routes, watchers),
-    ];
-    Ok(Servers { entries })
+/// Where the process listens.
+pub(super) struct Listeners {
+    clients: TcpListener,
+    balancer: TcpListener,
+    watchers: TcpListener,
+    peers: TcpListener,
+    /// The address for peers.
+    pub(super) peers_address: SocketAddr,
+}
+
+impl Listeners {
+    /// Binds all addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address can't be listened on.
+    pub(super) async fn bind(settings: &Settings) -> anyhow::Result<Listeners> {
+        let peers = bind(settings.server.peers).await?;
+        Ok(Listeners {
+            clients: bind(settings.server.http).await?,
+            balancer: bind(settings.ready).await?,
+            watchers: bind(settings.metrics).await?,
+            peers_address: peers.local_addr()?,
+            peers,
+        })
+    }
+
+    /// Begins to serve clients, the balancer, peers and readers of metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address is unknown.
+    pub(super) fn serve(
+        self,
+        context: &Context,
+        halt: &CancellationToken,
+        tasks: &mut JoinSet<()>,
+    ) -> anyhow::Result<Servers> {
+        info!(context.log, "listening";
+            "http" => %self.clients.local_addr()?, "ready" => %self.balancer.local_addr()?,
+            "metrics" => %self.watchers.local_addr()?, "peers" => %self.peers_address);
+        let service = peer::Service {
+            route: context.route.clone(),
+            faults: context.metrics.peer_faults.clone(),
+            log: context.log.clone(),
+        };
+        tasks.spawn(listener::run(self.peers, service, halt.clone()));
+        let ready_routes = Router::new()
+            .route(READY, get(ready))
+            .layer(Extension(context.clone()));
+        let metrics_routes = Router::new()
+            .route("/metrics", get(metrics))
+            .route("/dump", get(dump))
+            .layer(Extension(context.clone()));
+        let entries = vec![
+            Entry::start(front::routes(context.clone()), self.clients),
+            Entry::start(ready_routes, self.balancer),
+            Entry::start(metrics_routes, self.watchers),
+        ];
+        Ok(Servers { entries })
+    }
 }
 
 /// Ready is an instance that has a configuration and does not stop. Whether it reaches the leader
@@ -84,3 +117,24 @@
         .text()
         .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
+
+async fn dump(Extension(context): Extension<Context>) -> String {
+    let state = match context.route.here() {
+        Some(leader) => leader.dump().await,
+        None => None,
+    };
+    let config = context
+        .config
+        .borrow()
+        .as_ref()
+        .map(|config| config.version);
+    serde_json::json!({
+        "instance": &*context.name,
+        "phase": context.phase.borrow().to_string(),
+        "configuration": config,
+        "leader_connected": context.route.is_open(),
+        "in_flight": context.inflight.count(),
+        "scheduler": state,
+    })
+    .to_string()
+}
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -188,7 +188,7 @@
     }
 
     /// Returns the handle of the leader where it is this instance.
-    fn here(&self) -> Option<leader::Handle> {
+    pub(super) fn here(&self) -> Option<leader::Handle> {
         match &*self.way.borrow() {
             Way::Here(handle) => Some(handle.clone()),
             Way::None | Way::There(_) => None,
--- /dev/null
+++ b/crates/server/tests/platform_path.rs
@@ -0,0 +1,298 @@
+//! The path of a job on the users' platform: taken, stored, run once and shown as completed.
+
+mod support;
+
+use anyhow::Result;
+use azurepath_standin::cluster::{KEY, PREFIX, configuration};
+use azurepath_standin::fault::Gate;
+use http::Method;
+use support::cluster::{Cluster, address, body, cancel, id, state, status, submit, submit_until};
+use support::{Process, call, get, until};
+
+/// Returns which of some instances leads.
+fn leader(instances: &[Process]) -> usize {
+    let leads = |process: &Process| {
+        let events = process.log();
+        let last = events.iter().rfind(|event| {
+            let message = event["msg"].as_str().unwrap_or_default();
+            ["leading", "leading no more"].contains(&message)
+        });
+        last.is_some_and(|event| event["msg"] == "leading")
+    };
+    instances.iter().position(leads).unwrap_or_default()
+}
+
+async fn three(cluster: &Cluster) -> Result<Vec<Process>> {
+    Ok(vec![
+        cluster.instance("a").await?,
+        cluster.instance("b").await?,
+        cluster.instance("c").await?,
+    ])
+}
+
+#[tokio::test]
+async fn calm() -> Result<()> {
+    let cluster = Cluster::start(6)?;
+    let instances = three(&cluster).await?;
+    let all: Vec<&Process> = instances.iter().collect();
+    let ids: Vec<String> = (0..12).map(id).collect();
+    for (number, id) in ids.iter().enumerate() {
+        let gang = number % 3 == 0;
+        submit_until(&all[number % 3..=number % 3], id, &body(3, 40, gang)).await;
+    }
+    cluster.completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.begun(), 36);
+    assert_eq!(cluster.fleet.doubled(), 0);
+
+    // A repeated id meets the first job.
+    assert_eq!(
+        submit(all[0].http, &ids[0], &body(3, 40, true))
+            .await?
+            .status,
+        200
+    );
+    assert_eq!(cluster.fleet.begun(), 36);
+    let pending = call(all[1].http, Method::GET, PREFIX, "", &[("credential", KEY)]).await?;
+    assert_eq!(pending.json()["pending"], 0);
+
+    for instance in &all {
+        assert_eq!(
+            status(address(instance, "ready")?, "/api/readyz").await,
+            Some(200)
+        );
+        let metrics = address(instance, "metrics")?;
+        assert_eq!(status(metrics, "/metrics").await, Some(200));
+        assert_eq!(get(metrics, "/dump").await?.json()["configuration"], 1);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn bad_calls() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let instance = cluster.instance("a").await?;
+    let at = instance.http;
+    let forward = r#"{"spec":"1","phases":[{"count":1,"after":[0]}]}"#;
+    let long = format!(
+        r#"{{"spec":"{}","phases":[{{"count":1}}]}}"#,
+        "x".repeat(4_001)
+    );
+    for wrong in ["", "{}", r#"{"spec":"1","phases":[]}"#, forward, &long] {
+        let answer = submit(at, &id(1), wrong).await?;
+        assert_eq!(answer.status, 400, "{wrong}");
+        assert!(answer.json()["error"].is_string(), "{wrong}");
+    }
+    for wrong in ["xyz", "5C0E000000000000", "5c0e00000000000"] {
+        assert_eq!(
+            submit(at, wrong, &body(1, 1, false)).await?.status,
+            400,
+            "{wrong}"
+        );
+    }
+    let path = format!("{PREFIX}{}", id(1));
+    let nobody = call(
+        at,
+        Method::POST,
+        &path,
+        &body(1, 1, false),
+        &[("credential", "x")],
+    )
+    .await?;
+    assert_eq!(nobody.status, 401);
+    let nowhere = call(at, Method::POST, "/other/1", "", &[("credential", KEY)]).await?;
+    assert_eq!(nowhere.status, 404);
+    let gone = call(at, Method::GET, &path, "", &[("credential", KEY)]).await?;
+    assert_eq!(gone.status, 410);
+    assert!(cluster.fleet.store.value("jobs", &id(1)).is_none());
+    Ok(())
+}
+
+#[tokio::test]
+async fn killed_leader() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let mut instances = three(&cluster).await?;
+    let ids: Vec<String> = (0..10).map(id).collect();
+    for id in &ids {
+        let all: Vec<&Process> = instances.iter().collect();
+        submit_until(&all, id, &body(2, 600, false)).await;
+    }
+    let at = leader(&instances);
+    instances[at].kill()?;
+    instances.remove(at);
+    let rest: Vec<&Process> = instances.iter().collect();
+    cluster.completed(&rest, &ids).await;
+    assert_eq!(cluster.fleet.doubled(), 0);
+    assert_eq!(cluster.fleet.begun(), 20, "nothing ran that had run");
+    Ok(())
+}
+
+#[tokio::test]
+async fn all_killed() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let instances = three(&cluster).await?;
+    let ids: Vec<String> = (0..6).map(id).collect();
+    let all: Vec<&Process> = instances.iter().collect();
+    for id in &ids {
+        submit_until(&all, id, &body(2, 300, false)).await;
+    }
+    drop(instances);
+    let instance = cluster.instance("d").await?;
+    cluster.completed(&[&instance], &ids).await;
+    assert_eq!(cluster.fleet.doubled(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn stopped_leader() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let mut instances = three(&cluster).await?;
+    let ids: Vec<String> = (0..6).map(id).collect();
+    let all: Vec<&Process> = instances.iter().collect();
+    for id in &ids {
+        submit_until(&all, id, &body(2, 500, false)).await;
+    }
+    let at = leader(&instances);
+    let mut leaving = instances.remove(at);
+    leaving.signal("TERM")?;
+    // It takes calls until it is gone, and passes them on.
+    let late = id(99);
+    submit_until(&[&leaving], &late, &body(1, 10, false)).await;
+    assert!(leaving.wait().await?.success());
+    assert_eq!(
+        leaving.logged("leading no more").unwrap_or_default()["reason"],
+        "released"
+    );
+    let rest: Vec<&Process> = instances.iter().collect();
+    let ids: Vec<String> = ids.into_iter().chain([late]).collect();
+    cluster.completed(&rest, &ids).await;
+    assert_eq!(cluster.fleet.doubled(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn lost_writes() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let instance = cluster.instance("a").await?;
+    cluster.fleet.store.fault(Gate {
+        lose_answers: 5,
+        ..Gate::default()
+    });
+    for worker in &cluster.fleet.workers {
+        worker.fault(Gate {
+            lose_answers: 1,
+            ..Gate::default()
+        });
+    }
+    let ids: Vec<String> = (0..4).map(id).collect();
+    for id in &ids {
+        submit_until(&[&instance], id, &body(2, 100, false)).await;
+    }
+    cluster.completed(&[&instance], &ids).await;
+    assert_eq!(cluster.fleet.doubled(), 0);
+    assert_eq!(cluster.fleet.begun(), 8);
+    Ok(())
+}
+
+#[tokio::test]
+async fn store_outage() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let instance = cluster.instance("a").await?;
+    submit_until(&[&instance], &id(1), &body(2, 1_000, false)).await;
+    let down = Gate {
+        down: true,
+        ..Gate::default()
+    };
+    cluster.fleet.store.fault(down);
+    // What can't be stored is refused. The first jobs may be in a write whose fate is not known.
+    let mut number = 1;
+    until(async || {
+        number += 1;
+        let refused = submit(instance.http, &id(number), &body(1, 10, false)).await;
+        refused.is_ok_and(|answer| answer.status == 429 && answer.header("retry-after").is_some())
+    })
+    .await;
+    cluster.fleet.store.fault(Gate::default());
+    cluster.completed(&[&instance], &[id(1)]).await;
+    assert_eq!(cluster.fleet.doubled(), 0);
+    // What was refused never runs.
+    assert_eq!(state(instance.http, &id(number)).await, None);
+    Ok(())
+}
+
+#[tokio::test]
+async fn withdrawn_key() -> Result<()> {
+    let cluster = Cluster::start(2)?;
+    let instances = vec![cluster.instance("a").await?, cluster.instance("b").await?];
+    submit_until(&[&instances[0]], &id(1), &body(1, 10, false)).await;
+    // The history is dropped just before the change: all rows are read anew.
+    cluster.fleet.store.compact();
+    cluster
+        .fleet
+        .store
+        .put("op", "config", &configuration(5, &["key-2"]));
+    for instance in &instances {
+        until(async || {
+            let answer = submit(instance.http, &id(2), &body(1, 10, false)).await;
+            answer.is_ok_and(|answer| answer.status == 401)
+        })
+        .await;
+    }
+    // An older version does not come back.
+    cluster
+        .fleet
+        .store
+        .put("op", "config", &configuration(4, &[KEY]));
+    cluster
+        .fleet
+        .store
+        .put_bytes("op", "config", b"no configuration");
+    for instance in &instances {
+        until(async || instance.logged("configuration can't be read").is_some()).await;
+        assert_eq!(
+            submit(instance.http, &id(3), &body(1, 10, false))
+                .await?
+                .status,
+            401
+        );
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn cancelled_job() -> Result<()> {
+    let cluster = Cluster::start(2)?;
+    let instance = cluster.instance("a").await?;
+    submit_until(&[&instance], &id(1), &body(2, 60_000, false)).await;
+    until(async || cluster.fleet.begun() == 2).await;
+    assert_eq!(cancel(instance.http, &id(1)).await?.status, 200);
+    assert_eq!(
+        state(instance.http, &id(1)).await.as_deref(),
+        Some("cancelled")
+    );
+    until(async || {
+        let runs = cluster
+            .fleet
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs());
+        runs.into_iter().all(|run| run.ended.is_some())
+    })
+    .await;
+    assert_eq!(cluster.fleet.begun(), 2);
+    assert_eq!(cancel(instance.http, &id(2)).await?.status, 410);
+    Ok(())
+}
+
+#[tokio::test]
+async fn strange_entries() -> Result<()> {
+    let cluster = Cluster::start(2)?;
+    cluster.fleet.store.put_bytes("servers", "x1", b"\xff\xfe");
+    let mut entry = cluster.fleet.workers[0].entry();
+    entry["state"] = "asleep".into();
+    cluster.fleet.store.put("servers", "x2", &entry);
+    let instance = cluster.instance("a").await?;
+    submit_until(&[&instance], &id(1), &body(2, 10, false)).await;
+    cluster.completed(&[&instance], &[id(1)]).await;
+    until(async || instance.logged("entry of a worker can't be read").is_some()).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/tests/support/cluster.rs
@@ -0,0 +1,128 @@
+//! Instances on stand-ins of the users' platform, as processes of their own.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use azurepath_standin::cluster::{Fleet, KEY, PREFIX};
+use http::Method;
+use serde_json::Value;
+
+use super::{Answer, Process, call, get, until};
+
+/// A fleet of stand-ins and the directory of the instances' settings.
+pub struct Cluster {
+    pub fleet: Fleet,
+    directory: PathBuf,
+}
+
+impl Cluster {
+    pub fn start(workers: usize) -> Result<Cluster> {
+        let fleet = Fleet::start(workers)?;
+        let name = format!(
+            "azurepath-cluster-{}-{}",
+            std::process::id(),
+            fleet.store.address().port()
+        );
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)?;
+        Ok(Cluster { fleet, directory })
+    }
+
+    pub fn settings(&self, name: &str) -> String {
+        let store = self.fleet.store.address();
+        format!(
+            "[server]\nname = {name}\nregion = r\nfailure_domain = a\n\
+             http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             [cluster]\nready = 127.0.0.1:0\nmetrics = 127.0.0.1:0\nstore = {store}\n\
+             advice = {store}\nlease = 6000ms\ngrace = 6s\n"
+        )
+    }
+
+    /// Starts an instance and waits until it knows who leads.
+    pub async fn instance(&self, name: &str) -> Result<Process> {
+        let path = self.directory.join(format!("{name}.ini"));
+        std::fs::write(&path, self.settings(name))?;
+        let process = Process::start(&path).await?;
+        until(async || {
+            process.logged("leading").is_some()
+                || process.logged("another instance leads").is_some()
+        })
+        .await;
+        Ok(process)
+    }
+
+    /// Waits until every instance gives the same final state for a job.
+    pub async fn completed(&self, instances: &[&Process], ids: &[String]) {
+        for id in ids {
+            for instance in instances {
+                until(async || state(instance.http, id).await.as_deref() == Some("completed"))
+                    .await;
+            }
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // A directory that stays behind harms no later test.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Returns an address that a process has logged.
+pub fn address(process: &Process, key: &str) -> Result<SocketAddr> {
+    let event = process.logged("listening").context("it does not listen")?;
+    Ok(event[key].as_str().unwrap_or_default().parse()?)
+}
+
+pub fn id(number: u64) -> String {
+    format!("{:016x}", 0x5c0e_0000_0000_0000_u64 + number)
+}
+
+/// The body of a job of `count` tasks, each `millis` long.
+pub fn body(count: u32, millis: u64, gang: bool) -> String {
+    serde_json::json!({
+        "spec": millis.to_string(),
+        "phases": [{"count": count, "cpu": 500, "memMb": 256, "estMs": millis, "gang": gang}],
+    })
+    .to_string()
+}
+
+pub async fn submit(at: SocketAddr, id: &str, body: &str) -> Result<Answer> {
+    let path = format!("{PREFIX}{id}");
+    call(at, Method::POST, &path, body, &[("credential", KEY)]).await
+}
+
+/// Submits a job as the platform's clients do, again until it is taken.
+pub async fn submit_until(instances: &[&Process], id: &str, body: &str) {
+    let mut number = 0;
+    until(async || {
+        number += 1;
+        let at = instances[number % instances.len()].http;
+        submit(at, id, body)
+            .await
+            .is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
+pub async fn cancel(at: SocketAddr, id: &str) -> Result<Answer> {
+    let path = format!("{PREFIX}{id}");
+    call(at, Method::DELETE, &path, "", &[("credential", KEY)]).await
+}
+
+pub async fn state(at: SocketAddr, id: &str) -> Option<String> {
+    let path = format!("{PREFIX}{id}");
+    let answer = call(at, Method::GET, &path, "", &[("credential", KEY)])
+        .await
+        .ok()?;
+    let body: Value = answer.json();
+    (answer.status == 200).then(|| body["state"].as_str().unwrap_or_default().to_owned())
+}
+
+pub async fn status(at: SocketAddr, path: &str) -> Option<u16> {
+    Some(get(at, path).await.ok()?.status.as_u16())
+}
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
-use std::io::{BufRead, BufReader};
+pub mod cluster;
+
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -48,7 +50,7 @@
 pub struct Process {
     child: Child,
     log: Arc<Mutex<Vec<Value>>>,
-    reader: Option<JoinHandle<()>>,
+    readers: Vec<JoinHandle<()>>,
     /// Where callers are listened to.
     pub http: SocketAddr,
     /// Where peers are listened to.
@@ -162,27 +164,34 @@
     }
 }
 
+/// Collects the lines of a stream until it ends.
+fn collect(stream: impl Read + Send + 'static, log: &Arc<Mutex<Vec<Value>>>) -> JoinHandle<()> {
+    let lines = log.clone();
+    std::thread::spawn(move || {
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            let event = serde_json::from_str(&line).unwrap_or(Value::String(line));
+            lines.lock().expect("no panic under the lock").push(event);
+        }
+    })
+}
+
 impl Process {
-    async fn start(settings: &std::path::Path) -> Result<Process> {
+    /// Starts a server process with a settings file and waits until it listens.
+    pub async fn start(settings: &std::path::Path) -> Result<Process> {
         let mut child = Command::new(env!("CARGO_BIN_EXE_azurepath"))
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()?;
-        let stderr = child.stderr.take().context("no standard error stream")?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        let lines = log.clone();
-        let reader = std::thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                let event = serde_json::from_str(&line).unwrap_or(Value::String(line));
-                lines.lock().expect("no panic under the lock").push(event);
-            }
-        });
+        let stdout = child.stdout.take().context("no standard output stream")?;
+        let stderr = child.stderr.take().context("no standard error stream")?;
+        let readers = vec![collect(stdout, &log), collect(stderr, &log)];
         let mut process = Process {
             child,
             log,
-            reader: Some(reader),
+            readers,
             http: SocketAddr::from(([127, 0, 0, 1], 0)),
             peers: SocketAddr::from(([127, 0, 0, 1], 0)),
         };
@@ -293,7 +302,7 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if let Some(reader) = self.reader.take() {
+        for reader in self.readers.drain(..) {
             let _ = reader.join();
         }
     }
--- /dev/null
+++ b/crates/standin/src/cluster.rs
@@ -0,0 +1,101 @@
+//! Stand-ins that speak the users' platform's published protocol: the metadata store with the
+//! advice service, and workers.
+
+pub mod store;
+pub mod worker;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use serde_json::json;
+
+/// A store and its workers.
+pub struct Fleet {
+    /// The store.
+    pub store: store::Standin,
+    /// The workers.
+    pub workers: Vec<worker::Standin>,
+}
+
+/// The key of the only client account.
+pub const KEY: &str = "key-1";
+
+/// What the paths of the only queue begin with.
+pub const PREFIX: &str = "/checks/";
+
+impl Fleet {
+    /// Starts a store with a configuration of one queue, and workers that register there.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port or thread can be had.
+    pub fn start(workers: usize) -> Result<Fleet> {
+        let store = store::Standin::start()?;
+        store.put("op", "config", &configuration(1, &[KEY]));
+        let mut fleet = Fleet {
+            store,
+            workers: Vec::new(),
+        };
+        for number in 0..workers {
+            fleet.join(&format!("w{number}"))?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a worker and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port or thread can be had.
+    pub fn join(&mut self, id: &str) -> Result<()> {
+        let worker = worker::Standin::start(id)?;
+        self.store.put("servers", id, &worker.entry());
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    /// Returns how often tasks ran that had run to their end before or ran elsewhere meanwhile.
+    pub fn doubled(&self) -> usize {
+        let mut runs: Vec<worker::Run> = self
+            .workers
+            .iter()
+            .flat_map(worker::Standin::runs)
+            .collect();
+        runs.sort_by(|a, b| (&a.task, a.begun).cmp(&(&b.task, b.begun)));
+        let overlap = |pair: &&[worker::Run]| {
+            let [first, second] = pair else {
+                return false;
+            };
+            first.task == second.task
+                && (first.done || first.ended.is_none_or(|ended| ended > second.begun))
+        };
+        runs.windows(2).filter(overlap).count()
+    }
+
+    /// Returns how many runs have been begun.
+    pub fn begun(&self) -> usize {
+        self.workers.iter().map(|worker| worker.runs().len()).sum()
+    }
+}
+
+/// Returns a configuration with one queue and one client account.
+pub fn configuration(version: u64, keys: &[&str]) -> serde_json::Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "checks", "host": "", "pathPrefix": PREFIX, "type": "non_idempotent",
+            "timeoutMs": 3000, "sloMs": 500, "priority": 0, "backend": "pool", "attempts": 3,
+            "stretch": 3.0, "hint": {"decideMs": 1.0, "eachMs": 0.1, "validityMs": 1500},
+            "public": false
+        }],
+        "services": [],
+        "limits": {},
+        "tenants": [{
+            "name": "shop", "apiKeys": keys, "weight": 1000,
+            "cap": {"cpu": 0, "memMb": 0, "gpus": 0}
+        }]
+    })
+}
+
+/// How long a stand-in lets tasks run that say nothing else.
+pub const RUN: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/standin/src/cluster/worker.rs
@@ -0,0 +1,325 @@
+//! A worker.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::Result;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::RUN;
+use crate::fault::Gate;
+use crate::host::{Call, Host, Reply, Site, lock};
+
+/// The thousandths of a core that a worker holds.
+const MILLICORES: u64 = 16_000;
+
+/// How often a worker looks for tasks that have ended.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// A run, as the worker has seen it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The task.
+    pub task: String,
+    /// The run.
+    pub run: u64,
+    /// When it began.
+    pub begun: Instant,
+    /// When it ended.
+    pub ended: Option<Instant>,
+    /// Whether it did its work.
+    pub done: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    begun: Instant,
+    born_ms: u64,
+    gate: Gate,
+    fence: u64,
+    lease_ms: u64,
+    running: BTreeMap<String, (u64, Instant)>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    over: BTreeMap<String, u64>,
+    runs: Vec<Run>,
+}
+
+struct Shared {
+    id: String,
+    state: Mutex<State>,
+    ended: Notify,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Order {
+    #[serde(default)]
+    task: String,
+    #[serde(default)]
+    run: u64,
+    /// A number lets the task run for so many milliseconds.
+    #[serde(default)]
+    spec: String,
+    fence: u64,
+    #[serde(default)]
+    until_ms: u64,
+    #[serde(default)]
+    acked_upto: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl State {
+    fn new() -> State {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        State {
+            begun: Instant::now(),
+            born_ms: since.map_or(1, |since| since.as_millis() as u64),
+            gate: Gate::default(),
+            fence: 0,
+            lease_ms: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            over: BTreeMap::new(),
+            runs: Vec::new(),
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64
+    }
+
+    /// Ends what is due; returns whether anything has ended.
+    fn advance(&mut self) -> bool {
+        let (now, lapsed) = (Instant::now(), self.clock_ms() > self.lease_ms);
+        let due = |(_, (_, ends)): &(&String, &(u64, Instant))| lapsed || *ends <= now;
+        let due: Vec<String> = self
+            .running
+            .iter()
+            .filter(due)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in &due {
+            self.end(task, if lapsed { "lapsed" } else { "done" });
+        }
+        !due.is_empty()
+    }
+
+    fn end(&mut self, task: &str, how: &'static str) {
+        let Some((run, _)) = self.running.remove(task) else {
+            return;
+        };
+        self.ended.push((self.next_end, task.to_owned(), run, how));
+        self.next_end += 1;
+        let over = self.over.entry(task.to_owned()).or_default();
+        *over = (*over).max(run);
+        for seen in &mut self.runs {
+            if seen.task == task && seen.run == run {
+                seen.ended = Some(Instant::now());
+                seen.done = how == "done";
+            }
+        }
+    }
+
+    fn refuse(&self, reason: &str) -> Reply {
+        let body = json!({"clockMs": self.clock_ms(), "reason": reason, "born": self.born_ms});
+        Reply::json(StatusCode::CONFLICT, &body)
+    }
+
+    fn good(&self) -> Reply {
+        let body = json!({"clockMs": self.clock_ms(), "born": self.born_ms});
+        Reply::json(StatusCode::OK, &body)
+    }
+
+    fn start(&mut self, order: Order) -> Reply {
+        if order.until_ms < self.clock_ms() {
+            return self.refuse("late");
+        }
+        self.lease_ms = self.lease_ms.max(order.until_ms);
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|(run, _)| *run == order.run)
+        {
+            return self.good();
+        }
+        if self
+            .over
+            .get(&order.task)
+            .is_some_and(|run| *run >= order.run)
+        {
+            return self.refuse("old");
+        }
+        let span = order.spec.parse().map_or(RUN, Duration::from_millis);
+        let ends = Instant::now() + span;
+        self.running.insert(order.task.clone(), (order.run, ends));
+        self.runs.push(Run {
+            task: order.task,
+            run: order.run,
+            begun: Instant::now(),
+            ended: None,
+            done: false,
+        });
+        self.good()
+    }
+
+    fn stop(&mut self, order: &Order) -> Reply {
+        let over = self.over.entry(order.task.clone()).or_default();
+        *over = (*over).max(order.run);
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|(run, _)| *run == order.run)
+        {
+            self.end(&order.task, "stopped");
+        }
+        self.good()
+    }
+
+    fn report(&self) -> Reply {
+        let running: Vec<Value> = self
+            .running
+            .iter()
+            .map(|(task, (run, _))| json!([task, run, "", 100, 0]))
+            .collect();
+        let ended: Vec<Value> = self
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        let body = json!({
+            "clockMs": self.clock_ms(), "born": self.born_ms, "running": running, "ended": ended,
+        });
+        Reply::json(StatusCode::OK, &body)
+    }
+}
+
+impl Shared {
+    async fn hold(&self, order: Order) -> Reply {
+        let end = Instant::now() + Duration::from_millis(order.wait_ms);
+        {
+            let mut state = lock(&self.state);
+            state.lease_ms = state.lease_ms.max(order.until_ms);
+            state
+                .ended
+                .retain(|(number, ..)| *number > order.acked_upto);
+        }
+        loop {
+            let ended = self.ended.notified();
+            let left = end.saturating_duration_since(Instant::now());
+            {
+                let state = lock(&self.state);
+                if !state.ended.is_empty() || left.is_zero() {
+                    return state.report();
+                }
+            }
+            // Either an end has come or the time is over; both are looked at above.
+            let _ = tokio::time::timeout(left, ended).await;
+        }
+    }
+
+    async fn order(&self, call: &Call) -> Result<Reply, Reply> {
+        let order: Order = call.json()?;
+        {
+            let mut state = lock(&self.state);
+            if order.fence < state.fence {
+                return Ok(state.refuse("fence"));
+            }
+            state.fence = order.fence;
+            state.advance();
+        }
+        match call.path.as_str() {
+            "/api/run-start" => {
+                let mut state = lock(&self.state);
+                let reply = state.start(order);
+                let lost = state.gate.lose();
+                Ok(if lost { reply.lost() } else { reply })
+            }
+            "/api/run-stop" => Ok(lock(&self.state).stop(&order)),
+            "/api/hold" => Ok(self.hold(order).await),
+            _ => Err(Reply::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl Site for Shared {
+    fn gate(&self, _path: &str) -> Option<Gate> {
+        Some(lock(&self.state).gate)
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let target = call
+            .headers
+            .get("target-instance")
+            .and_then(|id| id.to_str().ok());
+        if target.is_some_and(|target| target != self.id) {
+            return Reply::empty(StatusCode::MISDIRECTED_REQUEST);
+        }
+        self.order(&call).await.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+/// The stand-in.
+pub struct Standin {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+impl Standin {
+    /// Starts a worker.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port or thread can be had.
+    pub fn start(id: &str) -> Result<Standin> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            state: Mutex::new(State::new()),
+            ended: Notify::new(),
+        });
+        let clock = Arc::clone(&shared);
+        let tick = async move {
+            loop {
+                tokio::time::sleep(LOOK).await;
+                if lock(&clock.state).advance() {
+                    clock.ended.notify_waiters();
+                }
+            }
+        };
+        let host = Host::start(Arc::clone(&shared), tick)?;
+        Ok(Standin { host, shared })
+    }
+
+    /// Returns what the worker writes of itself into the registry.
+    pub fn entry(&self) -> Value {
+        json!({
+            "backend": "pool", "addr": self.host.address().to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+            "capacity": {"cpu": MILLICORES, "memMb": 65_536, "gpus": 0},
+            "labels": ["a", "r1"], "clockMs": 0, "seq": 1,
+            "born": lock(&self.shared.state).born_ms,
+        })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Switches faults of all calls.
+    pub fn fault(&self, gate: Gate) {
+        lock(&self.shared.state).gate = gate;
+    }
+
+    /// Returns the runs that have been begun.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.shared.state).runs.clone()
+    }
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -56,6 +56,13 @@
     pub(crate) after: Option<String>,
     /// The most rows to answer.
     pub(crate) limit: Option<usize>,
+    /// The table of rows.
+    pub(crate) table: String,
+    /// The first key of a range.
+    pub(crate) from: String,
+    /// How long a feed waits for a change, in milliseconds.
+    #[serde(rename = "waitMs")]
+    pub(crate) wait_ms: u64,
 }
 
 impl Call {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod objects;
 mod table;
 
+pub mod cluster;
 pub mod fault;
 pub mod fleet;
 pub mod platform;
