--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -6,8 +6,9 @@
 
 use crate::name::Name;
 
-use super::Attempt;
 use super::advice::Question;
+use super::report::How;
+use super::{Attempt, JobId, StepId};
 
 /// The state of a job as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
@@ -80,6 +81,85 @@
     Lost,
 }
 
+/// A decision, with what it rests on.
+#[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Note {
+    /// A job is stored and may start.
+    Accepted {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Name,
+        /// Its client account.
+        account: Option<Name>,
+        /// Whether its account had sent more than its weight allows.
+        excess: bool,
+        /// How long the work that goes before it takes.
+        wait: Duration,
+    },
+    /// A job was refused and never runs.
+    Refused {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Name,
+        /// Its client account.
+        account: Option<Name>,
+        /// Whether its account had sent more than its weight allows.
+        excess: bool,
+        /// How long the work that goes before it takes.
+        wait: Duration,
+        /// When its client may come back.
+        pause: Duration,
+    },
+    /// Tasks of a step were ordered to start.
+    Started {
+        /// The step.
+        step: StepId,
+        /// The highest run among them.
+        run: u64,
+        /// Each task's number and worker.
+        tasks: Vec<(u32, Name)>,
+        /// How long after its job was accepted.
+        age: Duration,
+    },
+    /// A run has ended without doing its work.
+    Ended {
+        /// The run.
+        attempt: Attempt,
+        /// Its worker.
+        worker: Name,
+        /// How it ended.
+        how: How,
+        /// How many runs of the task have failed.
+        failures: u32,
+    },
+    /// A run does not run and never will, though its end was not seen.
+    Lost {
+        /// The run.
+        attempt: Attempt,
+        /// Its worker.
+        worker: Name,
+    },
+    /// A job has come to its end.
+    Finished {
+        /// The job.
+        job: JobId,
+        /// Its state.
+        state: State,
+        /// How long after it was accepted.
+        age: Duration,
+    },
+    /// A worker on which all fails gets nothing for a while.
+    Shunned {
+        /// The worker.
+        worker: Name,
+        /// How many jobs in a row have failed there.
+        failures: usize,
+    },
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -129,6 +209,8 @@
         /// The worker by number.
         worker: usize,
     },
+    /// Write down a decision.
+    Note(Box<Note>),
     /// Step down: a worker obeys a later scheduler.
     Resign,
 }
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -18,7 +18,7 @@
 
 use super::admission::Backlog;
 use super::config::Config;
-use super::event::Action;
+use super::event::{Action, Note};
 use super::fleet::{Contact, Entry, Worker};
 use super::job::Job;
 use super::journal::Journal;
@@ -251,6 +251,10 @@
         self.out.push(Action::Stop { worker, attempt });
     }
 
+    fn note(&mut self, note: Note) {
+        self.out.push(Action::Note(Box::new(note)));
+    }
+
     fn wall_ms(&self) -> u64 {
         self.setup.origin_ms + self.now.0 / 1_000
     }
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -22,6 +22,13 @@
 /// What is taken off a ticket's validity for the way of the ticket and of the order.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
 
+/// How many workers are asked about for each task of a step. A third to two thirds of them may run
+/// it, and of these most are full.
+const ASKED_PER_TASK: usize = 8;
+
+/// How many workers are asked about at least.
+const ASKED_AT_LEAST: usize = 12;
+
 /// The most workers of one question, as the platform documents it.
 const WORKERS: usize = 100;
 
@@ -44,10 +51,36 @@
         &self.jobs[&id.job].steps[usize::from(id.step)].advice
     }
 
-    /// Asks about all workers.
+    /// Asks for the first time.
     pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) {
-        let all: Vec<usize> = self.open_workers(queue);
-        self.ask_some(id, queue, &all);
+        let all = self.open_workers(queue);
+        let chosen = self.worth_asking(id, all);
+        self.ask_some(id, queue, &chosen);
+    }
+
+    /// Chooses the workers that a step asks about: those with room first, each step beginning
+    /// elsewhere in the fleet, and no more than are likely to be needed, since each one takes time.
+    fn worth_asking(&self, id: StepId, mut workers: Vec<usize>) -> Vec<usize> {
+        let Some(step) = self.jobs[&id.job].spec.as_ref() else {
+            return workers;
+        };
+        let step = &step.steps[usize::from(id.step)];
+        let most = (step.count as usize * ASKED_PER_TASK).clamp(ASKED_AT_LEAST, WORKERS);
+        if workers.len() <= most {
+            return workers;
+        }
+        let turn = (id.job.0 % workers.len() as u64) as usize;
+        workers.rotate_left(turn);
+        // A stable sort keeps the turn among those that have room, and among the others.
+        let room = |&worker: &usize| !step.size.fits(&self.workers[worker].free);
+        workers.sort_by_key(room);
+        if step.gang {
+            // Members need rooms beside each other: the emptier, the better.
+            let free = |&worker: &usize| std::cmp::Reverse(self.workers[worker].free.millicores);
+            workers.sort_by_key(free);
+        }
+        workers.truncate(most);
+        workers
     }
 
     /// Asks for new tickets of the workers that may run a step.
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,5 +1,6 @@
 //! Tasks end, and their jobs go on from there.
 
+use super::super::event::Note;
 use super::super::fleet::{Contact, Worker};
 use super::super::job::Place;
 use super::super::journal::Deferred;
@@ -59,6 +60,7 @@
             number: end.number,
         };
         self.journal.note(id, Some(deferred));
+        self.note_end(index, end);
         match end.how {
             How::Done => {
                 self.note_health(index, id, false);
@@ -79,6 +81,23 @@
         }
     }
 
+    /// Notes an end that is not the usual one.
+    fn note_end(&mut self, index: usize, end: &End) {
+        if end.how == How::Done {
+            return;
+        }
+        let id = end.attempt.task;
+        let job = self.jobs.get_mut(&id.step.job);
+        let failures = job.and_then(|job| Some(job.task_mut(id)?.failures));
+        let note = Note::Ended {
+            attempt: end.attempt,
+            worker: self.workers[index].entry.id.clone(),
+            how: end.how,
+            failures: failures.unwrap_or(0) + u32::from(end.how == How::Failed),
+        };
+        self.note(note);
+    }
+
     fn count_failure(&mut self, index: usize, end: &End) {
         let id = end.attempt.task.step.job;
         if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
@@ -127,12 +146,16 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.state = State::Completed;
+        let state = State::Completed;
+        job.state = state;
+        let age = self.now.since(job.accepted);
         job.settled = false;
         job.ended = Some(self.now);
         self.ready.remove(&id);
         self.ended.entry(self.now).or_default().push(id);
         self.journal.note(id, None);
+        let job = id;
+        self.note(Note::Finished { job, state, age });
     }
 
     /// Counts a failure; a job whose task has failed too often has failed.
@@ -186,6 +209,8 @@
             self.refund(account.as_ref(), &size);
         }
         self.dirty = true;
+        let worker = self.workers[index].entry.id.clone();
+        self.note(Note::Lost { attempt, worker });
     }
 
     /// Tells whether tasks of inherited jobs may still run on workers that were not heard yet.
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -1,10 +1,11 @@
 //! Jobs come in, are cancelled, and are stored.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::name::Name;
 
-use super::super::event::{Action, Answer};
+use super::super::event::{Action, Answer, Note};
 use super::super::job::{Job, Step, Task};
 use super::super::journal::Deferred;
 use super::super::spec::Spec;
@@ -33,6 +34,14 @@
         }
         let excess = self.is_excess(account.as_ref());
         if let Some(pause) = self.refuse(queue, &spec, excess) {
+            self.note(Note::Refused {
+                job: id,
+                wait: self.wait_of(queue),
+                queue: queue.clone(),
+                account,
+                excess,
+                pause,
+            });
             self.answer(call, Answer::Refused(pause));
             return;
         }
@@ -90,6 +99,7 @@
             return;
         };
         job.state = state;
+        let age = self.now.since(job.accepted);
         job.settled = false;
         job.ended = Some(self.now);
         let placed = job.placed(id);
@@ -100,6 +110,8 @@
         self.clear_earmarks(id);
         self.ended.entry(self.now).or_default().push(id);
         self.journal.note(id, None);
+        let job = id;
+        self.note(Note::Finished { job, state, age });
         for (attempt, worker) in placed {
             self.stop(worker, attempt);
         }
@@ -117,7 +129,7 @@
         let mut workers = BTreeSet::new();
         for step in deferred {
             match *step {
-                Deferred::Admit => self.dirty = true,
+                Deferred::Admit => self.admitted(id),
                 Deferred::Answer(call) => {
                     let answer = match state {
                         Some(State::Cancelled) => Answer::Cancelled,
@@ -137,6 +149,27 @@
         }
     }
 
+    fn admitted(&mut self, id: JobId) {
+        self.dirty = true;
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let note = Note::Accepted {
+            job: id,
+            queue: job.queue.clone(),
+            account: job.account.clone(),
+            excess: job.excess,
+            wait: self.wait_of(&job.queue),
+        };
+        self.note(note);
+    }
+
+    /// Returns how long the work takes that goes before a new job of a queue.
+    fn wait_of(&self, queue: &Name) -> Duration {
+        let priority = self.config.queue(queue).map(|queue| queue.priority);
+        priority.map_or(Duration::ZERO, |priority| self.backlog.wait(priority))
+    }
+
     pub(super) fn acknowledge(&mut self, worker: usize) {
         let number = self.workers[worker].acknowledged();
         self.out.push(Action::Acknowledge { worker, number });
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -4,7 +4,7 @@
 
 use crate::name::Name;
 
-use super::super::event::{Action, Refusal, Started};
+use super::super::event::{Action, Note, Refusal, Started};
 use super::super::fleet::Contact;
 use super::super::job::{Phase, Place};
 use super::super::{Attempt, State, StepId, TaskId};
@@ -30,6 +30,7 @@
         let gang = spec.steps[number].gang;
         job.state = State::Running;
         let account = job.account.clone();
+        let age = self.now.since(job.accepted);
         let step = &mut job.steps[number];
         let shared = step.tasks.iter().find_map(|task| task.checkpoint.clone());
         step.run += 1;
@@ -63,6 +64,18 @@
                 ticket.map(|ticket| ticket.text.clone()),
             ));
         }
+        let run = step.run;
+        let named = tasks.iter().map(|&(index, worker)| {
+            let worker = self.workers[worker].entry.id.clone();
+            (index, worker)
+        });
+        let note = Note::Started {
+            step: id,
+            run,
+            tasks: named.collect(),
+            age,
+        };
+        self.note(note);
         for (index, worker, run, checkpoint, ticket) in orders {
             let task = TaskId { step: id, index };
             let attempt = Attempt { task, run };
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::super::event::Action;
+use super::super::event::{Action, Note};
 use super::super::fleet::{Contact, Entry, Standing, Worker};
 use super::super::job::{Phase, Place};
 use super::super::report::Report;
@@ -235,6 +235,11 @@
         worker.failures.insert(job);
         if worker.failures.len() >= FAILURES {
             worker.shunned_until = Some(self.now.after(SHUN));
+            let note = Note::Shunned {
+                worker: worker.entry.id.clone(),
+                failures: worker.failures.len(),
+            };
+            self.note(note);
         }
     }
 
--- /dev/null
+++ b/crates/decide/tests/advice_desk.rs
@@ -0,0 +1,87 @@
+//! Questions to the advice service are spread over the instances.
+
+use std::time::Duration;
+
+use azurepath_decide::batch::advice::{Desk, Question};
+use azurepath_decide::batch::{JobId, StepId};
+use azurepath_decide::name::Name;
+use azurepath_decide::time::Time;
+
+fn question(job: u64, takes_ms: u64, priority: u32) -> Question {
+    Question {
+        step: StepId {
+            job: JobId(job),
+            step: 0,
+        },
+        workers: Vec::new(),
+        takes: Duration::from_millis(takes_ms),
+        priority,
+    }
+}
+
+fn names(count: usize) -> Vec<Name> {
+    (0..count)
+        .map(|number| Name::from(format!("i{number}")))
+        .collect()
+}
+
+#[test]
+fn quick_first() {
+    let mut desk = Desk::default();
+    let now = Time::default();
+    let instance = Name::from("a");
+    desk.idle(&instance, now);
+    desk.add(question(1, 900, 0));
+    desk.add(question(2, 15, 2));
+    desk.add(question(3, 15, 0));
+    let mut order = Vec::new();
+    while let Some(question) = desk.take(&instance, now) {
+        order.push(question.step.job.0);
+    }
+    assert_eq!(order, [3, 2, 1]);
+}
+
+#[test]
+fn kept_free() {
+    // Of nine instances three are kept free of slow questions, so quick ones never wait for those.
+    let mut desk = Desk::default();
+    let now = Time::default();
+    let instances = names(9);
+    for instance in &instances {
+        desk.idle(instance, now);
+    }
+    for job in 0..20 {
+        desk.add(question(job, 900, 1));
+    }
+    let taken = instances
+        .iter()
+        .filter(|name| desk.take(name, now).is_some());
+    assert_eq!(taken.count(), 6);
+    desk.add(question(99, 15, 0));
+    assert_eq!(
+        desk.take(&instances[8], now)
+            .map(|question| question.step.job.0),
+        Some(99)
+    );
+}
+
+#[test]
+fn lost_instances() {
+    // An instance that never comes back stops counting, and so does its question.
+    let mut desk = Desk::default();
+    let instances = names(3);
+    let now = Time::default();
+    for instance in &instances {
+        desk.idle(instance, now);
+    }
+    for job in 0..9 {
+        desk.add(question(job, 900, 1));
+    }
+    assert!(desk.take(&instances[0], now).is_some());
+    assert!(desk.take(&instances[1], now).is_some());
+    assert!(desk.take(&instances[2], now).is_none());
+    let later = Time::from_millis(10_000);
+    desk.idle(&instances[2], later);
+    assert_eq!(desk.askers(), 1);
+    assert!(desk.take(&instances[2], later).is_some());
+}
--- a/crates/decide/tests/support/batch/world.rs
+++ b/crates/decide/tests/support/batch/world.rs
@@ -54,7 +54,7 @@
     Started(u64, usize, Attempt, Started, u64),
     Report(u64, usize, Time, Report),
     Silent(u64, usize),
-    Stored(u64, Batch),
+    Stored(Batch),
     Written(u64),
     Takeover,
 }
@@ -241,7 +241,7 @@
                 }
             }
             Event::Hold(epoch, worker) => self.renew(epoch, worker),
-            Event::Stored(_, batch) => self.store(batch),
+            Event::Stored(batch) => self.store(batch),
             Event::Started(epoch, worker, attempt, started, until) => {
                 if let Some(lead) = self.lead.as_mut().filter(|lead| lead.epoch == epoch) {
                     lead.scheduler.started(worker, attempt, started, until);
@@ -367,7 +367,7 @@
             self.act(epoch, action);
         }
         if let Some(batch) = batch {
-            self.at(millis(5), Event::Stored(epoch, batch));
+            self.at(millis(5), Event::Stored(batch));
             self.at(millis(9), Event::Written(epoch));
         }
     }
@@ -406,7 +406,7 @@
                     lead.links.remove(&worker);
                 }
             }
-            Action::Ask(_) | Action::Resign => {}
+            Action::Ask(_) | Action::Note(_) | Action::Resign => {}
         }
     }
 
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -6,6 +6,7 @@
 mod leader;
 mod leadership;
 mod listen;
+mod note;
 mod peer;
 mod renewal;
 mod watch;
@@ -29,7 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::logs;
-use crate::metrics::Metrics;
+use crate::metrics::{Cluster, Metrics};
 use crate::process::stop::{Inflight, Phase};
 use crate::settings::cluster::Settings;
 
@@ -63,6 +64,7 @@
     route: peer::Route,
     inflight: Inflight,
     metrics: Arc<Metrics>,
+    counts: Arc<Cluster>,
     log: Logger,
 }
 
@@ -96,6 +98,7 @@
         end,
         route,
         inflight: Inflight::default(),
+        counts: Arc::new(metrics.cluster()),
         metrics,
         log: log.clone(),
         settings: Arc::new(settings),
--- a/crates/server/src/cluster/asker.rs
+++ b/crates/server/src/cluster/asker.rs
@@ -4,6 +4,7 @@
 
 use azurepath_wire::batch::{Call, Reply};
 use slog::debug;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Context;
@@ -34,7 +35,10 @@
         };
         match reply {
             Ok(Reply::Work(Some(question))) => {
+                let begun = Instant::now();
                 let advice = advisor.ask(&question, question.takes + SLACK).await;
+                let seconds = begun.elapsed().as_secs_f64();
+                context.counts.advice.record(seconds, &[]);
                 if let Err(error) = &advice {
                     debug!(context.log, "no advice"; "step" => %question.step, "error" => error);
                 }
--- a/crates/server/src/cluster/front.rs
+++ b/crates/server/src/cluster/front.rs
@@ -9,6 +9,7 @@
 use azurepath_wire::batch::{Call, Reply};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
+use opentelemetry::KeyValue;
 use slog::info;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -71,6 +72,12 @@
     let path = parts.uri.path().to_owned();
     let outcome = serve(&context, &parts.method, &path, &parts.headers, body).await;
     let outcome = outcome.unwrap_or_else(|refusal| refusal);
+    let labels = [
+        KeyValue::new("method", parts.method.to_string()),
+        KeyValue::new("status", i64::from(outcome.status.as_u16())),
+    ];
+    let seconds = begun.elapsed().as_secs_f64();
+    context.counts.calls.record(seconds, &labels);
     // States are asked for many times a second and change nothing.
     if parts.method != Method::GET || outcome.status.is_server_error() {
         let version = context
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -25,7 +25,7 @@
 use super::peer::Pending;
 use super::renewal::{self, Renewer};
 use super::writer::{self, Outcome, Writer};
-use super::{Context, watch as feed};
+use super::{Context, note, watch as feed};
 
 /// How long the leader may give orders after its last write: longer than most outages of the store,
 /// during which nobody else can take over.
@@ -294,6 +294,7 @@
                 self.scheduler.report(worker, &report);
             }
             Message::Silent(worker, error) => {
+                self.context.counts.silent_workers.add(1, &[]);
                 warn!(self.context.log, "worker silent";
                     "worker" => %self.scheduler.worker(worker).entry.id, "error" => error);
                 self.scheduler.silent(worker);
@@ -310,6 +311,9 @@
             Message::Replaced(worker) => self.scheduler.bury(worker),
             Message::Superseded => self.resigned = true,
             Message::Started(worker, attempt, started, until_ms) => {
+                if started == Started::Lost {
+                    self.context.counts.lost_orders.add(1, &[]);
+                }
                 self.scheduler.started(worker, attempt, started, until_ms);
             }
             Message::Registry(entries) => self.scheduler.list(entries),
@@ -404,6 +408,8 @@
         match written {
             Ok((writer, Outcome::Stored(sent))) => {
                 self.authority.extend(sent);
+                let seconds = self.write_begun.elapsed().as_secs_f64();
+                self.context.counts.writes.record(seconds, &[]);
                 self.writer = Some(writer);
                 self.scheduler.written();
                 true
@@ -453,6 +459,9 @@
                     renewed.stop.cancel();
                 }
             }
+            Action::Note(note) => {
+                note::write(&self.context.log, &self.context.counts, self.epoch, &note);
+            }
             Action::Resign => self.resigned = true,
         }
     }
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -27,13 +27,24 @@
 /// How long the leader's row stands still before the leader counts as dead: several of its beats.
 const DEAD: Duration = Duration::from_millis(1_800);
 
-/// The same where the leader can't be reached over the network either.
-const UNREACHABLE: Duration = Duration::from_millis(900);
+/// The same where the leader can't be reached over the network either: one of its beats. A leader
+/// that is deposed by mistake loses nothing but the lead.
+const UNREACHABLE: Duration = Duration::from_millis(450);
+
+/// How often the leader's row is read while the leader can't be reached.
+const HURRIED_INTERVAL: Duration = Duration::from_millis(150);
 
 /// A claim waits for this many times the duration of a call to the store, so that instances near
 /// the store lead.
 const DISTANCE: u32 = 4;
 
+/// The wait before a claim of an instance with a whole core; one with less waits as much longer, so
+/// that large instances lead.
+const SIZE_WAIT: Duration = Duration::from_millis(25);
+
+/// Instances with less than this wait no longer than with this.
+const LEAST_CORES: f64 = 0.05;
+
 /// What is added at random to the wait before a claim, so that claims rarely collide.
 const JITTER: Duration = Duration::from_millis(60);
 
@@ -93,11 +104,15 @@
             }
             let pause = if leaving.is_cancelled() {
                 LEAVING_INTERVAL
-            } else {
+            } else if self.context.route.is_open() {
                 INTERVAL
+            } else {
+                HURRIED_INTERVAL
             };
+            let mut route = self.context.route.clone();
             tokio::select! {
                 () = halt.cancelled() => {}
+                () = route.lost() => {}
                 () = tokio::time::sleep(pause) => {}
             }
         }
@@ -176,7 +191,10 @@
     /// Claims the seat and leads until that ends.
     async fn lead(&mut self, config: Arc<Config>, leaving: &CancellationToken) {
         let part: f64 = rand::rng().random();
-        tokio::time::sleep(self.distance * DISTANCE + JITTER.mul_f64(part)).await;
+        let cores = self.context.settings.millicores as f64 / 1_000.0;
+        let size_wait = SIZE_WAIT.div_f64(cores.clamp(LEAST_CORES, 1.0));
+        let wait = self.distance * DISTANCE + size_wait + JITTER.mul_f64(part);
+        tokio::time::sleep(wait).await;
         let version = self.view.version;
         if !self.read().await || self.view.version != version {
             return;
@@ -193,6 +211,7 @@
         info!(self.context.log, "leading"; "epoch" => epoch, "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
         let (leader, handle, receiver) =
             Leader::new(self.context.clone(), writer, sent, config, stored);
+        self.context.counts.leads.add(1, &[]);
         self.standing.send_replace(Standing::Here(handle));
         let ended = leader.run(receiver, leaving).await;
         self.standing.send_replace(Standing::None);
--- /dev/null
+++ b/crates/server/src/cluster/note.rs
@@ -0,0 +1,84 @@
+//! The scheduler's decisions as log lines and counts.
+
+use azurepath_decide::batch::Note;
+use opentelemetry::KeyValue;
+use slog::{Logger, info, warn};
+
+use crate::metrics::Cluster;
+
+/// The most tasks of a step that a line names.
+const NAMED: usize = 40;
+
+/// Writes a decision down.
+pub(super) fn write(log: &Logger, metrics: &Cluster, epoch: u64, note: &Note) {
+    let name: &'static str = note.into();
+    let kind = |text: String| KeyValue::new("kind", text);
+    match note {
+        Note::Accepted {
+            job,
+            queue,
+            account,
+            excess,
+            wait,
+        } => {
+            metrics.jobs.add(1, &[kind(name.to_owned())]);
+            info!(log, "job accepted"; "job" => %job, "queue" => %queue,
+                "account" => account.as_deref(), "excess" => excess,
+                "wait_ms" => wait.as_millis() as u64, "epoch" => epoch);
+        }
+        Note::Refused {
+            job,
+            queue,
+            account,
+            excess,
+            wait,
+            pause,
+        } => {
+            metrics.jobs.add(1, &[kind(name.to_owned())]);
+            info!(log, "job refused"; "job" => %job, "queue" => %queue,
+                "account" => account.as_deref(), "excess" => excess,
+                "wait_ms" => wait.as_millis() as u64,
+                "retry_after_ms" => pause.as_millis() as u64, "epoch" => epoch);
+        }
+        Note::Started {
+            step,
+            run,
+            tasks,
+            age,
+        } => {
+            metrics.starts.add(tasks.len() as u64, &[]);
+            metrics.start_age.record(age.as_secs_f64(), &[]);
+            let named = tasks.iter().take(NAMED);
+            let named: Vec<String> = named
+                .map(|(index, worker)| format!("{index}@{worker}"))
+                .collect();
+            info!(log, "tasks started"; "step" => %step, "run" => run, "tasks" => tasks.len(),
+                "at" => named.join(" "), "age_ms" => age.as_millis() as u64, "epoch" => epoch);
+        }
+        Note::Ended {
+            attempt,
+            worker,
+            how,
+            failures,
+        } => {
+            metrics.ends.add(1, &[kind(how.to_string())]);
+            info!(log, "task ended"; "task" => %attempt.task, "run" => attempt.run,
+                "worker" => %worker, "how" => %how, "failures" => failures, "epoch" => epoch);
+        }
+        Note::Lost { attempt, worker } => {
+            metrics.ends.add(1, &[kind(name.to_owned())]);
+            info!(log, "task lost"; "task" => %attempt.task, "run" => attempt.run,
+                "worker" => %worker, "epoch" => epoch);
+        }
+        Note::Finished { job, state, age } => {
+            metrics.jobs.add(1, &[kind(state.to_string())]);
+            metrics.job_age.record(age.as_secs_f64(), &[]);
+            info!(log, "job finished"; "job" => %job, "state" => %state,
+                "age_ms" => age.as_millis() as u64, "epoch" => epoch);
+        }
+        Note::Shunned { worker, failures } => {
+            warn!(log, "worker shunned"; "worker" => %worker, "failed_jobs" => failures,
+                "epoch" => epoch);
+        }
+    }
+}
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -178,6 +178,21 @@
         }
     }
 
+    /// Waits until the connection to the instance that leads is lost; for ever where there is none.
+    pub(super) async fn lost(&mut self) {
+        let sender = match &*self.way.borrow() {
+            Way::There(link) => Some(link.sender.clone()),
+            Way::None | Way::Here(_) => None,
+        };
+        match sender {
+            Some(mut sender) if sender.borrow().is_some() => {
+                // Without a link there is nothing to lose any more.
+                let _ = sender.wait_for(Option::is_none).await;
+            }
+            Some(_) | None => std::future::pending().await,
+        }
+    }
+
     /// Tells whether the instance that leads is connected.
     pub(super) fn is_open(&self) -> bool {
         match &*self.way.borrow() {
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -38,7 +38,60 @@
     pub intent_writes: Counter<u64>,
 }
 
+/// The instruments of an instance on the users' platform.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Jobs by what became of them: accepted, refused, completed, failed, cancelled.
+    pub jobs: Counter<u64>,
+    /// Tasks that were ordered to start.
+    pub starts: Counter<u64>,
+    /// Runs that ended without doing their work, by how.
+    pub ends: Counter<u64>,
+    /// From a job's acceptance to the start of a step, in seconds.
+    pub start_age: Histogram<f64>,
+    /// From a job's acceptance to its end, in seconds.
+    pub job_age: Histogram<f64>,
+    /// From a client's call to its answer, in seconds, by method and status.
+    pub calls: Histogram<f64>,
+    /// From the begin of a write to the store's answer, in seconds, with all its tries.
+    pub writes: Histogram<f64>,
+    /// From a question to the advice service to its answer, in seconds.
+    pub advice: Histogram<f64>,
+    /// Orders to start that got no answer.
+    pub lost_orders: Counter<u64>,
+    /// Renewals of workers that failed first in a row.
+    pub silent_workers: Counter<u64>,
+    /// Times that this instance took the lead.
+    pub leads: Counter<u64>,
+}
+
 impl Metrics {
+    /// Makes the instruments of an instance on the users' platform.
+    pub fn cluster(&self) -> Cluster {
+        let meter = self.provider.meter(SCOPE);
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_SECONDS.to_vec())
+                .build()
+        };
+        Cluster {
+            jobs: counter("azurepath.jobs"),
+            starts: counter("azurepath.task.starts"),
+            ends: counter("azurepath.task.ends"),
+            start_age: histogram("azurepath.start.age"),
+            job_age: histogram("azurepath.job.age"),
+            calls: histogram("azurepath.calls"),
+            writes: histogram("azurepath.store.writes"),
+            advice: histogram("azurepath.advice"),
+            lost_orders: counter("azurepath.orders.lost"),
+            silent_workers: counter("azurepath.workers.silent"),
+            leads: counter("azurepath.leads"),
+        }
+    }
+
     /// Makes the instruments.
     ///
     /// # Errors
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -27,6 +27,8 @@
     pub lease: Duration,
     /// How long the instance may take to stop.
     pub grace: Duration,
+    /// The thousandths of a core that the instance has.
+    pub millicores: u64,
 }
 
 impl Settings {
@@ -60,12 +62,16 @@
                 .then(|| document.address(SECTION, "advice")),
             lease: document.span(SECTION, "lease", Duration::from_secs(6)),
             grace: document.span(SECTION, "grace", Duration::from_secs(6)),
+            millicores: document.millicores(SECTION, "cores", 1_000),
         };
         for (key, span) in [("lease", settings.lease), ("grace", settings.grace)] {
             if span < Duration::from_secs(1) {
                 document.clash(SECTION, key, "give 1s or more");
             }
         }
+        if settings.millicores == 0 {
+            document.clash(SECTION, "cores", "give more than zero");
+        }
         document.finish()?;
         Ok(Some(settings))
     }
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -185,6 +185,21 @@
             .unwrap_or_default()
     }
 
+    /// Reads a number of cores, such as `0.25`, as thousandths of a core.
+    pub(super) fn millicores(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: u64,
+    ) -> u64 {
+        let remedy = "give a number of cores, such as 0.25 or 2";
+        let read = |text: &str| {
+            let cores: f64 = text.parse().ok()?;
+            (cores.is_finite() && cores >= 0.0).then(|| (cores * 1_000.0).round() as u64)
+        };
+        self.optional(section, key, remedy, read).unwrap_or(default)
+    }
+
     /// Reads a SHA-256 as hexadecimal digits, if it is given.
     pub(super) fn hash(&mut self, section: &'static str, key: &'static str) -> Option<String> {
         let remedy = "give the SHA-256 of the token as 64 hexadecimal digits";
