--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -48,6 +48,10 @@
     next_end: u64,
     over: BTreeMap<String, u64>,
     runs: Vec<Run>,
+    /// The thousandths of a core that each running task takes.
+    taken: BTreeMap<String, u64>,
+    /// How often a start brought the worker over what it holds.
+    overfull: usize,
 }
 
 struct Shared {
@@ -63,7 +67,7 @@
     task: String,
     #[serde(default)]
     run: u64,
-    /// A number lets the task run for so many milliseconds.
+    /// For how many milliseconds the task runs and, if given, the thousandths of a core it takes.
     #[serde(default)]
     spec: String,
     fence: u64,
@@ -89,6 +93,8 @@
             next_end: 1,
             over: BTreeMap::new(),
             runs: Vec::new(),
+            taken: BTreeMap::new(),
+            overfull: 0,
         }
     }
 
@@ -106,18 +112,33 @@
             .filter(due)
             .map(|(task, _)| task.clone())
             .collect();
+        if lapsed {
+            self.void_ends();
+        }
         for task in &due {
             self.end(task, if lapsed { "lapsed" } else { "done" });
         }
         !due.is_empty()
     }
 
+    /// Takes it that ends which nobody has acknowledged count no more: the lease has expired since.
+    fn void_ends(&mut self) {
+        for (_, task, run, _) in &self.ended {
+            for seen in &mut self.runs {
+                if seen.task == *task && seen.run == *run {
+                    seen.done = false;
+                }
+            }
+        }
+    }
+
     fn end(&mut self, task: &str, how: &'static str) {
         let Some((run, _)) = self.running.remove(task) else {
             return;
         };
         self.ended.push((self.next_end, task.to_owned(), run, how));
         self.next_end += 1;
+        self.taken.remove(task);
         let over = self.over.entry(task.to_owned()).or_default();
         *over = (*over).max(run);
         for seen in &mut self.runs {
@@ -157,7 +178,14 @@
         {
             return self.refuse("old");
         }
-        let span = order.spec.parse().map_or(RUN, Duration::from_millis);
+        let mut numbers = order.spec.split(' ').map(str::parse);
+        let span = numbers.next().and_then(Result::ok);
+        let span = span.map_or(RUN, Duration::from_millis);
+        let cores = numbers.next().and_then(Result::ok).unwrap_or(0);
+        self.taken.insert(order.task.clone(), cores);
+        if self.taken.values().sum::<u64>() > MILLICORES {
+            self.overfull += 1;
+        }
         let ends = Instant::now() + span;
         self.running.insert(order.task.clone(), (order.run, ends));
         self.runs.push(Run {
@@ -318,6 +346,11 @@
         lock(&self.shared.state).gate = gate;
     }
 
+    /// Returns how often a start brought the worker over what it holds.
+    pub fn overfull(&self) -> usize {
+        lock(&self.shared.state).overfull
+    }
+
     /// Returns the runs that have been begun.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.state).runs.clone()
