--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -1,6 +1,7 @@
 //! A job and its tasks while the scheduler drives them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use crate::name::Name;
 use crate::time::Time;
@@ -46,6 +47,8 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
+    /// How long the job's longest chain takes, and what is left of it from this step on.
+    pub times: Option<(Duration, Duration)>,
     /// The workers that may run it, as far as known.
     pub advice: Advice,
     /// The highest run of any task, for gangs, whose members share it.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -17,7 +17,7 @@
 use crate::time::Time;
 
 use super::admission::Backlog;
-use super::config::Config;
+use super::config::{Config, Queue};
 use super::event::{Action, Note};
 use super::fleet::{Contact, Entry, Worker};
 use super::job::Job;
@@ -64,6 +64,8 @@
     /// Until when tasks of inherited jobs may run on workers that were not heard yet.
     settled_at: Time,
     config: Arc<Config>,
+    /// The queues of the configuration by name.
+    queues: Map<Name, Arc<Queue>>,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs with a step that is due and has waiting tasks.
     ready: BTreeSet<JobId>,
@@ -98,6 +100,7 @@
             setup,
             now,
             settled_at: now.after(setup.write_off),
+            queues: by_name(&config),
             config,
             jobs: BTreeMap::new(),
             ready: BTreeSet::new(),
@@ -144,6 +147,7 @@
 
     /// Takes a newer configuration.
     pub fn configure(&mut self, config: Arc<Config>) {
+        self.queues = by_name(&config);
         self.config = config;
         self.dirty = true;
     }
@@ -269,3 +273,10 @@
         Some(step.size)
     }
 }
+
+fn by_name(config: &Config) -> Map<Name, Arc<Queue>> {
+    let queues = config.queues.iter();
+    queues
+        .map(|queue| (queue.name.clone(), Arc::new(queue.clone())))
+        .collect()
+}
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -179,7 +179,7 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let validity = self.config.queue(&job.queue).and_then(|queue| queue.advice);
+        let validity = self.queues.get(&job.queue).and_then(|queue| queue.advice);
         let validity = validity.map_or(Duration::ZERO, |advised| advised.validity);
         let until = now.after(validity.saturating_sub(TICKET_MARGIN));
         let Some(step) = job.steps.get_mut(usize::from(id.step)) else {
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -164,7 +164,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let attempts = self.config.queue(&job.queue).map(|queue| queue.attempts);
+        let attempts = self.queues.get(&job.queue).map(|queue| queue.attempts);
         let number = usize::from(attempt.task.step.step);
         let gang = job
             .spec
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -166,7 +166,7 @@
 
     /// Returns how long the work takes that goes before a new job of a queue.
     fn wait_of(&self, queue: &Name) -> Duration {
-        let priority = self.config.queue(queue).map(|queue| queue.priority);
+        let priority = self.queues.get(queue).map(|queue| queue.priority);
         priority.map_or(Duration::ZERO, |priority| self.backlog.wait(priority))
     }
 
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::name::Name;
+use crate::name::{Map, Name};
 use crate::size::Size;
 use crate::time::Time;
 
@@ -20,6 +20,14 @@
 use super::super::{JobId, StepId};
 use super::Scheduler;
 
+/// The least time between two placings: what comes in between is placed in one go, since each
+/// placing looks at all that waits.
+const LEAST_INTERVAL: Duration = Duration::from_millis(4);
+
+/// How many steps of a queue may find no room before the rest of it is left for the next time. A
+/// long line is the same work again for each of its steps.
+const FAILURES: u32 = 16;
+
 /// How long nothing may be placed while nothing has changed; tickets and ranks age meanwhile.
 const IDLE: Duration = Duration::from_millis(50);
 
@@ -60,9 +68,18 @@
     rank: Rank,
 }
 
+/// What is known while one placing goes on.
+struct Pass {
+    /// The most of each resource that any worker had free when it began.
+    largest: Size,
+    /// Steps that found no room, by queue.
+    failures: Map<Name, u32>,
+}
+
 impl Scheduler {
     pub(super) fn place(&mut self) {
-        if !self.dirty && self.now.since(self.placed_at) < IDLE {
+        let since = self.now.since(self.placed_at);
+        if since < LEAST_INTERVAL || (!self.dirty && since < IDLE) {
             return;
         }
         self.dirty = false;
@@ -70,36 +87,68 @@
         for worker in &mut self.workers {
             worker.earmark = None;
         }
-        let config = self.config.clone();
         let ranks = self.ranks();
+        let mut pass = Pass {
+            largest: self.largest_room(),
+            failures: Map::default(),
+        };
         for &rank in &ranks {
-            let Some(job) = self.jobs.get(&rank.step.job) else {
-                continue;
-            };
-            let Some(queue) = config.queue(&job.queue) else {
-                continue;
-            };
-            let number = usize::from(rank.step.step);
-            let Some(step) = job.spec.as_ref().map(|spec| spec.steps[number].clone()) else {
-                continue;
-            };
-            let candidate = Candidate {
-                id: rank.step,
-                queue,
-                step: &step,
-                rank,
-            };
-            self.place_step(&candidate);
+            self.place_rank(rank, &mut pass);
         }
         self.measure_backlog(&ranks);
     }
 
+    fn place_rank(&mut self, rank: Rank, pass: &mut Pass) {
+        let number = usize::from(rank.step.step);
+        let Some(job) = self.jobs.get(&rank.step.job) else {
+            return;
+        };
+        let Some(queue) = self.queues.get(&job.queue).cloned() else {
+            return;
+        };
+        let Some(step) = job.spec.as_ref().map(|spec| &spec.steps[number]) else {
+            return;
+        };
+        let reserved = !job.steps[number].reserved.is_empty();
+        let failures = pass.failures.get(&queue.name).copied().unwrap_or(0);
+        if !reserved && failures >= FAILURES {
+            return;
+        }
+        let candidate = Candidate {
+            id: rank.step,
+            queue: &queue,
+            step: &step.clone(),
+            rank,
+        };
+        // Where no worker has the room, only the first gangs of a queue are looked at, so that
+        // workers are emptied for them.
+        let hopeless = !reserved && !candidate.step.size.fits(&pass.largest);
+        let placed = if hopeless && !candidate.step.gang {
+            false
+        } else {
+            self.place_step(&candidate)
+        };
+        if !placed {
+            *pass.failures.entry(queue.name.clone()).or_default() += 1;
+        }
+    }
+
+    /// Returns the most of each resource that any worker has free.
+    fn largest_room(&self) -> Size {
+        let open = self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_open(self.now));
+        open.fold(Size::ZERO, |most, worker| Size::max(&most, &worker.free))
+    }
+
     /// Returns the steps that are due and have waiting tasks, first things first.
     fn ranks(&mut self) -> Vec<Rank> {
         let mut ranks = Vec::new();
         let mut idle = Vec::new();
         let unsettled = self.is_unsettled();
-        for &id in &self.ready {
+        let ready: Vec<JobId> = self.ready.iter().copied().collect();
+        for id in ready {
             let Some(job) = self.jobs.get(&id) else {
                 idle.push(id);
                 continue;
@@ -111,10 +160,9 @@
             if job.inherited && unsettled {
                 continue;
             }
-            let found = steps
-                .into_iter()
-                .filter_map(|step| self.rank(id, job, step));
-            ranks.extend(found);
+            for step in steps {
+                ranks.extend(self.rank(id, step));
+            }
         }
         for id in idle {
             self.ready.remove(&id);
@@ -123,18 +171,21 @@
         ranks
     }
 
-    fn rank(&self, id: JobId, job: &Job, step: usize) -> Option<Rank> {
-        let queue = self.config.queue(&job.queue)?;
-        let spec = job.spec.as_ref()?;
-        let each = self.task_time(&job.queue, &spec.steps[step]);
-        let chain = spec.longest_chain(|_| each);
-        let steps_after = (spec.steps.len() - step) as u32;
-        let rest = chain.min(each * steps_after);
+    fn rank(&mut self, id: JobId, number: usize) -> Option<Rank> {
+        let times = match self.jobs.get(&id)?.steps[number].times {
+            Some(times) => times,
+            None => {
+                let times = self.times(id, number)?;
+                self.jobs.get_mut(&id)?.steps[number].times = Some(times);
+                times
+            }
+        };
+        let job = self.jobs.get(&id)?;
+        let queue = self.queues.get(&job.queue)?;
         let step = StepId {
             job: id,
-            step: step as u16,
+            step: number as u16,
         };
-        let times = (chain, rest);
         Some(order::rank(
             step,
             queue,
@@ -145,6 +196,16 @@
         ))
     }
 
+    /// Works out how long a job's longest chain takes, and what is left of it from a step on.
+    fn times(&self, id: JobId, number: usize) -> Option<(Duration, Duration)> {
+        let job = self.jobs.get(&id)?;
+        let spec = job.spec.as_ref()?;
+        let each = self.task_time(&job.queue, &spec.steps[number]);
+        let chain = spec.longest_chain(|_| each);
+        let steps_after = (spec.steps.len() - number) as u32;
+        Some((chain, chain.min(each * steps_after)))
+    }
+
     pub(super) fn task_time(&self, queue: &Name, step: &spec::Step) -> Duration {
         match self.durations.get(queue) {
             Some(durations) => durations.mean(step.estimate),
@@ -152,35 +213,38 @@
         }
     }
 
-    fn place_step(&mut self, candidate: &Candidate<'_>) {
+    /// Places a step or asks what it needs to know; returns whether others of its queue may get on
+    /// as well.
+    fn place_step(&mut self, candidate: &Candidate<'_>) -> bool {
         if candidate.queue.advice.is_some() && !self.is_advised(candidate.id) {
             self.ask_all(candidate.id, candidate.queue);
-            return;
+            return true;
         }
         let stored = self
             .jobs
             .get(&candidate.id.job)
             .is_some_and(|job| job.stored);
         if !stored {
-            return;
+            return true;
         }
         if candidate.step.gang {
-            self.place_gang(candidate);
+            self.place_gang(candidate)
         } else {
-            self.place_tasks(candidate);
+            self.place_tasks(candidate)
         }
     }
 
-    fn place_tasks(&mut self, candidate: &Candidate<'_>) {
+    fn place_tasks(&mut self, candidate: &Candidate<'_>) -> bool {
         let waiting = self.waiting_tasks(candidate.id);
         let mut starts = Vec::new();
         let mut counts = self.on_workers(candidate.id);
         let mut taken: BTreeMap<usize, Size> = BTreeMap::new();
         let mut used = Size::ZERO;
-        let mut stale = false;
+        let (mut stale, mut limited) = (false, false);
         for index in waiting {
             let size = &candidate.step.size;
             if !self.is_within_limit(candidate.id.job, &used.plus(size)) {
+                limited = true;
                 break;
             }
             let fresh = self.choose(candidate, index, &taken, &counts, true);
@@ -198,39 +262,44 @@
         }
         if stale {
             self.ask_eligible(candidate.id, candidate.queue);
-        } else if starts.is_empty() {
+        } else if starts.is_empty() && !limited {
             self.ask_new(candidate.id, candidate.queue);
         }
         if !starts.is_empty() {
             self.start(candidate.id, &starts);
         }
+        stale || limited || !starts.is_empty()
     }
 
-    fn place_gang(&mut self, candidate: &Candidate<'_>) {
+    fn place_gang(&mut self, candidate: &Candidate<'_>) -> bool {
         let id = candidate.id;
         let waiting = self.waiting_tasks(id);
         if waiting.len() < candidate.step.count as usize {
-            return;
+            return true;
         }
         let whole = candidate.step.size.times(u64::from(candidate.step.count));
         if !self.is_within_limit(id.job, &whole) {
-            return;
+            return true;
         }
         let number = usize::from(id.step);
         let reserved = self.jobs[&id.job].steps[number].reserved.clone();
         if !reserved.is_empty() {
             self.start_reserved(candidate, &reserved);
-            return;
+            return true;
         }
         if let Some(starts) = self.fit_gang(candidate, &waiting, true) {
             self.start(id, &starts);
         } else if let Some(starts) = self.fit_gang(candidate, &waiting, false) {
             let workers: Vec<usize> = starts.iter().map(|(_, worker)| *worker).collect();
             self.reserve(candidate, workers);
-        } else if candidate.rank.lateness <= Lateness::Excess {
-            self.earmark(candidate);
-            self.ask_new(id, candidate.queue);
+        } else {
+            if candidate.rank.lateness <= Lateness::Excess {
+                self.earmark(candidate);
+                self.ask_new(id, candidate.queue);
+            }
+            return false;
         }
+        true
     }
 
     /// Starts a gang whose room is kept, once all its tickets hold.
@@ -521,7 +590,7 @@
         spec: &spec::Spec,
         excess: bool,
     ) -> Option<Duration> {
-        let Some(queue) = self.config.queue(queue) else {
+        let Some(queue) = self.queues.get(queue).cloned() else {
             return Some(UNKNOWN_QUEUE_PAUSE);
         };
         let chain = spec.longest_chain(|step| self.task_time(&queue.name, step));
--- a/crates/decide/tests/support/batch/world.rs
+++ b/crates/decide/tests/support/batch/world.rs
@@ -415,7 +415,7 @@
             return;
         };
         let entry = &lead.scheduler.worker(worker).entry;
-        let fake: usize = entry.id[1..].parse().unwrap();
+        let fake: usize = entry.id[1..].parse().expect("a number follows");
         let born = Time((entry.born_ms - 1) * 1_000);
         let link = Link {
             fake,
--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -286,7 +286,7 @@
             // The key is in every configuration, and the queue too.
             other => told
                 .lock()
-                .unwrap()
+                .expect("no panic under the lock")
                 .broken
                 .push(format!("{id}: answered {other}")),
         }
