--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -68,6 +68,8 @@
     pub tickets: BTreeMap<usize, Ticket>,
     /// Until when an answer to an open question is waited for.
     pub open_until: Option<Time>,
+    /// When workers were last looked for that it was not asked about.
+    pub looked: Time,
 }
 
 /// A permission to run a step on a worker.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -84,6 +84,8 @@
     /// Slow questions that are open, with the time until which they count.
     slow_questions: BTreeMap<StepId, Time>,
     backlog: Backlog,
+    /// How many more workers may be emptied for gangs in this placing.
+    marks_left: usize,
     /// What all workers hold that take tasks, as of the last placing.
     capacity: Size,
     ended: BTreeMap<Time, Vec<JobId>>,
@@ -115,6 +117,7 @@
             askers: 1,
             slow_questions: BTreeMap::new(),
             backlog: Backlog::default(),
+            marks_left: 0,
             capacity: Size::ZERO,
             ended: BTreeMap::new(),
             placed_at: Time::default(),
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -22,6 +22,9 @@
 /// What is taken off a ticket's validity for the way of the ticket and of the order.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
 
+/// How often a step that finds no room looks for workers that it has not asked about.
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
+
 /// How many workers are asked about for each task of a step. A third to two thirds of them may run
 /// it, and of these most are full.
 const ASKED_PER_TASK: usize = 8;
@@ -51,11 +54,32 @@
         &self.jobs[&id.job].steps[usize::from(id.step)].advice
     }
 
-    /// Asks for the first time.
-    pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) {
+    /// Tells whether a question of a step can be asked now.
+    fn may_ask(&self, id: StepId, queue: &Queue) -> bool {
+        let Some(advised) = queue.advice else {
+            return false;
+        };
+        let open = self.advice_of(id).open_until;
+        if open.is_some_and(|until| until > self.now) {
+            return false;
+        }
+        let slow = duration(&advised, ASKED_AT_LEAST) > SLOW;
+        !slow || self.slow_questions.len() < self.askers.max(1)
+    }
+
+    /// Asks for the first time; returns whether a question is open.
+    pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) -> bool {
+        let open = self.advice_of(id).open_until;
+        if open.is_some_and(|until| until > self.now) {
+            return true;
+        }
+        if !self.may_ask(id, queue) {
+            return false;
+        }
         let all = self.open_workers(queue);
         let chosen = self.worth_asking(id, all);
         self.ask_some(id, queue, &chosen);
+        true
     }
 
     /// Chooses the workers that a step asks about: those with room first, each step beginning
@@ -95,9 +119,14 @@
 
     /// Asks about workers that came after the last question.
     pub(super) fn ask_new(&mut self, id: StepId, queue: &Queue) {
-        if queue.advice.is_none() {
+        let now = self.now;
+        let due = self.advice_of(id).looked.after(LOOK_AGAIN);
+        if now < due || !self.may_ask(id, queue) {
             return;
         }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.steps[usize::from(id.step)].advice.looked = now;
+        }
         let asked = &self.advice_of(id).asked;
         let open = self.open_workers(queue);
         let new: Vec<usize> = open
@@ -162,7 +191,6 @@
     /// that is kept for their gangs stands empty.
     fn may_ask_slowly(&mut self, id: StepId) -> bool {
         let now = self.now;
-        self.slow_questions.retain(|_, until| *until > now);
         if self.slow_questions.len() >= self.askers.max(1) {
             return false;
         }
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -22,7 +22,7 @@
 
 /// The least time between two placings: what comes in between is placed in one go, since each
 /// placing looks at all that waits.
-const LEAST_INTERVAL: Duration = Duration::from_millis(4);
+const LEAST_INTERVAL: Duration = Duration::from_millis(8);
 
 /// How many steps of a queue may find no room before the rest of it is left for the next time. A
 /// long line is the same work again for each of its steps.
@@ -87,7 +87,11 @@
         for worker in &mut self.workers {
             worker.earmark = None;
         }
+        let now = self.now;
+        self.slow_questions.retain(|_, until| *until > now);
         let ranks = self.ranks();
+        let open = self.workers.iter().filter(|worker| worker.is_open(now));
+        self.marks_left = (open.count() as f64 * EARMARKED) as usize;
         let mut pass = Pass {
             largest: self.largest_room(),
             failures: Map::default(),
@@ -217,8 +221,7 @@
     /// as well.
     fn place_step(&mut self, candidate: &Candidate<'_>) -> bool {
         if candidate.queue.advice.is_some() && !self.is_advised(candidate.id) {
-            self.ask_all(candidate.id, candidate.queue);
-            return true;
+            return self.ask_all(candidate.id, candidate.queue);
         }
         let stored = self
             .jobs
@@ -383,25 +386,22 @@
 
     /// Has workers emptied for a gang that finds no room: those with the most room now.
     fn earmark(&mut self, candidate: &Candidate<'_>) {
-        let marked = self
-            .workers
-            .iter()
-            .filter(|worker| worker.earmark.is_some())
-            .count();
-        let open = self
-            .workers
-            .iter()
-            .filter(|worker| worker.is_open(self.now))
-            .count();
-        let most = (open as f64 * EARMARKED) as usize;
-        let mut usable: Vec<usize> = (0..self.workers.len())
-            .filter(|&index| {
-                let worker = &self.workers[index];
-                worker.earmark.is_none()
-                    && self.may_run(candidate, index, worker)
-                    && candidate.step.size.fits(&worker.entry.capacity)
-            })
-            .collect();
+        if self.marks_left == 0 {
+            return;
+        }
+        let usable = |&index: &usize| {
+            let worker = &self.workers[index];
+            worker.earmark.is_none()
+                && self.may_run(candidate, index, worker)
+                && candidate.step.size.fits(&worker.entry.capacity)
+        };
+        let number = usize::from(candidate.id.step);
+        let tickets = &self.jobs[&candidate.id.job].steps[number].advice.tickets;
+        let mut usable: Vec<usize> = if candidate.queue.advice.is_some() {
+            tickets.keys().copied().filter(usable).collect()
+        } else {
+            (0..self.workers.len()).filter(usable).collect()
+        };
         usable.sort_by_key(|&index| std::cmp::Reverse(self.workers[index].free.millicores));
         let mut left = u64::from(candidate.step.count);
         let mut chosen = Vec::new();
@@ -413,7 +413,8 @@
             left = left.saturating_sub(times_within(&candidate.step.size, capacity));
             chosen.push(index);
         }
-        if left == 0 && marked + chosen.len() <= most {
+        if left == 0 && chosen.len() <= self.marks_left {
+            self.marks_left -= chosen.len();
             for index in chosen {
                 self.workers[index].earmark = Some(candidate.id.job);
             }
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -38,12 +38,13 @@
 /// the store lead.
 const DISTANCE: u32 = 4;
 
-/// The wait before a claim of an instance with a whole core; one with less waits as much longer, so
-/// that large instances lead.
-const SIZE_WAIT: Duration = Duration::from_millis(25);
+/// The wait before a claim of an instance with a whole core. It grows with the square of what an
+/// instance has less, so that small ones lead only where no large one is left: 50 ms at half a core,
+/// 190 ms at a quarter, 830 ms at an eighth.
+const SIZE_WAIT: Duration = Duration::from_millis(12);
 
 /// Instances with less than this wait no longer than with this.
-const LEAST_CORES: f64 = 0.05;
+const LEAST_CORES: f64 = 0.1;
 
 /// What is added at random to the wait before a claim, so that claims rarely collide.
 const JITTER: Duration = Duration::from_millis(60);
@@ -192,7 +193,7 @@
     async fn lead(&mut self, config: Arc<Config>, leaving: &CancellationToken) {
         let part: f64 = rand::rng().random();
         let cores = self.context.settings.millicores as f64 / 1_000.0;
-        let size_wait = SIZE_WAIT.div_f64(cores.clamp(LEAST_CORES, 1.0));
+        let size_wait = SIZE_WAIT.div_f64(cores.clamp(LEAST_CORES, 1.0).powi(2));
         let wait = self.distance * DISTANCE + size_wait + JITTER.mul_f64(part);
         tokio::time::sleep(wait).await;
         let version = self.view.version;
