--- a/crates/decide/tests/batch_faults.rs
+++ b/crates/decide/tests/batch_faults.rs
@@ -87,3 +87,14 @@
     };
     hold(0..60, faults);
 }
+
+#[test]
+fn reborn_under_orders() {
+    let faults = Faults {
+        lost: 0.3,
+        late: 0.1,
+        reborn: 0.003,
+        ..Faults::default()
+    };
+    hold(0..40, faults);
+}
--- a/crates/decide/tests/support/batch/worker.rs
+++ b/crates/decide/tests/support/batch/worker.rs
@@ -10,6 +10,9 @@
 /// How long a worker takes to stop a task.
 const STOP_MS: u64 = 200;
 
+/// The longest lease that a worker grants.
+const LONGEST_LEASE_MS: u64 = 6_000;
+
 /// A task that runs.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -105,8 +108,7 @@
         {
             return Started::Refused(Refusal::OldRun);
         }
-        let until = Time(self.born.0 + until_ms * 1_000);
-        self.lease = self.lease.max(until);
+        self.extend(now, until_ms);
         self.running.insert(attempt.task, task);
         Started::Running
     }
@@ -142,7 +144,7 @@
         self.fence = fence;
         self.ended.retain(|end| end.number > acknowledged);
         if let Some(until) = until_ms {
-            self.lease = self.lease.max(Time(self.born.0 + until * 1_000));
+            self.extend(now, until);
         }
         let running = self.running.iter().map(|(id, task)| Running {
             attempt: Attempt {
@@ -159,6 +161,13 @@
         })
     }
 
+    /// Extends the lease; a longer one than allowed is shortened.
+    fn extend(&mut self, now: Time, until_ms: u64) {
+        let until = Time(self.born.0 + until_ms * 1_000);
+        let longest = Time(now.0 + LONGEST_LEASE_MS * 1_000);
+        self.lease = self.lease.max(until.min(longest));
+    }
+
     fn end(&mut self, id: TaskId, how: How) {
         let Some(task) = self.running.remove(&id) else {
             return;
--- a/crates/decide/tests/support/batch/world.rs
+++ b/crates/decide/tests/support/batch/world.rs
@@ -25,6 +25,8 @@
 const ATTEMPTS: u32 = 3;
 const LEASE_MS: u64 = 4_000;
 const ORDER_MS: u64 = 1_500;
+/// How long a new life of a worker is not in the registry.
+const BEAT: Duration = Duration::from_millis(1_500);
 const WRITE_OFF: Duration = Duration::from_millis(10_500);
 
 /// How often each thing goes wrong, out of 1.
@@ -48,6 +50,8 @@
 enum Event {
     Tick,
     Submit(JobId),
+    /// An order to start: epoch, worker, the life that was there when it was sent, attempt, until
+    /// when it may be carried out, whether it is answered.
     Start(u64, usize, Time, Attempt, u64, bool),
     Stop(u64, usize, Time, Attempt),
     Hold(u64, usize),
@@ -83,6 +87,8 @@
     faults: Faults,
     calm_from: Time,
     workers: Vec<Worker>,
+    /// The life of each worker that its entry in the registry shows.
+    shown: Vec<Time>,
     unlisted: BTreeMap<usize, Time>,
     cut: BTreeMap<usize, Time>,
     specs: BTreeMap<JobId, Spec>,
@@ -148,6 +154,7 @@
             workers: (0..WORKERS)
                 .map(|_| Worker::new(start, capacity()))
                 .collect(),
+            shown: vec![start; WORKERS],
             unlisted: BTreeMap::new(),
             cut: BTreeMap::new(),
             specs: BTreeMap::new(),
@@ -279,6 +286,9 @@
             if self.chance(self.faults.reborn) {
                 self.workers[fake] = Worker::new(self.now, capacity());
             }
+            if self.now.since(self.workers[fake].born) >= BEAT {
+                self.shown[fake] = self.workers[fake].born;
+            }
             if self.chance(self.faults.unlisted) {
                 let until = self.now.after(millis(3_000));
                 self.unlisted.insert(fake, until);
@@ -315,7 +325,7 @@
             labels: Vec::new(),
             capacity: capacity(),
             standing: Standing::Ready,
-            born_ms: self.workers[fake].born.0 / 1_000 + 1,
+            born_ms: self.shown[fake].0 / 1_000 + 1,
         }
     }
 
@@ -484,12 +494,10 @@
                 .map(|(index, _)| *index)
         });
         if self.workers[fake].born != born {
+            // The order has gone down with that life.
             if let Some(worker) = worker.filter(|_| answer) {
-                let refused = Started::Refused(azurepath_decide::batch::Refusal::Replaced);
-                self.at(
-                    millis(2),
-                    Event::Started(epoch, worker, attempt, refused, until),
-                );
+                let lost = Event::Started(epoch, worker, attempt, Started::Lost, until);
+                self.at(millis(300), lost);
             }
             return;
         }
@@ -518,7 +526,7 @@
     }
 
     fn renew(&mut self, epoch: u64, worker: usize) {
-        let (fake, born) = self.link(worker);
+        let (fake, _) = self.link(worker);
         let now = self.now;
         let Some(link) = self
             .lead
@@ -532,7 +540,7 @@
         let until = link
             .clock
             .map(|(clock, at)| clock + now.since(at).as_millis() as u64 + LEASE_MS);
-        if self.cut.contains_key(&fake) || self.workers[fake].born != born {
+        if self.cut.contains_key(&fake) {
             self.at(millis(300), Event::Silent(epoch, worker));
             return;
         }
