--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -18,6 +18,8 @@
             return;
         };
         let over = job.state.is_final();
+        // Once its final state is stored, nothing that its tasks do matters any more.
+        let settled = over && job.settled;
         let account = job.account.clone();
         let inherited = job.inherited;
         let Some(task) = job.task_mut(end.attempt.task) else {
@@ -51,7 +53,7 @@
             self.refund(account.as_ref(), &size);
         }
         self.dirty = true;
-        if over {
+        if settled {
             return;
         }
         self.workers[index].unstored.insert(end.number);
@@ -60,6 +62,9 @@
             number: end.number,
         };
         self.journal.note(id, Some(deferred));
+        if over {
+            return;
+        }
         self.note_end(index, end);
         match end.how {
             How::Done => {
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -65,7 +65,6 @@
     id: StepId,
     queue: &'a Queue,
     step: &'a spec::Step,
-    rank: Rank,
 }
 
 /// What is known while one placing goes on.
@@ -122,7 +121,6 @@
             id: rank.step,
             queue: &queue,
             step: &step.clone(),
-            rank,
         };
         // Where no worker has the room, only the first gangs of a queue are looked at, so that
         // workers are emptied for them.
@@ -296,10 +294,10 @@
             let workers: Vec<usize> = starts.iter().map(|(_, worker)| *worker).collect();
             self.reserve(candidate, workers);
         } else {
-            if candidate.rank.lateness <= Lateness::Excess {
-                self.earmark(candidate);
-                self.ask_new(id, candidate.queue);
-            }
+            // This holds back only what comes later in the order, so late gangs may do so as well:
+            // wide ones would never find room otherwise.
+            self.earmark(candidate);
+            self.ask_new(id, candidate.queue);
             return false;
         }
         true
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -115,6 +115,8 @@
     Deposed,
     /// The process stops, and the seat was given up.
     Released,
+    /// The seat was given up for an instance nearer to the store.
+    Yielded,
 }
 
 /// An instance that asks for work.
@@ -201,21 +203,30 @@
         (leader, handle, receiver)
     }
 
-    /// Leads until another instance does, or `leaving`.
+    /// Leads until another instance does, `leaving`, or the end of its term.
     pub(super) async fn run(
         mut self,
         mut receiver: mpsc::UnboundedReceiver<Message>,
         leaving: &CancellationToken,
+        term: Option<Duration>,
     ) -> Ended {
         let halt = CancellationToken::new();
         let roll = feed::workers(self.context.clone(), self.sender.clone(), halt.clone());
         self.tasks.spawn(roll);
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let over = async {
+            match term {
+                Some(term) => tokio::time::sleep(term).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::pin!(over);
         let mut config = self.context.config.clone();
         let ended = loop {
             tokio::select! {
                 () = leaving.cancelled() => break Ended::Released,
+                () = &mut over => break Ended::Yielded,
                 message = receiver.recv() => {
                     if let Some(message) = message {
                         self.take(message);
@@ -256,7 +267,7 @@
         for worker in self.workers.values() {
             worker.stop.cancel();
         }
-        if ended == Ended::Released {
+        if ended != Ended::Deposed {
             let wait = self.writing.join_next();
             if let Ok(Some(written)) = tokio::time::timeout(WRITE_PATIENCE, wait).await {
                 self.written(written);
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use super::leader::Leader;
+use super::leader::{Ended, Leader};
 use super::peer::{self, Standing};
 use super::watch::{READ_TIMEOUT, read_all};
 use super::writer::{self, JOBS, LEADER, ROSTER, Seat, TABLE, Writer};
@@ -25,7 +25,7 @@
 const LEAVING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long the leader's row stands still before the leader counts as dead: several of its beats.
-const DEAD: Duration = Duration::from_millis(1_800);
+const DEAD: Duration = Duration::from_millis(1_400);
 
 /// The same where the leader can't be reached over the network either: one of its beats. A leader
 /// that is deposed by mistake loses nothing but the lead.
@@ -34,9 +34,20 @@
 /// How often the leader's row is read while the leader can't be reached.
 const HURRIED_INTERVAL: Duration = Duration::from_millis(150);
 
-/// A claim waits for this many times the duration of a call to the store, so that instances near
-/// the store lead.
-const DISTANCE: u32 = 4;
+/// A claim waits for this many times the duration of a call to the store, so that instances in the
+/// store's region lead: from another one, each job and each start takes several trips longer.
+const DISTANCE: u32 = 25;
+
+/// The longest wait of that kind.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_200);
+
+/// An instance whose calls to the store take longer stands in another region, and leads only until a
+/// nearer one may have noticed that the seat is free.
+const FAR: Duration = Duration::from_millis(20);
+
+/// How long an instance in another region leads the first time; four times as long each next time,
+/// since nearer instances may be out of reach.
+const FAR_TERM: Duration = Duration::from_secs(3);
 
 /// The wait before a claim of an instance with a whole core. It grows with the square of what an
 /// instance has less, so that small ones lead only where no large one is left: 50 ms at half a core,
@@ -67,8 +78,10 @@
     standing: watch::Sender<Standing>,
     incarnation: u64,
     view: View,
-    /// How long a call to the store takes.
+    /// How long the fastest call to the store took.
     distance: Duration,
+    /// How often this instance has given the seat up for a nearer one.
+    yields: u32,
     /// When the store was last read.
     read_at: Option<Time>,
 }
@@ -85,7 +98,8 @@
                 version: u64::MAX,
                 since: clock::now(),
             },
-            distance: Duration::ZERO,
+            distance: Duration::MAX,
+            yields: 0,
             read_at: None,
         }
     }
@@ -114,6 +128,7 @@
             tokio::select! {
                 () = halt.cancelled() => {}
                 () = route.lost() => {}
+                () = self.context.route.not_leading() => {}
                 () = tokio::time::sleep(pause) => {}
             }
         }
@@ -131,7 +146,7 @@
         let Ok(Page { rows, .. }) = read else {
             return false;
         };
-        self.distance = now.since(before);
+        self.distance = self.distance.min(now.since(before));
         let row = rows.iter().find(|row| row.key == LEADER);
         let version = row.map_or(0, |row| row.version);
         // Time in which the store could not be read says nothing of the leader.
@@ -194,7 +209,8 @@
         let part: f64 = rand::rng().random();
         let cores = self.context.settings.millicores as f64 / 1_000.0;
         let size_wait = SIZE_WAIT.div_f64(cores.clamp(LEAST_CORES, 1.0).powi(2));
-        let wait = self.distance * DISTANCE + size_wait + JITTER.mul_f64(part);
+        let distance_wait = self.distance.saturating_mul(DISTANCE).min(LONGEST_WAIT);
+        let wait = distance_wait + size_wait + JITTER.mul_f64(part);
         tokio::time::sleep(wait).await;
         let version = self.view.version;
         if !self.read().await || self.view.version != version {
@@ -214,12 +230,21 @@
             Leader::new(self.context.clone(), writer, sent, config, stored);
         self.context.counts.leads.add(1, &[]);
         self.standing.send_replace(Standing::Here(handle));
-        let ended = leader.run(receiver, leaving).await;
+        let ended = leader.run(receiver, leaving, self.term()).await;
+        if ended == Ended::Yielded {
+            self.yields += 1;
+        }
         self.standing.send_replace(Standing::None);
         info!(self.context.log, "leading no more"; "epoch" => epoch, "reason" => %ended);
         self.view.since = clock::now();
     }
 
+    /// Returns for how long this instance leads at most.
+    fn term(&self) -> Option<Duration> {
+        let factor = 4_u32.saturating_pow(self.yields);
+        (self.distance >= FAR).then(|| FAR_TERM.saturating_mul(factor))
+    }
+
     async fn claim(&self) -> Option<(Writer, Time)> {
         let epoch = self.view.seat.as_ref().map_or(0, |seat| seat.epoch);
         let seat = Seat {
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -30,6 +30,9 @@
     timeout: Duration::from_millis(400),
 };
 
+/// How long an instance waits after it has heard that another one leads no more.
+const NOT_LEADING_PAUSE: Duration = Duration::from_millis(20);
+
 /// Who leads, as this instance knows.
 #[derive(Clone, Debug)]
 pub(super) enum Standing {
@@ -56,6 +59,8 @@
 #[derive(Clone)]
 pub(super) struct Route {
     way: watch::Receiver<Way>,
+    /// Told when the instance that is called leads no more.
+    not_leading: Arc<Notify>,
 }
 
 #[derive(Clone)]
@@ -81,7 +86,10 @@
         metrics: metrics.clone(),
     };
     tasks.spawn(keeper.run(halt.clone()));
-    Route { way }
+    Route {
+        way,
+        not_leading: Arc::default(),
+    }
 }
 
 struct Keeper {
@@ -163,7 +171,12 @@
             Way::There(link) => {
                 let frame = Frame::Call(Box::new(call));
                 match call::control(&link, &frame, wait).await? {
-                    Frame::Reply(reply) => Ok(*reply),
+                    Frame::Reply(reply) => {
+                        if *reply == Reply::NotLeading {
+                            self.not_leading.notify_one();
+                        }
+                        Ok(*reply)
+                    }
                     _ => Err(Broken::Lost),
                 }
             }
@@ -178,6 +191,13 @@
         }
     }
 
+    /// Waits until the instance that is called says that it leads no more.
+    pub(super) async fn not_leading(&self) {
+        self.not_leading.notified().await;
+        // Many calls hear it at the same moment; one look at the store is enough.
+        tokio::time::sleep(NOT_LEADING_PAUSE).await;
+    }
+
     /// Waits until the connection to the instance that leads is lost; for ever where there is none.
     pub(super) async fn lost(&mut self) {
         let sender = match &*self.way.borrow() {
