--- a/crates/server/tests/support/proxy.rs
+++ b/crates/server/tests/support/proxy.rs
@@ -100,9 +100,11 @@
     let (far_read, far_write) = far.into_split();
     let there = copy(near_read, far_write, harm.clone(), false);
     let back = copy(far_read, near_write, harm, true);
+    // Held here, since a socket closes with the copy that owns its halves.
+    tokio::pin!(there, back);
     tokio::select! {
-        () = there => {}
-        () = back => {}
+        () = &mut there => {}
+        () = &mut back => {}
         // Both sockets stay open and nothing passes any more.
         _ = generation.changed() => std::future::pending().await,
     }
