A worker that was given up and comes back is listed as a known fault

Found by reading: Scheduler::bury leaves the worker's number in by_id, and enter takes an entry of the same life for one that is attached. returned_worker::same_life fails.

--- /dev/null
+++ b/crates/decide/tests/returned_worker.rs
@@ -0,0 +1,40 @@
+//! A worker that was given up is used again when it is back.
+
+#[path = "support/batch/bench.rs"]
+mod bench;
+
+use azurepath_decide::batch::Action;
+use azurepath_decide::batch::fleet::Contact;
+use bench::{Bench, entry};
+
+/// Gives the worker up: it has left the registry, does not answer, and its lease has expired.
+fn abandon(bench: &mut Bench) {
+    bench.scheduler.list(Vec::new());
+    bench.scheduler.silent(0);
+    bench.scheduler.write_off(0);
+    assert!(bench.scheduler.is_abandoned(0));
+    bench.scheduler.bury(0);
+    bench.advance();
+}
+
+#[test]
+fn same_life() {
+    let mut bench = Bench::new();
+    abandon(&mut bench);
+    // It was only cut off: the life that comes back is the one that was given up.
+    bench.scheduler.list(vec![entry()]);
+    let attaches = |action: &Action| matches!(action, Action::Attach { .. });
+    assert!(bench.advance().iter().any(attaches));
+}
+
+#[test]
+fn next_life() {
+    let mut bench = Bench::new();
+    abandon(&mut bench);
+    let mut next = entry();
+    next.born_ms = 2;
+    bench.scheduler.list(vec![next]);
+    let attached = Action::Attach { worker: 1 };
+    assert!(bench.advance().contains(&attached));
+    assert_eq!(bench.scheduler.worker(0).contact, Contact::Gone);
+}
--- /dev/null
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -0,0 +1,153 @@
+//! A scheduler of jobs with one worker, driven call by call.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::batch::config::{Config, Queue};
+use azurepath_decide::batch::fleet::{Entry, Standing};
+use azurepath_decide::batch::record::Stored;
+use azurepath_decide::batch::report::{End, Report};
+use azurepath_decide::batch::scheduler::{Scheduler, Setup};
+use azurepath_decide::batch::spec::{Spec, Step};
+use azurepath_decide::batch::{Action, Attempt, JobId, Started};
+use azurepath_decide::name::Name;
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+
+/// The only job.
+pub const JOB: JobId = JobId(7);
+
+/// A scheduler with one worker, and the time.
+pub struct Bench {
+    pub scheduler: Scheduler,
+    millis: u64,
+}
+
+/// The worker's entry in the registry.
+pub fn entry() -> Entry {
+    Entry {
+        id: Name::from("w"),
+        pool: Name::from("pool"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: Name::from("a"),
+        rack: Name::from("r"),
+        labels: Vec::new(),
+        capacity: Size {
+            millicores: 8_000,
+            memory_mib: 8_000,
+            accelerators: 0,
+            slots: u64::MAX,
+        },
+        standing: Standing::Ready,
+        born_ms: 1,
+    }
+}
+
+impl Bench {
+    pub fn new() -> Bench {
+        let queue = Queue {
+            name: Name::from("checks"),
+            host: Name::from(""),
+            prefix: Name::from("/checks/"),
+            pool: Name::from("pool"),
+            priority: 0,
+            attempts: 1,
+            stretch: 2.0,
+            objective: Duration::from_secs(1),
+            advice: None,
+            open: true,
+        };
+        let config = Arc::new(Config {
+            version: 1,
+            queues: vec![queue],
+            accounts: Vec::new(),
+        });
+        let setup = Setup {
+            epoch: 1,
+            origin_ms: 0,
+            write_off: Duration::ZERO,
+        };
+        let now = Time::from_millis(1_000);
+        let mut bench = Bench {
+            scheduler: Scheduler::new(setup, now, config, Stored::default()),
+            millis: 1_000,
+        };
+        bench.scheduler.list(vec![entry()]);
+        bench.store();
+        bench.report(Vec::new());
+        bench
+    }
+
+    pub fn advance(&mut self) -> Vec<Action> {
+        self.millis += 10;
+        let mut actions = Vec::new();
+        let now = Time::from_millis(self.millis);
+        self.scheduler.advance(now, &mut actions);
+        actions
+    }
+
+    pub fn store(&mut self) {
+        while self.scheduler.write(50).is_some() {
+            self.scheduler.written();
+        }
+    }
+
+    pub fn report(&mut self, ended: Vec<End>) {
+        let report = Report {
+            clock_ms: self.millis,
+            born_ms: 1,
+            running: Vec::new(),
+            ended,
+        };
+        self.scheduler.report(0, &report);
+    }
+
+    /// Submits a job of one task and lets it start.
+    pub fn start(&mut self) -> Attempt {
+        let step = Step {
+            count: 1,
+            size: Size {
+                millicores: 1_000,
+                memory_mib: 1_000,
+                accelerators: 0,
+                slots: 0,
+            },
+            estimate: Duration::from_secs(1),
+            after: Vec::new(),
+            gang: false,
+            same_rack: false,
+            label: None,
+            near: None,
+            most_on_worker: None,
+        };
+        let spec = Spec {
+            payload: Name::from("work"),
+            steps: vec![step],
+        };
+        self.scheduler
+            .submit(1, JOB, &Name::from("checks"), None, spec);
+        self.store();
+        let actions = self.advance();
+        let start = actions.iter().find_map(|action| match action {
+            Action::Start { attempt, .. } => Some(*attempt),
+            _ => None,
+        });
+        let attempt = start.expect("it starts");
+        self.scheduler.started(0, attempt, Started::Running, 0);
+        attempt
+    }
+
+    /// Returns the highest acknowledgement among actions.
+    pub fn acknowledged(&mut self) -> u64 {
+        let numbers = self
+            .advance()
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Acknowledge { number, .. } => Some(number),
+                _ => None,
+            });
+        numbers.max().unwrap_or(0)
+    }
+}
