One way to end a job, to draft a placing and to tell an open question

The end of a job stood twice (finish, finish_done), the bookkeeping of tasks about to start twice (place_tasks, fit_gang), the test for an open question five times, a gang's lookup three times, the scan of open workers three times.

--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -201,6 +201,12 @@
             .all(|&earlier| self.steps[usize::from(earlier)].left == 0)
     }
 
+    /// Tells whether a step's tasks work only together.
+    pub fn is_gang(&self, step: usize) -> bool {
+        let spec = self.spec.as_ref();
+        spec.is_some_and(|spec| spec.steps.get(step).is_some_and(|step| step.gang))
+    }
+
     /// Finds a task.
     pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         let step = self.steps.get_mut(usize::from(id.step.step))?;
--- a/crates/decide/src/batch/journal.rs
+++ b/crates/decide/src/batch/journal.rs
@@ -52,9 +52,4 @@
     pub(super) fn is_waiting(&self, job: JobId) -> bool {
         self.waiting.contains_key(&job)
     }
-
-    /// Tells whether a write is under way or due.
-    pub(super) fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.writing.is_none()
-    }
 }
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -26,8 +26,9 @@
 use super::record::{Batch, Record, Stored};
 use super::{Attempt, JobId, State, StepId};
 
+use place::Account;
+
 pub use dump::Dump;
-pub use place::Account;
 
 /// The runs that one scheduler may number before the numbers of its successor begin.
 const RUNS_PER_EPOCH: u64 = 1_000;
@@ -220,11 +221,6 @@
         alive.map(|worker| worker.entry.clone()).collect()
     }
 
-    /// Tells whether everything that changed is stored.
-    pub fn is_stored(&self) -> bool {
-        self.journal.is_idle()
-    }
-
     /// Drops jobs whose final state was shown long enough.
     fn forget(&mut self) {
         while let Some(first) = self.ended.first_entry() {
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::time::Time;
+
 use super::super::StepId;
 use super::super::advice::{Advice, Question, SLOW};
 use super::super::config::{Advised, Queue};
@@ -36,8 +38,13 @@
 const WORKERS: usize = 100;
 
 impl job::Advice {
+    /// Tells whether an answer to a question is waited for.
+    pub(super) fn is_asking(&self, now: Time) -> bool {
+        self.open_until.is_some_and(|until| until > now)
+    }
+
     /// Tells whether a ticket for a worker still holds.
-    pub(super) fn holds(&self, worker: usize, now: crate::time::Time) -> bool {
+    pub(super) fn holds(&self, worker: usize, now: Time) -> bool {
         self.tickets
             .get(&worker)
             .is_some_and(|ticket| ticket.until > now)
@@ -50,7 +57,7 @@
         !self.advice_of(id).tickets.is_empty()
     }
 
-    fn advice_of(&self, id: StepId) -> &job::Advice {
+    pub(super) fn advice_of(&self, id: StepId) -> &job::Advice {
         &self.jobs[&id.job].steps[usize::from(id.step)].advice
     }
 
@@ -59,8 +66,7 @@
         let Some(advised) = queue.advice else {
             return false;
         };
-        let open = self.advice_of(id).open_until;
-        if open.is_some_and(|until| until > self.now) {
+        if self.advice_of(id).is_asking(self.now) {
             return false;
         }
         let slow = duration(&advised, ASKED_AT_LEAST) > SLOW;
@@ -69,8 +75,7 @@
 
     /// Asks for the first time; returns whether a question is open.
     pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) -> bool {
-        let open = self.advice_of(id).open_until;
-        if open.is_some_and(|until| until > self.now) {
+        if self.advice_of(id).is_asking(self.now) {
             return true;
         }
         if !self.may_ask(id, queue) {
@@ -150,12 +155,7 @@
             return;
         };
         let now = self.now;
-        if workers.is_empty()
-            || self
-                .advice_of(id)
-                .open_until
-                .is_some_and(|until| until > now)
-        {
+        if workers.is_empty() || self.advice_of(id).is_asking(now) {
             return;
         }
         let distinct: BTreeSet<usize> = workers.iter().copied().take(WORKERS).collect();
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -125,10 +125,7 @@
             return;
         };
         let number = usize::from(attempt.task.step.step);
-        let gang = job
-            .spec
-            .as_ref()
-            .is_some_and(|spec| spec.steps[number].gang);
+        let gang = job.is_gang(number);
         let step = &mut job.steps[number];
         if gang {
             // One member's end stands for all; the others' rooms are freed when theirs are listed.
@@ -142,27 +139,11 @@
             }
         }
         if job.steps.iter().all(|step| step.left == 0) {
-            self.finish_done(id);
+            // Members of a gang that have not listed their end yet are not stopped.
+            self.conclude(id, State::Completed);
         }
     }
 
-    /// Completes a job; members of a gang that have not listed their end yet are not stopped.
-    fn finish_done(&mut self, id: super::super::JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let state = State::Completed;
-        job.state = state;
-        let age = self.now.since(job.accepted);
-        job.settled = false;
-        job.ended = Some(self.now);
-        self.ready.remove(&id);
-        self.ended.entry(self.now).or_default().push(id);
-        self.journal.note(id, None);
-        let job = id;
-        self.note(Note::Finished { job, state, age });
-    }
-
     /// Counts a failure; a job whose task has failed too often has failed.
     fn failed(&mut self, index: usize, attempt: &Attempt) {
         let id = attempt.task.step.job;
@@ -171,10 +152,7 @@
         };
         let attempts = self.queues.get(&job.queue).map(|queue| queue.attempts);
         let number = usize::from(attempt.task.step.step);
-        let gang = job
-            .spec
-            .as_ref()
-            .is_some_and(|spec| spec.steps[number].gang);
+        let gang = job.is_gang(number);
         let step = &mut job.steps[number];
         let task = &mut step.tasks[attempt.task.index as usize];
         task.avoid = Some(index);
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -95,26 +95,33 @@
 
     /// Ends a job and stops what still runs of it.
     pub(super) fn finish(&mut self, id: JobId, state: State) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        job.state = state;
-        let age = self.now.since(job.accepted);
-        job.settled = false;
-        job.ended = Some(self.now);
         let placed = job.placed(id);
         for step in 0..job.steps.len() {
             self.unreserve(id, step);
         }
+        self.conclude(id, state);
+        for (attempt, worker) in placed {
+            self.stop(worker, attempt);
+        }
+    }
+
+    /// Notes the final state of a job, which is shown once it is stored.
+    pub(super) fn conclude(&mut self, id: JobId, state: State) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = state;
+        job.settled = false;
+        job.ended = Some(self.now);
+        let age = self.now.since(job.accepted);
         self.ready.remove(&id);
-        self.clear_earmarks(id);
         self.ended.entry(self.now).or_default().push(id);
         self.journal.note(id, None);
         let job = id;
         self.note(Note::Finished { job, state, age });
-        for (attempt, worker) in placed {
-            self.stop(worker, attempt);
-        }
     }
 
     /// Carries out what waited for a write.
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -35,7 +35,7 @@
 const EARMARKED: f64 = 0.4;
 
 /// How long room is kept for a gang that waits for tickets, beyond what the question takes.
-pub(super) const RESERVATION: Duration = Duration::from_secs(2);
+const RESERVATION: Duration = Duration::from_secs(2);
 
 /// What a worker that is emptied for a gang counts more in a choice.
 const EARMARK_PENALTY: f64 = 4.0;
@@ -54,7 +54,7 @@
 
 /// What a client account has running, and what it has sent of late.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Account {
+pub(super) struct Account {
     used: Size,
     sent: f64,
     at: Time,
@@ -67,6 +67,26 @@
     step: &'a spec::Step,
 }
 
+/// Where tasks of a step are about to start.
+#[derive(Default)]
+struct Draft {
+    /// Each task's number and worker.
+    starts: Vec<(u32, usize)>,
+    /// How many tasks of the step each worker has, those that run already included.
+    counts: BTreeMap<usize, u32>,
+    /// What the draft takes on each worker.
+    taken: BTreeMap<usize, Size>,
+}
+
+impl Draft {
+    fn add(&mut self, index: u32, worker: usize, size: &Size) {
+        self.starts.push((index, worker));
+        *self.counts.entry(worker).or_default() += 1;
+        let taken = self.taken.entry(worker).or_default();
+        *taken = taken.plus(size);
+    }
+}
+
 /// What is known while one placing goes on.
 struct Pass {
     /// The most of each resource that any worker had free when it began.
@@ -89,8 +109,7 @@
         let now = self.now;
         self.slow_questions.retain(|_, until| *until > now);
         let ranks = self.ranks();
-        let open = self.workers.iter().filter(|worker| worker.is_open(now));
-        self.marks_left = (open.count() as f64 * EARMARKED) as usize;
+        self.marks_left = (self.open().count() as f64 * EARMARKED) as usize;
         let mut pass = Pass {
             largest: self.largest_room(),
             failures: Map::default(),
@@ -135,13 +154,18 @@
         }
     }
 
+    /// Returns the workers on which tasks may be started.
+    fn open(&self) -> impl Iterator<Item = &Worker> {
+        let now = self.now;
+        self.workers
+            .iter()
+            .filter(move |worker| worker.is_open(now))
+    }
+
     /// Returns the most of each resource that any worker has free.
     fn largest_room(&self) -> Size {
-        let open = self
-            .workers
-            .iter()
-            .filter(|worker| worker.is_open(self.now));
-        open.fold(Size::ZERO, |most, worker| Size::max(&most, &worker.free))
+        self.open()
+            .fold(Size::ZERO, |most, worker| Size::max(&most, &worker.free))
     }
 
     /// Returns the steps that are due and have waiting tasks, first things first.
@@ -208,7 +232,7 @@
         Some((chain, chain.min(each * steps_after)))
     }
 
-    pub(super) fn task_time(&self, queue: &Name, step: &spec::Step) -> Duration {
+    fn task_time(&self, queue: &Name, step: &spec::Step) -> Duration {
         match self.durations.get(queue) {
             Some(durations) => durations.mean(step.estimate),
             None => step.estimate,
@@ -237,9 +261,10 @@
 
     fn place_tasks(&mut self, candidate: &Candidate<'_>) -> bool {
         let waiting = self.waiting_tasks(candidate.id);
-        let mut starts = Vec::new();
-        let mut counts = self.on_workers(candidate.id);
-        let mut taken: BTreeMap<usize, Size> = BTreeMap::new();
+        let mut draft = Draft {
+            counts: self.on_workers(candidate.id),
+            ..Draft::default()
+        };
         let mut used = Size::ZERO;
         let (mut stale, mut limited) = (false, false);
         for index in waiting {
@@ -248,28 +273,22 @@
                 limited = true;
                 break;
             }
-            let fresh = self.choose(candidate, index, &taken, &counts, true);
-            let Some(worker) = fresh else {
-                stale = self
-                    .choose(candidate, index, &taken, &counts, false)
-                    .is_some();
+            let Some(worker) = self.choose(candidate, index, &draft, true) else {
+                stale = self.choose(candidate, index, &draft, false).is_some();
                 break;
             };
-            starts.push((index, worker));
-            *counts.entry(worker).or_default() += 1;
-            let booked = taken.entry(worker).or_default();
-            *booked = booked.plus(size);
+            draft.add(index, worker, size);
             used = used.plus(size);
         }
         if stale {
             self.ask_eligible(candidate.id, candidate.queue);
-        } else if starts.is_empty() && !limited {
+        } else if draft.starts.is_empty() && !limited {
             self.ask_new(candidate.id, candidate.queue);
         }
-        if !starts.is_empty() {
-            self.start(candidate.id, &starts);
+        if !draft.starts.is_empty() {
+            self.start(candidate.id, &draft.starts);
         }
-        stale || limited || !starts.is_empty()
+        stale || limited || !draft.starts.is_empty()
     }
 
     fn place_gang(&mut self, candidate: &Candidate<'_>) -> bool {
@@ -312,7 +331,7 @@
         let step = &self.jobs[&id.job].steps[number];
         let fresh = |worker: &usize| step.advice.holds(*worker, now);
         let usable = reserved.iter().all(open);
-        let asking = step.advice.open_until.is_some_and(|until| until > now);
+        let asking = step.advice.is_asking(now);
         if usable && reserved.iter().all(fresh) {
             self.unreserve(id.job, number);
             let starts: Vec<(u32, usize)> = (0..).zip(reserved.iter().copied()).collect();
@@ -328,10 +347,7 @@
     fn reserve(&mut self, candidate: &Candidate<'_>, workers: Vec<usize>) {
         let id = candidate.id;
         self.ask_some(id, candidate.queue, &workers);
-        let open = self.jobs[&id.job].steps[usize::from(id.step)]
-            .advice
-            .open_until;
-        if open.is_none_or(|until| until <= self.now) {
+        if !self.advice_of(id).is_asking(self.now) {
             // No instance is free to ask: the room is of more use to others.
             return;
         }
@@ -369,17 +385,12 @@
         waiting: &[u32],
         fresh: bool,
     ) -> Option<Vec<(u32, usize)>> {
-        let mut starts = Vec::with_capacity(waiting.len());
-        let mut counts = BTreeMap::new();
-        let mut taken: BTreeMap<usize, Size> = BTreeMap::new();
+        let mut draft = Draft::default();
         for &index in waiting {
-            let worker = self.choose(candidate, index, &taken, &counts, fresh)?;
-            starts.push((index, worker));
-            *counts.entry(worker).or_default() += 1;
-            let booked = taken.entry(worker).or_default();
-            *booked = booked.plus(&candidate.step.size);
+            let worker = self.choose(candidate, index, &draft, fresh)?;
+            draft.add(index, worker, &candidate.step.size);
         }
-        Some(starts)
+        Some(draft.starts)
     }
 
     /// Has workers emptied for a gang that finds no room: those with the most room now.
@@ -419,21 +430,12 @@
         }
     }
 
-    pub(super) fn clear_earmarks(&mut self, id: JobId) {
-        for worker in &mut self.workers {
-            if worker.earmark == Some(id) {
-                worker.earmark = None;
-            }
-        }
-    }
-
     /// Finds the worker on which a task leaves the least usable room behind.
     fn choose(
         &self,
         candidate: &Candidate<'_>,
         index: u32,
-        taken: &BTreeMap<usize, Size>,
-        counts: &BTreeMap<usize, u32>,
+        draft: &Draft,
         fresh: bool,
     ) -> Option<usize> {
         let step = candidate.step;
@@ -449,11 +451,11 @@
             if worker.earmark.is_some_and(|job| job != candidate.id.job) && !candidate.is_urgent() {
                 return;
             }
-            let count = counts.get(&number).copied().unwrap_or(0);
+            let count = draft.counts.get(&number).copied().unwrap_or(0);
             if step.most_on_worker.is_some_and(|most| count >= most) {
                 return;
             }
-            let free = match taken.get(&number) {
+            let free = match draft.taken.get(&number) {
                 Some(taken) => worker.free.minus(taken),
                 None => worker.free,
             };
@@ -640,11 +642,8 @@
     }
 
     fn open_capacity(&self) -> Size {
-        let open = self
-            .workers
-            .iter()
-            .filter(|worker| worker.is_open(self.now));
-        open.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
+        self.open()
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
     }
 }
 
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -184,10 +184,7 @@
             return;
         };
         let number = usize::from(id.step);
-        let gang = job
-            .spec
-            .as_ref()
-            .is_some_and(|spec| spec.steps[number].gang);
+        let gang = job.is_gang(number);
         if !gang {
             return;
         }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::super::event::{Action, Note};
-use super::super::fleet::{Contact, Entry, Standing, Worker};
+use super::super::fleet::{Contact, Entry, Worker};
 use super::super::job::{Phase, Place};
 use super::super::report::Report;
 use super::super::{Attempt, JobId, State};
@@ -242,9 +242,4 @@
             self.note(note);
         }
     }
-
-    /// Tells whether a worker is about to leave.
-    pub fn is_draining(&self, index: usize) -> bool {
-        self.workers[index].entry.standing == Standing::Draining
-    }
 }
