--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Takes in what became of an order, which no worker carries out after `until_ms` of its clock.
-    pub fn started(&mut self, worker: usize, attempt: Attempt, started: Started, until_ms: u64) {
+    /// Takes in what became of an order, which no worker carries out after `expires_ms` of its clock.
+    pub fn started(&mut self, worker: usize, attempt: Attempt, started: Started, expires_ms: u64) {
         let id = attempt.task.step;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
@@ -124,8 +124,8 @@
                 self.order_again(worker, attempt, checkpoint);
             }
             // An earlier order that was not answered may have started it.
-            Started::Lost => *phase = Phase::Doubtful(until_ms),
-            Started::Refused(_) if orders > 1 => *phase = Phase::Doubtful(until_ms),
+            Started::Lost => *phase = Phase::Doubtful(expires_ms),
+            Started::Refused(_) if orders > 1 => *phase = Phase::Doubtful(expires_ms),
             Started::Refused(refusal) => self.refused(worker, attempt, refusal),
         }
     }
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -321,11 +321,11 @@
             }
             Message::Replaced(worker) => self.scheduler.bury(worker),
             Message::Superseded => self.resigned = true,
-            Message::Started(worker, attempt, started, until_ms) => {
+            Message::Started(worker, attempt, started, expires_ms) => {
                 if started == Started::Lost {
                     self.context.counts.lost_orders.add(1, &[]);
                 }
-                self.scheduler.started(worker, attempt, started, until_ms);
+                self.scheduler.started(worker, attempt, started, expires_ms);
             }
             Message::Registry(entries) => self.scheduler.list(entries),
             // Whoever asked may have gone.
@@ -446,7 +446,7 @@
                 Start {
                     attempt,
                     payload,
-                    until_ms: 0,
+                    expires_ms: 0,
                     epoch: self.epoch,
                     checkpoint,
                     ticket,
@@ -509,18 +509,18 @@
         self.tasks.spawn(async move {
             let attempt = start.attempt;
             let refused = Started::Refused(azurepath_decide::batch::Refusal::Late);
-            let (started, until_ms) = match clock {
+            let (started, expires_ms) = match clock {
                 Some((millis, at)) if authority.holds() => {
                     let since = at.elapsed() + ORDER_VALIDITY;
-                    start.until_ms = millis + u64::try_from(since.as_millis()).unwrap_or(0);
+                    start.expires_ms = millis + u64::try_from(since.as_millis()).unwrap_or(0);
                     let started = workers.start(&endpoint, &start, ORDER_TIMEOUT).await;
-                    (started, start.until_ms)
+                    (started, start.expires_ms)
                 }
                 // Without authority or the worker's clock, nothing is sent.
                 Some(_) | None => (refused, 0),
             };
             // Where the leader has ended, its successor finds what runs.
-            let _ = sender.send(Message::Started(worker, attempt, started, until_ms));
+            let _ = sender.send(Message::Started(worker, attempt, started, expires_ms));
         });
     }
 
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -64,18 +64,18 @@
         let mut lapsed = false;
         while !halt.is_cancelled() {
             let extend = failures == 0 && self.authority.holds();
-            let until_ms = clock.filter(|_| extend).map(|(millis, at)| {
+            let expires_ms = clock.filter(|_| extend).map(|(millis, at)| {
                 let now = millis + u64::try_from(at.elapsed().as_millis()).unwrap_or(0);
                 now + u64::try_from(self.lease.as_millis()).unwrap_or(0)
             });
-            if until_ms.is_some() {
+            if expires_ms.is_some() {
                 lapses = lapses.max(clock::now().after(surely(self.lease)));
             }
             let acknowledged = *self.acknowledged.borrow_and_update();
             let renewal = Renewal {
                 epoch: self.epoch,
                 acknowledged,
-                until_ms,
+                expires_ms,
                 // The first call only asks for the clock and for what runs.
                 wait: if clock.is_some() && failures == 0 {
                     WAIT
--- a/crates/server/src/cluster/watch.rs
+++ b/crates/server/src/cluster/watch.rs
@@ -9,13 +9,13 @@
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{CONFIGURATION, Error, OPERATOR, Page, REGISTRY, Row, Store};
 use azurepath_platform::{configuration, registry};
-use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::leader::Message;
 use super::{Context, clock};
+use crate::process::backoff;
 
 /// How long a feed waits for a change; a feed that has gone silent is found within this and its
 /// slack, which keeps a configuration within `configApplyMs`.
@@ -155,7 +155,7 @@
             Err(Error::HistoryGone) => {}
             Err(error) => {
                 dependency.note(Some(&error));
-                pause().await;
+                backoff::pause_within(u32::MAX, PAUSE).await;
             }
         }
     }
@@ -216,7 +216,7 @@
             Err(Error::HistoryGone) => continue,
             Err(error) => {
                 dependency.note(Some(&error));
-                pause().await;
+                backoff::pause_within(u32::MAX, PAUSE).await;
                 continue;
             }
         };
@@ -296,8 +296,3 @@
         !gone.is_empty()
     }
 }
-
-async fn pause() {
-    let part: f64 = rand::rng().random();
-    tokio::time::sleep(PAUSE.mul_f64(part)).await;
-}
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -15,12 +15,12 @@
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{Error, Row, Store, TRANSACTION_ENTRIES, Transaction};
 use bincode::config;
-use rand::Rng;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, warn};
 
 use super::clock;
+use crate::process::backoff;
 
 /// The table with the leader's row.
 pub(super) const TABLE: &str = "azurepath";
@@ -40,10 +40,7 @@
 /// How long a write may take before its connection counts as lost.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The longest first pause after a write that failed; it doubles with each, with full jitter.
-const PAUSE: Duration = Duration::from_millis(50);
-
-/// The longest pause.
+/// The longest pause after a write that failed: one of the leader's beats.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// The leader's row.
@@ -177,11 +174,9 @@
                     "jobs" => batch.jobs.len(), "error" => %error);
             }
             failures += 1;
-            let bound = PAUSE
-                .saturating_mul(1 << failures.min(6))
-                .min(LONGEST_PAUSE);
-            let part: f64 = rand::rng().random();
-            tokio::time::sleep(bound.mul_f64(part)).await;
+            // The first pause is drawn from twice the usual span: the store answers in milliseconds
+            // or not at all.
+            backoff::pause_within(failures + 1, LONGEST_PAUSE).await;
         }
     }
 
