A worker that was given up is attached again when the same life of it is back

Cause: the scheduler kept the number of a buried worker under its id, so the entry of the same life was taken for one that is known, and the worker stayed unused until another instance led. A worker that is given up (unlisted, silent, lease expired) now loses its number; one that was replaced keeps it. Ruled out: attaching every buried worker anew, which would bring a replaced one back for as long as the registry lags.

--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -71,10 +71,15 @@
     }
 
     /// Ends a life of a worker: nothing runs there any more.
+    ///
+    /// A worker that was only given up may have been cut off: it is attached again when it is back.
     pub fn bury(&mut self, index: usize) {
         if self.workers[index].contact == Contact::Gone {
             return;
         }
+        if self.is_abandoned(index) {
+            self.by_id.remove(&self.workers[index].entry.id);
+        }
         self.workers[index].contact = Contact::Gone;
         self.workers[index].listed = false;
         self.roster_changed = true;
