--- a/crates/decide/examples/schedule.rs
+++ b/crates/decide/examples/schedule.rs
@@ -107,6 +107,10 @@
     ages: [Vec<Duration>; 3],
     submitted: [u64; 3],
     refused: [u64; 3],
+    questions: [u64; 3],
+    asked: [Duration; 3],
+    used: f64,
+    looks: f64,
     busy: Duration,
     calls: u64,
     starts: u64,
@@ -185,6 +189,10 @@
             ages: [Vec::new(), Vec::new(), Vec::new()],
             submitted: [0; 3],
             refused: [0; 3],
+            questions: [0; 3],
+            asked: [Duration::ZERO; 3],
+            used: 0.0,
+            looks: 0.0,
             busy: Duration::ZERO,
             calls: 0,
             starts: 0,
@@ -276,7 +284,13 @@
                 self.scheduler.report(worker, &report);
             }
             Event::Written => self.scheduler.written(),
-            Event::Tick => self.at(Duration::from_millis(20), Event::Tick),
+            Event::Tick => {
+                let dump = self.scheduler.dump();
+                let free = dump.free_millicores as f64 / dump.open_millicores.max(1) as f64;
+                self.used += 1.0 - free;
+                self.looks += 1.0;
+                self.at(Duration::from_millis(20), Event::Tick);
+            }
         }
     }
 
@@ -317,6 +331,8 @@
                 Action::Ask(question) => {
                     let StepId { job, .. } = question.step;
                     let kind = self.kinds[&job];
+                    self.questions[kind] += 1;
+                    self.asked[kind] += question.takes;
                     self.at(question.takes, Event::Advised(question, kind));
                 }
                 Action::Note(note) => self.note(&note),
@@ -374,6 +390,7 @@
     let share = world.busy.as_secs_f64() / seconds as f64;
     let each = world.busy.as_micros() as f64 / world.calls as f64;
     println!("scheduler: {share:.3} of a core, {each:.1} us an event");
+    println!("processors booked: {:.3}", world.used / world.looks);
     for (kind, ages) in KINDS.iter().zip(&mut world.ages) {
         ages.sort();
         let at = |part: f64| ages.get((ages.len() as f64 * part) as usize).copied();
@@ -383,13 +400,16 @@
         let number = KINDS.iter().position(|other| other.name == kind.name);
         let number = number.unwrap_or_default();
         println!(
-            "{}: {} submitted, {} refused, {} done, {timely} on time, p50 {:?}, p95 {:?}",
+            "{}: {} submitted, {} refused, {} done, {timely} on time, p50 {:?}, p95 {:?}, \
+             {} questions that took {:?}",
             kind.name,
             world.submitted[number],
             world.refused[number],
             ages.len(),
             at(0.5).unwrap_or_default(),
             at(0.95).unwrap_or_default(),
+            world.questions[number],
+            world.asked[number],
         );
     }
     Ok(())
--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -81,6 +81,20 @@
     Lost,
 }
 
+/// What a step waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// Its account may have no more running.
+    Limit,
+    /// No worker is known yet that may run it.
+    Advice,
+    /// There is room, but its tickets have expired.
+    Tickets,
+    /// The workers that may run it have too little room.
+    Room,
+}
+
 /// A decision, with what it rests on.
 #[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -113,6 +127,21 @@
         /// When its client may come back.
         pause: Duration,
     },
+    /// A step does not start for a while; told once for each cause.
+    Waits {
+        /// The step.
+        step: StepId,
+        /// The cause.
+        cause: Cause,
+        /// How many of its tasks wait.
+        tasks: usize,
+        /// How many of them fit into the room that there is.
+        fitting: u64,
+        /// The workers that may run it, as far as known.
+        eligible: usize,
+        /// How long after its job was accepted.
+        age: Duration,
+    },
     /// Tasks of a step were ordered to start.
     Started {
         /// The step.
--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -80,8 +80,14 @@
     pub seen: u64,
     /// Ends that were taken in but are not stored yet.
     pub unstored: BTreeSet<u64>,
+    /// The scheduler's count of growths when this worker last got more room.
+    pub grown_at: u64,
     /// The job that this worker is being emptied for.
     pub earmark: Option<JobId>,
+    /// Whether a gang that finds no room may run here: what is less urgent does not start here then.
+    pub wanted: bool,
+    /// Until when a gang asks whether it may run here.
+    pub asked_until: Time,
     /// Failures of different jobs in a row.
     pub failures: BTreeSet<JobId>,
     /// Until when nothing is started there, since all that was started failed.
@@ -101,7 +107,10 @@
             strays: BTreeSet::new(),
             seen: 0,
             unstored: BTreeSet::new(),
+            grown_at: 0,
             earmark: None,
+            wanted: false,
+            asked_until: Time::default(),
             failures: BTreeSet::new(),
             shunned_until: None,
         }
@@ -117,6 +126,11 @@
             && self.shunned_until.is_none_or(|until| now >= until)
     }
 
+    /// Tells whether a gang waits for room here or asks for it.
+    pub fn is_wanted(&self, now: Time) -> bool {
+        self.wanted || self.asked_until > now
+    }
+
     /// Returns the number up to which ends are stored.
     pub fn acknowledged(&self) -> u64 {
         match self.unstored.first() {
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -1,12 +1,13 @@
 //! A job and its tasks while the scheduler drives them.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
-
 use crate::name::Name;
 use crate::time::Time;
+use std::collections::{BTreeMap, BTreeSet};
 
+use super::event::Cause;
+use super::order::Times;
 use super::record::{self, Record};
+use super::report::Running;
 use super::spec::Spec;
 use super::{Attempt, State, StepId, TaskId};
 
@@ -47,8 +48,12 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
-    /// How long the job's longest chain takes, and what is left of it from this step on.
-    pub times: Option<(Duration, Duration)>,
+    /// How long the job takes, as last worked out.
+    pub times: Option<Times>,
+    /// What it waits for, as was last told.
+    pub cause: Option<Cause>,
+    /// The scheduler's count of growths when the step last found no room.
+    pub stuck_at: Option<u64>,
     /// The workers that may run it, as far as known.
     pub advice: Advice,
     /// The highest run of any task, for gangs, whose members share it.
@@ -62,10 +67,12 @@
 /// What the advice service has said of a step.
 #[derive(Clone, Debug, Default)]
 pub struct Advice {
-    /// Workers that it was asked about, by number.
-    pub asked: BTreeSet<usize>,
+    /// Workers that it has answered about, by number.
+    pub answered: BTreeSet<usize>,
     /// Workers that may run the step, with their tickets.
     pub tickets: BTreeMap<usize, Ticket>,
+    /// The workers of the open question.
+    pub open: BTreeSet<usize>,
     /// Until when an answer to an open question is waited for.
     pub open_until: Option<Time>,
     /// When workers were last looked for that it was not asked about.
@@ -94,6 +101,10 @@
     pub ended: Vec<u64>,
     /// Its newest checkpoint.
     pub checkpoint: Option<Name>,
+    /// The part of the work that the checkpoint holds, out of 1.
+    pub saved: f64,
+    /// The part of the work that was done when the task was last seen.
+    pub progress: f64,
     /// The worker on which it failed last.
     pub avoid: Option<usize>,
 }
@@ -235,6 +246,30 @@
     }
 }
 
+impl Step {
+    /// Returns the newest checkpoint of a gang, whose members share it.
+    pub fn shared_checkpoint(&self) -> Option<Name> {
+        let saved = self.tasks.iter().filter(|task| task.checkpoint.is_some());
+        let newest = saved.max_by(|a, b| a.saved.total_cmp(&b.saved));
+        newest.and_then(|task| task.checkpoint.clone())
+    }
+
+    /// Returns the part of the work that no task that waits has to do again.
+    pub fn saved(&self, gang: bool) -> f64 {
+        let waiting = self
+            .tasks
+            .iter()
+            .filter(|task| task.place == Place::Waiting);
+        let saved = waiting.map(|task| task.saved);
+        let part = if gang {
+            saved.max_by(f64::total_cmp)
+        } else {
+            saved.min_by(f64::total_cmp)
+        };
+        part.unwrap_or(0.0).clamp(0.0, 1.0)
+    }
+}
+
 impl Task {
     fn new(record: &record::Task, run: u64) -> Task {
         Task {
@@ -247,7 +282,23 @@
             run: run.max(record.ended.iter().copied().max().unwrap_or(0)),
             ended: record.ended.clone(),
             checkpoint: record.checkpoint.clone(),
+            saved: 0.0,
+            progress: 0.0,
             avoid: None,
         }
     }
+
+    /// Takes in how far a run has come.
+    pub fn note_progress(&mut self, running: &Running) {
+        self.progress = running.progress;
+        self.note_checkpoint(running.checkpoint.as_ref());
+    }
+
+    /// Takes in the newest checkpoint of a run; it holds about what was done when it was first seen.
+    pub fn note_checkpoint(&mut self, checkpoint: Option<&Name>) {
+        if checkpoint.is_some() && checkpoint != self.checkpoint.as_ref() {
+            self.checkpoint = checkpoint.cloned();
+            self.saved = self.progress;
+        }
+    }
 }
--- a/crates/decide/src/batch/order.rs
+++ b/crates/decide/src/batch/order.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// How long a job is expected to take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// Its longest chain of steps.
+    pub chain: Duration,
+    /// What is left of the chain from a step on, less what a checkpoint holds.
+    pub rest: Duration,
+}
+
 /// The place of a step in the order; lower comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -56,7 +65,8 @@
 }
 
 /// How late a job is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Lateness {
     /// It can be on time.
     OnTime,
@@ -68,14 +78,13 @@
     Worthless,
 }
 
-/// Works out the place of a step of a job that came at `accepted`, whose longest chain takes
-/// `chain` in all and `rest` from this step on.
+/// Works out the place of a step of a job that came at `accepted`.
 pub fn rank(
     step: StepId,
     queue: &Queue,
     accepted: Time,
     excess: bool,
-    (chain, rest): (Duration, Duration),
+    Times { chain, rest }: Times,
     now: Time,
 ) -> Rank {
     let allowed = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
--- a/crates/decide/src/batch/report.rs
+++ b/crates/decide/src/batch/report.rs
@@ -5,7 +5,7 @@
 use super::Attempt;
 
 /// One report.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
     /// The worker's clock in milliseconds.
     pub clock_ms: u64,
@@ -18,12 +18,14 @@
 }
 
 /// A running task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Running {
     /// The attempt.
     pub attempt: Attempt,
     /// Its newest checkpoint.
     pub checkpoint: Option<Name>,
+    /// The part of its work that is done, out of 1.
+    pub progress: f64,
 }
 
 /// A task that has ended.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -1,10 +1,16 @@
 //! The machine that drives all jobs on all workers of the fleet.
 
+mod account;
+mod admission;
 mod ask;
 mod dump;
 mod end;
+mod gang;
 mod intake;
+mod line;
 mod place;
+mod reservation;
+mod room;
 mod start;
 mod worker;
 
@@ -20,13 +26,14 @@
 use super::config::{Config, Queue};
 use super::event::{Action, Note};
 use super::fleet::{Contact, Entry, Worker};
-use super::job::Job;
+use super::job::{Advice, Job};
 use super::journal::Journal;
 use super::order::Durations;
 use super::record::{Batch, Record, Stored};
 use super::{Attempt, JobId, State, StepId};
 
-use place::Account;
+use account::Account;
+use line::Line;
 
 pub use dump::Dump;
 
@@ -70,7 +77,10 @@
     jobs: BTreeMap<JobId, Job>,
     /// Jobs with a step that is due and has waiting tasks.
     ready: BTreeSet<JobId>,
+    line: Line,
     workers: Vec<Worker>,
+    /// Counts how often a worker has got more room.
+    growth: u64,
     by_id: BTreeMap<Name, usize>,
     accounts: BTreeMap<Name, Account>,
     durations: Map<Name, Durations>,
@@ -82,6 +92,8 @@
     stopping: BTreeMap<Attempt, (usize, Time)>,
     /// How many instances ask the advice service.
     askers: usize,
+    /// The part of the workers that may run the steps of a queue, as learnt from answers.
+    eligible: Map<Name, f64>,
     /// Slow questions that are open, with the time until which they count.
     slow_questions: BTreeMap<StepId, Time>,
     backlog: Backlog,
@@ -107,7 +119,9 @@
             config,
             jobs: BTreeMap::new(),
             ready: BTreeSet::new(),
+            line: Line::default(),
             workers: Vec::new(),
+            growth: 0,
             by_id: BTreeMap::new(),
             accounts: BTreeMap::new(),
             durations: Map::default(),
@@ -116,6 +130,7 @@
             recording: None,
             stopping: BTreeMap::new(),
             askers: 1,
+            eligible: Map::default(),
             slow_questions: BTreeMap::new(),
             backlog: Backlog::default(),
             marks_left: 0,
@@ -151,9 +166,21 @@
 
     /// Takes a newer configuration.
     pub fn configure(&mut self, config: Arc<Config>) {
-        self.queues = by_name(&config);
+        let queues = by_name(&config);
+        for job in self.jobs.values_mut() {
+            let pool = |queues: &Map<Name, Arc<Queue>>| {
+                queues.get(&job.queue).map(|queue| queue.pool.clone())
+            };
+            if pool(&queues) != pool(&self.queues) {
+                // What was asked holds for the workers of another pool.
+                for step in &mut job.steps {
+                    step.advice = Advice::default();
+                }
+            }
+        }
+        self.queues = queues;
         self.config = config;
-        self.dirty = true;
+        self.line.redraw();
     }
 
     /// Returns the state of a job, or `None` where there is no such job.
@@ -206,7 +233,7 @@
             for worker in &mut self.workers[..count] {
                 worker.recorded = true;
             }
-            self.dirty = true;
+            self.line.redraw();
         }
         for (id, deferred) in self.journal.written() {
             self.settle(id, &deferred);
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -0,0 +1,80 @@
+//! Which jobs are refused, by the work that waits.
+
+use std::time::Duration;
+
+use crate::name::Name;
+use crate::size::Size;
+
+use super::super::admission::Backlog;
+use super::super::job::Place;
+use super::super::order::Lateness;
+use super::super::spec;
+use super::Scheduler;
+
+/// When clients may come back whose queue is not known here yet.
+const UNKNOWN_QUEUE_PAUSE: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// Returns the pause after which a job may be sent again, where it is not taken now.
+    pub(super) fn refuse(
+        &mut self,
+        queue: &Name,
+        spec: &spec::Spec,
+        excess: bool,
+    ) -> Option<Duration> {
+        let Some(queue) = self.queues.get(queue).cloned() else {
+            return Some(UNKNOWN_QUEUE_PAUSE);
+        };
+        let chain = spec.longest_chain(|step| self.task_time(&queue.name, step));
+        let slack = chain.mul_f64((queue.stretch - 1.0).max(0.0)) + queue.objective;
+        let pause = self.backlog.refuse(queue.priority, slack, excess);
+        if pause.is_none() {
+            // Until the next placing, what comes counts as waiting: a burst comes in one go.
+            let priority = queue.priority;
+            let name = queue.name.clone();
+            for step in &spec.steps {
+                let time = self.task_time(&name, step);
+                let part = self.part_of_fleet(&step.size.times(u64::from(step.count)));
+                self.backlog.add(priority, part, time);
+            }
+        }
+        pause
+    }
+
+    /// Works out anew what waits, but for work that is late already: it goes last.
+    pub(super) fn measure_backlog(&mut self) {
+        self.capacity = self.open_capacity();
+        let mut backlog = Backlog::default();
+        for rank in self
+            .line
+            .ranks()
+            .filter(|rank| rank.lateness <= Lateness::Excess)
+        {
+            let Some(job) = self.jobs.get(&rank.step.job) else {
+                continue;
+            };
+            let number = usize::from(rank.step.step);
+            let Some(step) = job.spec.as_ref().map(|spec| &spec.steps[number]) else {
+                continue;
+            };
+            let tasks = job.steps[number].tasks.iter();
+            let waiting = tasks.filter(|task| task.place == Place::Waiting).count() as u64;
+            let time = self.task_time(&job.queue, step);
+            let part = self.part_of_fleet(&step.size.times(waiting));
+            backlog.add(rank.priority, part, time);
+        }
+        self.backlog = backlog;
+    }
+
+    fn part_of_fleet(&self, size: &Size) -> f64 {
+        if self.capacity.is_zero() {
+            return 0.0;
+        }
+        size.dominant(&self.capacity)
+    }
+
+    fn open_capacity(&self) -> Size {
+        self.open()
+            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
+    }
+}
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -3,6 +3,7 @@
 //! What it says of a step and a worker never changes, only the ticket expires. So a step asks about
 //! all workers once, and later only about workers that have room for it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -12,8 +13,10 @@
 use super::super::advice::{Advice, Question, SLOW};
 use super::super::config::{Advised, Queue};
 use super::super::event::Action;
+use super::super::fleet::Worker;
 use super::super::job::{self, Ticket};
 use super::Scheduler;
+use super::room::{Candidate, suits};
 
 /// How long an answer is waited for beyond what the question takes.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -27,12 +30,27 @@
 /// How often a step that finds no room looks for workers that it has not asked about.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
 
-/// How many workers are asked about for each task of a step. A third to two thirds of them may run
-/// it, and of these most are full.
-const ASKED_PER_TASK: usize = 8;
+/// How many times the room that a step needs it asks about, beyond the part of the workers that it
+/// may run on: others take some of the room while the question is asked.
+const SPARE_ROOM: f64 = 1.5;
 
-/// How many workers are asked about at least.
-const ASKED_AT_LEAST: usize = 12;
+/// What a worker counts on which there is no room now, as a part of what it could hold.
+const ROOM_TO_COME: f64 = 0.2;
+
+/// How many workers are asked about at least; so many add a third to what a question takes anyway.
+const ASKED_AT_LEAST: usize = 24;
+
+/// The part of the workers that may run a step, while nothing has been learnt of its queue.
+const ELIGIBLE: f64 = 0.3;
+
+/// The largest part of all workers that is left to gangs while they ask.
+const LEFT_TO_GANGS: f64 = 0.35;
+
+/// The least part that is reckoned with.
+const LEAST_ELIGIBLE: f64 = 0.05;
+
+/// What one more answer weighs against all earlier ones.
+const ELIGIBLE_WEIGHT: f64 = 0.1;
 
 /// The most workers of one question, as the platform documents it.
 const WORKERS: usize = 100;
@@ -74,77 +92,102 @@
     }
 
     /// Asks for the first time; returns whether a question is open.
-    pub(super) fn ask_all(&mut self, id: StepId, queue: &Queue) -> bool {
+    pub(super) fn ask_all(&mut self, candidate: &Candidate<'_>) -> bool {
+        let id = candidate.id;
         if self.advice_of(id).is_asking(self.now) {
             return true;
         }
-        if !self.may_ask(id, queue) {
+        if !self.may_ask(id, candidate.queue) {
             return false;
         }
-        let all = self.open_workers(queue);
-        let chosen = self.worth_asking(id, all);
-        self.ask_some(id, queue, &chosen);
+        let all = self.open_workers(candidate);
+        self.ask_first(candidate, all);
         true
     }
 
-    /// Chooses the workers that a step asks about: those with room first, each step beginning
-    /// elsewhere in the fleet, and no more than are likely to be needed, since each one takes time.
-    fn worth_asking(&self, id: StepId, mut workers: Vec<usize>) -> Vec<usize> {
-        let Some(step) = self.jobs[&id.job].spec.as_ref() else {
-            return workers;
-        };
-        let step = &step.steps[usize::from(id.step)];
-        let most = (step.count as usize * ASKED_PER_TASK).clamp(ASKED_AT_LEAST, WORKERS);
-        if workers.len() <= most {
-            return workers;
-        }
-        let turn = (id.job.0 % workers.len() as u64) as usize;
-        workers.rotate_left(turn);
-        // A stable sort keeps the turn among those that have room, and among the others.
-        let room = |&worker: &usize| !step.size.fits(&self.workers[worker].free);
-        workers.sort_by_key(room);
-        if step.gang {
-            // Members need rooms beside each other: the emptier, the better.
-            let free = |&worker: &usize| std::cmp::Reverse(self.workers[worker].free.millicores);
-            workers.sort_by_key(free);
-        }
-        workers.truncate(most);
-        workers
+    /// Asks about the workers that are worth it, and has others leave them to a gang meanwhile.
+    fn ask_first(&mut self, candidate: &Candidate<'_>, workers: Vec<usize>) {
+        let id = candidate.id;
+        let chosen = self.worth_asking(candidate, workers);
+        self.ask_some(id, candidate.queue, &chosen);
+        if candidate.step.gang
+            && let Some(until) = self.advice_of(id).open_until
+        {
+            let asked = |worker: &&Worker| worker.asked_until > self.now;
+            let asked = self.open().filter(asked).count();
+            let most = (self.open().count() as f64 * LEFT_TO_GANGS) as usize;
+            for worker in chosen.into_iter().take(most.saturating_sub(asked)) {
+                self.workers[worker].asked_until = until;
+            }
+        }
     }
 
-    /// Asks for new tickets of the workers that may run a step.
-    pub(super) fn ask_eligible(&mut self, id: StepId, queue: &Queue) {
-        let now = self.now;
-        let known = self.advice_of(id).tickets.keys().copied();
-        let open: Vec<usize> = known
-            .filter(|&worker| self.workers[worker].is_open(now))
-            .collect();
-        self.ask_some(id, queue, &open);
+    /// Chooses the workers that a step asks about: those with room first that no gang asks about,
+    /// each step beginning elsewhere in the fleet, and no more than are likely to be needed, since
+    /// each one takes time.
+    fn worth_asking(&self, candidate: &Candidate<'_>, mut workers: Vec<usize>) -> Vec<usize> {
+        let Candidate {
+            id, queue, step, ..
+        } = *candidate;
+        if workers.len() > 1 {
+            let turn = (id.job.0 % workers.len() as u64) as usize;
+            workers.rotate_left(turn);
+        }
+        let fitting = |worker: usize| step.size.times_within(&self.workers[worker].free);
+        // A stable sort keeps the turn among those that have the same room. Members of a gang need
+        // rooms beside each other: the emptier, the better.
+        workers.sort_by_cached_key(|&worker| {
+            let fitting = fitting(worker);
+            let asked = self.workers[worker].asked_until > self.now;
+            (
+                asked,
+                Reverse(if step.gang { fitting } else { fitting.min(1) }),
+            )
+        });
+        let eligible = self.eligible.get(&queue.name).copied().unwrap_or(ELIGIBLE);
+        let needed = f64::from(step.count) * SPARE_ROOM / eligible;
+        let mut room = 0.0;
+        let mut count = 0;
+        for &worker in &workers {
+            if room >= needed && count >= ASKED_AT_LEAST || count >= WORKERS {
+                break;
+            }
+            let capacity = step.size.times_within(&self.workers[worker].entry.capacity);
+            room += (fitting(worker) as f64).max(capacity as f64 * ROOM_TO_COME);
+            count += 1;
+        }
+        workers.truncate(count);
+        workers
     }
 
-    /// Asks about workers that came after the last question.
-    pub(super) fn ask_new(&mut self, id: StepId, queue: &Queue) {
+    /// Asks about workers of which nothing is known yet; a gang about those without room as well,
+    /// since they may be emptied for it.
+    pub(super) fn ask_new(&mut self, candidate: &Candidate<'_>) {
+        let id = candidate.id;
         let now = self.now;
         let due = self.advice_of(id).looked.after(LOOK_AGAIN);
-        if now < due || !self.may_ask(id, queue) {
+        if now < due || !self.may_ask(id, candidate.queue) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.steps[usize::from(id.step)].advice.looked = now;
         }
-        let asked = &self.advice_of(id).asked;
-        let open = self.open_workers(queue);
-        let new: Vec<usize> = open
-            .into_iter()
-            .filter(|worker| !asked.contains(worker))
-            .collect();
-        self.ask_some(id, queue, &new);
+        let answered = &self.advice_of(id).answered;
+        let size = &candidate.step.size;
+        let useful = |worker: &usize| {
+            !answered.contains(worker)
+                && (candidate.step.gang || size.fits(&self.workers[*worker].free))
+        };
+        let mut new = self.open_workers(candidate);
+        new.retain(useful);
+        self.ask_first(candidate, new);
     }
 
-    fn open_workers(&self, queue: &Queue) -> Vec<usize> {
+    /// Returns the workers that a step may run on, but for room and advice.
+    fn open_workers(&self, candidate: &Candidate<'_>) -> Vec<usize> {
         let fits = |&index: &usize| {
             let worker = &self.workers[index];
-            worker.is_open(self.now) && worker.entry.pool == queue.pool
+            worker.is_open(self.now) && suits(worker, candidate.queue, candidate.step)
         };
         (0..self.workers.len()).filter(fits).collect()
     }
@@ -175,7 +218,7 @@
         self.out.push(Action::Ask(question));
         if let Some(job) = self.jobs.get_mut(&id.job) {
             let advice = &mut job.steps[usize::from(id.step)].advice;
-            advice.asked.extend(distinct);
+            advice.open = distinct;
             advice.open_until = Some(now.after(takes + PATIENCE));
         }
     }
@@ -201,24 +244,50 @@
 
     /// Takes in what the service has answered; `None` where no answer came.
     pub fn advised(&mut self, id: StepId, advice: Option<&Advice>) {
-        self.dirty = true;
+        self.wait(id.job);
         self.slow_questions.remove(&id);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let validity = self.queues.get(&job.queue).and_then(|queue| queue.advice);
+        let queue = self.queues.get(&job.queue);
+        let spec = job.spec.as_ref();
+        let spec = spec.and_then(|spec| spec.steps.get(usize::from(id.step)));
+        let validity = queue.and_then(|queue| queue.advice);
         let validity = validity.map_or(Duration::ZERO, |advised| advised.validity);
         let until = now.after(validity.saturating_sub(TICKET_MARGIN));
         let Some(step) = job.steps.get_mut(usize::from(id.step)) else {
             return;
         };
-        step.advice.open_until = None;
+        let asked = std::mem::take(&mut step.advice.open);
+        if let Some(until) = step.advice.open_until.take() {
+            for &worker in &asked {
+                if self.workers[worker].asked_until == until {
+                    self.workers[worker].asked_until = now;
+                }
+            }
+        }
         let Some(advice) = advice else {
             return;
         };
+        if !asked.is_empty() && step.advice.answered.is_empty() {
+            // Later questions are about workers that were named before.
+            let part = advice.tickets.len() as f64 / asked.len() as f64;
+            let eligible = self.eligible.entry(job.queue.clone()).or_insert(part);
+            *eligible += ELIGIBLE_WEIGHT * (part - *eligible);
+            *eligible = eligible.max(LEAST_ELIGIBLE);
+        }
+        // Workers of a question that was lost are asked about again.
+        step.advice.answered.extend(asked);
         for (worker, text) in &advice.tickets {
-            if let Some(&index) = self.by_id.get(worker) {
+            // The queue may have got another pool since the question was asked.
+            let suits = |index: usize| match (queue, spec) {
+                (Some(queue), Some(spec)) => suits(&self.workers[index], queue, spec),
+                (_, _) => false,
+            };
+            if let Some(&index) = self.by_id.get(worker)
+                && suits(index)
+            {
                 let text = text.clone();
                 step.advice.tickets.insert(index, Ticket { text, until });
             }
--- a/crates/decide/src/batch/scheduler/dump.rs
+++ b/crates/decide/src/batch/scheduler/dump.rs
@@ -4,8 +4,13 @@
 
 use serde::Serialize;
 
+use crate::name::Name;
+use crate::size::Size;
+
 use super::super::job::Place;
+use super::super::order::Rank;
 use super::Scheduler;
+use super::room::Candidate;
 
 /// The state in numbers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -26,8 +31,38 @@
     pub free_millicores: u64,
     /// Thousandths of a core of workers that take tasks.
     pub open_millicores: u64,
+    /// The first steps of the line, and what they wait for.
+    pub line: Vec<Waiting>,
+}
+
+/// A step that waits.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Waiting {
+    /// The step.
+    pub step: String,
+    /// Its queue.
+    pub queue: Name,
+    /// How late it is.
+    pub lateness: String,
+    /// How long after its job was accepted, in milliseconds.
+    pub age_ms: u64,
+    /// Its tasks that wait.
+    pub tasks: usize,
+    /// Workers that it may run on by the advice service.
+    pub eligible: usize,
+    /// Workers that have room for it.
+    pub rooms: usize,
+    /// Whether a question to the advice service is open.
+    pub asking: bool,
+    /// Workers whose room is kept for it.
+    pub reserved: usize,
+    /// Whether its job is stored.
+    pub stored: bool,
 }
 
+/// How many waiting steps are shown.
+const SHOWN: usize = 20;
+
 impl Scheduler {
     /// Returns the state in numbers.
     pub fn dump(&self) -> Dump {
@@ -61,6 +96,39 @@
                 dump.open_millicores += worker.entry.capacity.millicores;
             }
         }
+        dump.line = self
+            .line
+            .ranks()
+            .filter_map(|rank| self.waiting(rank))
+            .take(SHOWN)
+            .collect();
         dump
     }
+
+    fn waiting(&self, rank: &Rank) -> Option<Waiting> {
+        let job = self.jobs.get(&rank.step.job)?;
+        let number = usize::from(rank.step.step);
+        let step = &job.steps[number];
+        let queue = self.queues.get(&job.queue)?;
+        let candidate = Candidate {
+            id: rank.step,
+            queue,
+            step: job.spec.as_ref()?.steps.get(number)?,
+            kept: Size::ZERO,
+        };
+        let age = self.now.since(job.accepted).as_millis();
+        let tasks = self.waiting_tasks(rank.step).len();
+        (tasks > 0 && !job.state.is_final()).then(|| Waiting {
+            step: rank.step.to_string(),
+            queue: job.queue.clone(),
+            lateness: rank.lateness.to_string(),
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            tasks,
+            eligible: step.advice.tickets.len(),
+            rooms: self.rooms(&candidate).len(),
+            asking: step.advice.is_asking(self.now),
+            reserved: step.reserved.len(),
+            stored: job.stored,
+        })
+    }
 }
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -5,7 +5,7 @@
 use super::super::job::Place;
 use super::super::journal::Deferred;
 use super::super::report::{End, How};
-use super::super::{Attempt, State};
+use super::super::{Attempt, JobId, State};
 use super::Scheduler;
 
 impl Scheduler {
@@ -45,14 +45,13 @@
         task.place = Place::Waiting;
         task.run = task.run.max(end.attempt.run);
         task.ended.push(end.attempt.run);
-        if end.checkpoint.is_some() {
-            task.checkpoint.clone_from(&end.checkpoint);
-        }
+        task.note_checkpoint(end.checkpoint.as_ref());
+        job.steps[usize::from(end.attempt.task.step.step)].times = None;
         if current && let Some(size) = size {
             self.workers[index].release(&end.attempt, &size);
             self.refund(account.as_ref(), &size);
         }
-        self.dirty = true;
+        self.grow(index);
         if settled {
             return;
         }
@@ -82,10 +81,17 @@
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
         if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
-            self.ready.insert(id);
+            self.wait(id);
         }
     }
 
+    /// Notes that a job may have tasks that wait for room.
+    pub(super) fn wait(&mut self, id: JobId) {
+        self.ready.insert(id);
+        self.line.change(id);
+        self.dirty = true;
+    }
+
     /// Notes an end that is not the usual one.
     fn note_end(&mut self, index: usize, end: &End) {
         if end.how == How::Done {
@@ -184,14 +190,14 @@
         {
             task.place = Place::Waiting;
             if !over {
-                self.ready.insert(id);
+                self.wait(id);
             }
         }
         if let Some(size) = size {
             self.workers[index].release(&attempt, &size);
             self.refund(account.as_ref(), &size);
         }
-        self.dirty = true;
+        self.grow(index);
         let worker = self.workers[index].entry.id.clone();
         self.note(Note::Lost { attempt, worker });
     }
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -0,0 +1,135 @@
+//! Tasks that work only together.
+//!
+//! A gang that finds no room has workers emptied for it: only urgent tasks, which are short, are
+//! still started there. One that has room but whose tickets have expired keeps the room while it
+//! asks again.
+
+use super::super::JobId;
+use super::super::event::Cause;
+use super::Scheduler;
+use super::room::Candidate;
+
+impl Scheduler {
+    /// Places a gang; returns whether others of its queue may get on as well.
+    pub(super) fn place_gang(&mut self, candidate: &Candidate<'_>) -> bool {
+        let id = candidate.id;
+        let count = u64::from(candidate.step.count);
+        let waiting = self.waiting_tasks(id);
+        if (waiting.len() as u64) < count {
+            return true;
+        }
+        let allowed = self.allowed_tasks(id.job, &candidate.step.size, &candidate.kept);
+        if allowed < count {
+            self.note_cause(id, Cause::Limit, allowed);
+            return true;
+        }
+        let number = usize::from(id.step);
+        let reserved = self.jobs[&id.job].steps[number].reserved.clone();
+        if !reserved.is_empty() {
+            self.start_reserved(candidate, &reserved);
+            return true;
+        }
+        let rooms = self.rooms(candidate);
+        if rooms.count() < count {
+            // This holds back only what comes later in the order, so late gangs may do so as well:
+            // wide ones would never find room otherwise.
+            self.note_cause(id, Cause::Room, rooms.count());
+            self.earmark(candidate);
+            self.ask_new(candidate);
+            return false;
+        }
+        let starts = rooms.assign(&waiting, true);
+        if starts.len() == waiting.len() {
+            self.start(id, &starts);
+            self.unmark(id.job);
+        } else {
+            self.note_cause(id, Cause::Tickets, rooms.count());
+            let starts = rooms.assign(&waiting, false);
+            self.reserve(
+                candidate,
+                starts.into_iter().map(|(_, worker)| worker).collect(),
+            );
+        }
+        true
+    }
+
+    /// Starts a gang whose room is kept, once all its tickets hold.
+    fn start_reserved(&mut self, candidate: &Candidate<'_>, reserved: &[usize]) {
+        let id = candidate.id;
+        let number = usize::from(id.step);
+        let now = self.now;
+        let open = |&worker: &usize| self.workers[worker].is_open(now);
+        let step = &self.jobs[&id.job].steps[number];
+        let fresh = |worker: &usize| step.advice.holds(*worker, now);
+        let usable = reserved.iter().all(open);
+        let asking = step.advice.is_asking(now);
+        if usable && reserved.iter().all(fresh) {
+            self.unreserve(id.job, number);
+            let starts: Vec<(u32, usize)> = (0..).zip(reserved.iter().copied()).collect();
+            self.start(id, &starts);
+            self.unmark(id.job);
+        } else if !usable || (step.reserved_until <= now && !asking) {
+            self.unreserve(id.job, number);
+            self.line.change(id.job);
+        } else if !asking {
+            self.ask_some(id, candidate.queue, reserved);
+        }
+    }
+
+    /// Has workers emptied for a gang that finds no room: those with the most room now.
+    fn earmark(&mut self, candidate: &Candidate<'_>) {
+        let number = usize::from(candidate.id.step);
+        let known = &self.jobs[&candidate.id.job].steps[number].advice.tickets;
+        for &worker in known.keys() {
+            self.workers[worker].wanted = true;
+        }
+        if self.marks_left == 0 {
+            return;
+        }
+        let size = &candidate.step.size;
+        let usable = |&index: &usize| {
+            let worker = &self.workers[index];
+            worker.earmark.is_none()
+                && worker.is_open(self.now)
+                && size.fits(&worker.entry.capacity)
+        };
+        let mut usable: Vec<usize> = if candidate.queue.advice.is_some() {
+            known.keys().copied().filter(usable).collect()
+        } else {
+            let suits = |&index: &usize| {
+                super::room::suits(&self.workers[index], candidate.queue, candidate.step)
+            };
+            (0..self.workers.len())
+                .filter(usable)
+                .filter(suits)
+                .collect()
+        };
+        let room = |&index: &usize| std::cmp::Reverse(self.workers[index].free.millicores);
+        usable.sort_unstable_by_key(|index| (room(index), *index));
+        let mut left = u64::from(candidate.step.count);
+        let mut chosen = Vec::new();
+        for index in usable {
+            if left == 0 || chosen.len() > self.marks_left {
+                break;
+            }
+            left = left.saturating_sub(size.times_within(&self.workers[index].entry.capacity));
+            chosen.push(index);
+        }
+        if left == 0 && chosen.len() <= self.marks_left {
+            self.marks_left -= chosen.len();
+            for index in chosen {
+                self.workers[index].earmark = Some(candidate.id.job);
+            }
+        }
+    }
+
+    /// Lets others use the workers again that were emptied for a gang.
+    fn unmark(&mut self, id: JobId) {
+        for index in 0..self.workers.len() {
+            if self.workers[index].earmark == Some(id) {
+                self.workers[index].earmark = None;
+                self.grow(index);
+            }
+        }
+    }
+}
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -71,8 +71,7 @@
             ended: None,
         };
         self.jobs.insert(id, job);
-        self.ready.insert(id);
-        self.dirty = true;
+        self.wait(id);
         self.journal.note(id, Some(Deferred::Admit));
         self.journal.note(id, Some(Deferred::Answer(call)));
     }
@@ -157,7 +156,7 @@
     }
 
     fn admitted(&mut self, id: JobId) {
-        self.dirty = true;
+        self.wait(id);
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
--- /dev/null
+++ b/crates/decide/src/batch/scheduler/line.rs
@@ -0,0 +1,149 @@
+//! The line of steps that wait for room, first things first.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::name::Name;
+use crate::time::Time;
+
+use super::super::job::{Job, Place};
+use super::super::order::{self, Rank};
+use super::super::spec::Step;
+use super::super::{JobId, StepId};
+use super::Scheduler;
+
+/// The steps that were due and had waiting tasks when the line was last drawn up, and jobs that have
+/// changed since.
+#[derive(Debug, Default)]
+pub(super) struct Line {
+    ranks: Vec<Rank>,
+    changed: BTreeSet<JobId>,
+    /// When it was last drawn up as a whole; `None` where it has to be now.
+    pub(super) drawn_at: Option<Time>,
+}
+
+impl Line {
+    /// Notes that a job has other steps that wait, or that one of them may find room now.
+    pub(super) fn change(&mut self, job: JobId) {
+        self.changed.insert(job);
+    }
+
+    /// Has all steps looked at anew.
+    pub(super) fn redraw(&mut self) {
+        self.drawn_at = None;
+    }
+
+    /// Returns the steps in their order.
+    pub(super) fn ranks(&self) -> impl Iterator<Item = &Rank> {
+        self.ranks.iter()
+    }
+}
+
+impl Scheduler {
+    /// Draws up the line of all jobs.
+    pub(super) fn draw_line(&mut self) {
+        let ready: Vec<JobId> = self.ready.iter().copied().collect();
+        let mut ranks = Vec::with_capacity(self.line.ranks.len());
+        for job in ready {
+            self.rank_job(job, &mut ranks);
+        }
+        ranks.sort_unstable();
+        self.line = Line {
+            ranks,
+            changed: BTreeSet::new(),
+            drawn_at: Some(self.now),
+        };
+    }
+
+    /// Puts the jobs that have changed into their places in the line; returns them.
+    pub(super) fn amend_line(&mut self) -> BTreeSet<JobId> {
+        let changed = std::mem::take(&mut self.line.changed);
+        if changed.is_empty() {
+            return changed;
+        }
+        let mut ranks = std::mem::take(&mut self.line.ranks);
+        ranks.retain(|rank| !changed.contains(&rank.step.job));
+        for &job in &changed {
+            if self.ready.contains(&job) {
+                self.rank_job(job, &mut ranks);
+            }
+        }
+        // The old ones are in order already, which the sort makes use of.
+        ranks.sort();
+        self.line.ranks = ranks;
+        changed
+    }
+
+    /// Ranks the steps of a job that are due and have waiting tasks.
+    fn rank_job(&mut self, id: JobId, ranks: &mut Vec<Rank>) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.ready.remove(&id);
+            return;
+        };
+        let held_back = job.inherited && self.is_unsettled();
+        let waiting: Vec<usize> = waiting_steps(job).collect();
+        if waiting.is_empty() {
+            self.ready.remove(&id);
+        }
+        if held_back {
+            return;
+        }
+        for number in waiting {
+            ranks.extend(self.rank(id, number));
+        }
+    }
+
+    fn rank(&mut self, id: JobId, number: usize) -> Option<Rank> {
+        let times = match self.jobs.get(&id)?.steps[number].times {
+            Some(times) => times,
+            None => {
+                let times = self.times(id, number)?;
+                self.jobs.get_mut(&id)?.steps[number].times = Some(times);
+                times
+            }
+        };
+        let job = self.jobs.get(&id)?;
+        let queue = self.queues.get(&job.queue)?;
+        let step = StepId {
+            job: id,
+            step: number as u16,
+        };
+        let (accepted, excess) = (job.accepted, job.excess);
+        Some(order::rank(step, queue, accepted, excess, times, self.now))
+    }
+
+    /// Returns how long a task of a step is expected to run.
+    pub(super) fn task_time(&self, queue: &Name, step: &Step) -> Duration {
+        match self.durations.get(queue) {
+            Some(durations) => durations.mean(step.estimate),
+            None => step.estimate,
+        }
+    }
+
+    /// Works out how long a job's longest chain takes, and what is left of it from a step on.
+    fn times(&self, id: JobId, number: usize) -> Option<order::Times> {
+        let job = self.jobs.get(&id)?;
+        let spec = job.spec.as_ref()?;
+        let each = self.task_time(&job.queue, &spec.steps[number]);
+        let chain = spec.longest_chain(|_| each);
+        let steps_after = (spec.steps.len() - number - 1) as u32;
+        let rest =
+            each.mul_f64(1.0 - job.steps[number].saved(job.is_gang(number))) + each * steps_after;
+        Some(order::Times {
+            chain,
+            rest: chain.min(rest),
+        })
+    }
+}
+
+/// Returns the steps of a job that are due and have waiting tasks.
+fn waiting_steps(job: &Job) -> impl Iterator<Item = usize> {
+    let waits = |&step: &usize| {
+        let state = &job.steps[step];
+        !job.state.is_final()
+            && state.left > 0
+            && state.tasks.iter().any(|task| task.place == Place::Waiting)
+            && job.is_due(step)
+    };
+    (0..job.steps.len()).filter(waits)
+}
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -32,7 +32,7 @@
         let account = job.account.clone();
         let age = self.now.since(job.accepted);
         let step = &mut job.steps[number];
-        let shared = step.tasks.iter().find_map(|task| task.checkpoint.clone());
+        let shared = step.shared_checkpoint();
         step.run += 1;
         let mut orders = Vec::with_capacity(tasks.len());
         for &(index, worker) in tasks {
@@ -140,13 +140,16 @@
         };
         let step = &job.steps[usize::from(id.step)];
         let gang = spec.steps[usize::from(id.step)].gang;
-        let shared = || step.tasks.iter().find_map(|task| task.checkpoint.clone());
         let ticket = step.advice.tickets.get(&worker);
         self.out.push(Action::Start {
             worker,
             attempt,
             payload: spec.payload.clone(),
-            checkpoint: if gang { shared() } else { checkpoint },
+            checkpoint: if gang {
+                step.shared_checkpoint()
+            } else {
+                checkpoint
+            },
             ticket: ticket.map(|ticket| ticket.text.clone()),
         });
     }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -6,7 +6,7 @@
 use super::super::event::{Action, Note};
 use super::super::fleet::{Contact, Entry, Worker};
 use super::super::job::{Phase, Place};
-use super::super::report::Report;
+use super::super::report::{Report, Running};
 use super::super::{Attempt, JobId, State};
 use super::Scheduler;
 
@@ -30,7 +30,7 @@
                 worker.listed = listed.contains(&worker.entry.id);
             }
         }
-        self.dirty = true;
+        self.line.redraw();
     }
 
     fn enter(&mut self, entry: Entry) {
@@ -92,7 +92,6 @@
         let worker = &mut self.workers[index];
         if worker.contact == Contact::Claimed {
             worker.contact = Contact::Silent;
-            self.dirty = true;
         }
     }
 
@@ -126,18 +125,20 @@
         }
         if worker.contact != Contact::Claimed {
             worker.contact = Contact::Claimed;
-            self.dirty = true;
+            self.line.redraw();
         }
         let strays = !std::mem::take(&mut self.workers[index].strays).is_empty();
         for running in &report.running {
-            self.runs(index, running.attempt, running.checkpoint.as_ref());
+            self.runs(index, running);
         }
         let seen = self.workers[index].seen;
         for end in report.ended.iter().filter(|end| end.number > seen) {
             self.workers[index].seen = self.workers[index].seen.max(end.number);
             self.end(index, end);
         }
-        self.dirty |= strays && self.workers[index].strays.is_empty();
+        if strays && self.workers[index].strays.is_empty() {
+            self.grow(index);
+        }
         self.settle_doubts(index, report);
         self.acknowledge(index);
     }
@@ -169,7 +170,8 @@
     }
 
     /// Takes in that an attempt runs on a worker.
-    fn runs(&mut self, index: usize, attempt: Attempt, checkpoint: Option<&crate::name::Name>) {
+    fn runs(&mut self, index: usize, running: &Running) {
+        let attempt = running.attempt;
         let id = attempt.task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else {
             self.stop_stray(index, attempt);
@@ -183,9 +185,7 @@
             self.stop_stray(index, attempt);
             return;
         };
-        if let Some(checkpoint) = checkpoint {
-            task.checkpoint = Some(checkpoint.clone());
-        }
+        task.note_progress(running);
         match &mut task.place {
             Place::On {
                 worker, run, phase, ..
--- a/crates/decide/src/size.rs
+++ b/crates/decide/src/size.rs
@@ -125,6 +125,15 @@
         }
     }
 
+    /// Returns how many times this amount fits into `room`.
+    pub fn times_within(&self, room: &Size) -> u64 {
+        let part = |need: u64, of: u64| of.checked_div(need).unwrap_or(u64::MAX);
+        part(self.millicores, room.millicores)
+            .min(part(self.memory_mib, room.memory_mib))
+            .min(part(self.accelerators, room.accelerators))
+            .min(part(self.slots, room.slots))
+    }
+
     /// Tells whether nothing is left of any resource.
     pub fn is_zero(&self) -> bool {
         *self == Size::ZERO
--- a/crates/decide/tests/batch_order.rs
+++ b/crates/decide/tests/batch_order.rs
@@ -4,11 +4,17 @@
 
 use azurepath_decide::batch::admission::Backlog;
 use azurepath_decide::batch::config::Queue;
-use azurepath_decide::batch::order::{Durations, Lateness, rank};
+use azurepath_decide::batch::order::{Durations, Lateness, Times, rank};
 use azurepath_decide::batch::{JobId, StepId};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 
+/// A job of one step of 5 s.
+const TIMES: Times = Times {
+    chain: Duration::from_secs(5),
+    rest: Duration::from_secs(5),
+};
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -39,13 +45,12 @@
 fn lateness() {
     // A job of 5 s may take 11 s in all, so it has to start within 6 s.
     let at = |now: u64, excess| {
-        let times = (seconds(5), seconds(5));
         rank(
             step(1),
             &queue(1),
             Time::default(),
             excess,
-            times,
+            TIMES,
             Time::from_millis(now),
         )
         .lateness
@@ -60,10 +65,9 @@
 #[test]
 fn order() {
     let now = Time::from_millis(7_000);
-    let times = (seconds(5), seconds(5));
     let make = |job, priority, accepted| {
         let accepted = Time::from_millis(accepted);
-        rank(step(job), &queue(priority), accepted, false, times, now)
+        rank(step(job), &queue(priority), accepted, false, TIMES, now)
     };
     let mut ranks = [
         make(1, 0, 0),
--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -45,20 +45,61 @@
     }
 }
 
+/// The only queue.
+pub fn queue() -> Queue {
+    Queue {
+        name: Name::from("checks"),
+        host: Name::from(""),
+        prefix: Name::from("/checks/"),
+        pool: Name::from("pool"),
+        priority: 0,
+        attempts: 1,
+        stretch: 2.0,
+        objective: Duration::from_secs(1),
+        advice: None,
+        open: true,
+    }
+}
+
+/// A job of one task of one core.
+pub fn single() -> Spec {
+    let step = Step {
+        count: 1,
+        size: Size {
+            millicores: 1_000,
+            memory_mib: 1_000,
+            accelerators: 0,
+            slots: 0,
+        },
+        estimate: Duration::from_secs(1),
+        after: Vec::new(),
+        gang: false,
+        same_rack: false,
+        label: None,
+        near: None,
+        most_on_worker: None,
+    };
+    Spec {
+        payload: Name::from("work"),
+        steps: vec![step],
+    }
+}
+
+/// A job of tasks that work only together.
+pub fn gang(count: u32, millicores: u64) -> Spec {
+    let mut spec = single();
+    spec.steps[0].count = count;
+    spec.steps[0].gang = true;
+    spec.steps[0].size.millicores = millicores;
+    spec
+}
+
 impl Bench {
     pub fn new() -> Bench {
-        let queue = Queue {
-            name: Name::from("checks"),
-            host: Name::from(""),
-            prefix: Name::from("/checks/"),
-            pool: Name::from("pool"),
-            priority: 0,
-            attempts: 1,
-            stretch: 2.0,
-            objective: Duration::from_secs(1),
-            advice: None,
-            open: true,
-        };
+        Bench::with_queue(queue())
+    }
+
+    pub fn with_queue(queue: Queue) -> Bench {
         let config = Arc::new(Config {
             version: 1,
             queues: vec![queue],
@@ -95,40 +136,35 @@
     }
 
     pub fn report(&mut self, ended: Vec<End>) {
-        let report = Report {
+        let report = self.says(ended);
+        self.scheduler.report(0, &report);
+    }
+
+    /// Has a worker answer that runs nothing.
+    pub fn report_of(&mut self, worker: usize) {
+        let report = self.says(Vec::new());
+        self.scheduler.report(worker, &report);
+    }
+
+    fn says(&self, ended: Vec<End>) -> Report {
+        Report {
             clock_ms: self.millis,
             born_ms: 1,
             running: Vec::new(),
             ended,
-        };
-        self.scheduler.report(0, &report);
+        }
+    }
+
+    /// Submits the job and has it stored.
+    pub fn submit(&mut self, spec: Spec) {
+        let queue = Name::from("checks");
+        self.scheduler.submit(1, JOB, &queue, None, spec);
+        self.store();
     }
 
     /// Submits a job of one task and lets it start.
     pub fn start(&mut self) -> Attempt {
-        let step = Step {
-            count: 1,
-            size: Size {
-                millicores: 1_000,
-                memory_mib: 1_000,
-                accelerators: 0,
-                slots: 0,
-            },
-            estimate: Duration::from_secs(1),
-            after: Vec::new(),
-            gang: false,
-            same_rack: false,
-            label: None,
-            near: None,
-            most_on_worker: None,
-        };
-        let spec = Spec {
-            payload: Name::from("work"),
-            steps: vec![step],
-        };
-        self.scheduler
-            .submit(1, JOB, &Name::from("checks"), None, spec);
-        self.store();
+        self.submit(single());
         let actions = self.advance();
         let start = actions.iter().find_map(|action| match action {
             Action::Start { attempt, .. } => Some(*attempt),
--- a/crates/decide/tests/support/batch/worker.rs
+++ b/crates/decide/tests/support/batch/worker.rs
@@ -152,6 +152,7 @@
                 run: task.run,
             },
             checkpoint: None,
+            progress: 0.0,
         });
         Some(Report {
             clock_ms: self.clock_ms(now),
--- a/crates/server/src/cluster/note.rs
+++ b/crates/server/src/cluster/note.rs
@@ -40,6 +40,18 @@
                 "wait_ms" => wait.as_millis() as u64,
                 "retry_after_ms" => pause.as_millis() as u64, "epoch" => epoch);
         }
+        Note::Waits {
+            step,
+            cause,
+            tasks,
+            fitting,
+            eligible,
+            age,
+        } => {
+            info!(log, "step waits"; "step" => %step, "cause" => %cause, "tasks" => tasks,
+                "fitting" => fitting, "eligible" => eligible,
+                "age_ms" => age.as_millis() as u64, "epoch" => epoch);
+        }
         Note::Started {
             step,
             run,
--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -19,13 +19,20 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::cluster::{cancel, id, state, submit};
-use support::{Process, until};
+use support::Process;
+use support::cluster::{address, cancel, id, state, submit};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 /// Seeds of a usual run. Add each seed that ever failed, with a line on the cause.
-const SEEDS: [u64; 2] = [1, 2];
+///
+/// 38 (as 13, 19 and 26 before): a gang waited for ever, since the workers of a question whose answer
+/// was lost counted as asked about. Whether a seed meets it depends on timing; `lost_advice` in
+/// `azurepath-decide` always does.
+const SEEDS: [u64; 3] = [1, 2, 38];
+
+/// How long after the faults the last job may be over.
+const PATIENCE: Duration = Duration::from_secs(120);
 
 /// For how long faults come.
 const SPAN: Duration = Duration::from_secs(10);
@@ -111,6 +118,32 @@
         Ok(())
     }
 
+    /// Prints the state of the instances, and what they have logged of a job and of what they
+    /// depend on.
+    async fn tell(&self, id: &str) {
+        for slot in &self.slots {
+            let (events, metrics) = {
+                let slot = slot.lock().expect("no panic under the lock");
+                let Some(process) = &*slot else {
+                    continue;
+                };
+                (process.log(), address(process, "metrics"))
+            };
+            if let Ok(metrics) = metrics
+                && let Ok(dump) = support::get(metrics, "/dump").await
+            {
+                eprintln!("{}", dump.text());
+            }
+            for event in events {
+                let event = event.to_string();
+                let general = ["leading", "worker ", "write failed", "dependency"];
+                if event.contains(id) || general.iter().any(|word| event.contains(word)) {
+                    eprintln!("{event}");
+                }
+            }
+        }
+    }
+
     fn signal(&self, index: usize, name: &str) {
         if let Some(process) = &*self.slots[index].lock().expect("no panic under the lock") {
             process.signal(name).expect("it lives");
@@ -327,15 +360,23 @@
         .accepted
         .clone();
     let mut broken = std::mem::take(&mut told.lock().expect("no panic under the lock").broken);
+    let last = Instant::now() + PATIENCE;
     for id in &accepted {
-        until(async || {
-            let Some(at) = at(0) else {
-                return false;
+        loop {
+            let seen = match at(0) {
+                Some(at) => state(at, id).await,
+                None => None,
             };
-            let state = state(at, id).await;
-            matches!(state.as_deref(), Some("completed" | "cancelled"))
-        })
-        .await;
+            if matches!(seen.as_deref(), Some("completed" | "cancelled")) {
+                break;
+            }
+            if Instant::now() > last {
+                broken.push(format!("{id}: accepted, and shown as {seen:?} to the last"));
+                soak.tell(id).await;
+                break;
+            }
+            sleep(millis(10)).await;
+        }
     }
     let told = told.lock().expect("no panic under the lock");
     let runs: Vec<_> = soak
