--- a/crates/decide/src/batch/advice.rs
+++ b/crates/decide/src/batch/advice.rs
@@ -14,6 +14,7 @@
 use crate::time::Time;
 
 use super::StepId;
+use super::order::Lateness;
 
 /// A question that takes longer is slow.
 pub(super) const SLOW: Duration = Duration::from_millis(200);
@@ -33,10 +34,23 @@
     pub workers: Vec<Name>,
     /// How long the service is expected to take.
     pub takes: Duration,
-    /// Lower numbers are asked first.
+    /// How late its job is.
+    pub lateness: Lateness,
+    /// The priority of its queue; lower numbers are asked first among those that are as late.
     pub priority: u32,
 }
 
+impl Question {
+    /// Tells whether the service takes long for it.
+    pub fn is_slow(&self) -> bool {
+        self.takes > SLOW
+    }
+
+    fn rank(&self) -> (Lateness, u32) {
+        (self.lateness, self.priority)
+    }
+}
+
 /// The answer: each worker that may run the step, with its ticket.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
@@ -64,14 +78,14 @@
 impl Desk {
     /// Adds a question.
     pub fn add(&mut self, question: Question) {
-        let queue = if question.takes > SLOW {
+        let queue = if question.is_slow() {
             &mut self.slow
         } else {
             &mut self.quick
         };
         let behind = queue
             .iter()
-            .position(|other| other.priority > question.priority);
+            .position(|other| other.rank() > question.rank());
         queue.insert(behind.unwrap_or(queue.len()), question);
     }
 
@@ -88,14 +102,13 @@
 
     /// Gives a question to an instance that has nothing to ask.
     pub fn take(&mut self, instance: &Name, now: Time) -> Option<Question> {
-        if let Some(question) = self.quick.pop_front() {
-            return Some(question);
-        }
-        let busy = |asker: &&Asker| asker.slow_until.is_some_and(|until| until > now);
-        let slow = self.askers.values().filter(busy).count();
-        let most = (self.askers.len() - self.askers.len() / KEPT_FREE).max(1);
-        if slow >= most {
-            return None;
+        let rank = |queue: &VecDeque<Question>| queue.front().map(Question::rank);
+        let quick = match (rank(&self.quick), rank(&self.slow)) {
+            (Some(quick), Some(slow)) => quick <= slow,
+            (quick, _) => quick.is_some(),
+        };
+        if quick || !self.may_take_slow(now) {
+            return self.quick.pop_front();
         }
         let question = self.slow.pop_front()?;
         if let Some(asker) = self.askers.get_mut(instance) {
@@ -104,6 +117,14 @@
         Some(question)
     }
 
+    /// Tells whether one more instance may ask a slow question.
+    fn may_take_slow(&self, now: Time) -> bool {
+        let busy = |asker: &&Asker| asker.slow_until.is_some_and(|until| until > now);
+        let slow = self.askers.values().filter(busy).count();
+        let most = (self.askers.len() - self.askers.len() / KEPT_FREE).max(1);
+        slow < most
+    }
+
     /// Returns how many instances ask questions.
     pub fn askers(&self) -> usize {
         self.askers.len()
--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -1,6 +1,6 @@
 //! The workers as the scheduler knows them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,7 @@
 use crate::size::Size;
 use crate::time::Time;
 
+use super::spec::Purpose;
 use super::{Attempt, JobId};
 
 /// A worker's entry in the registry.
@@ -72,8 +73,8 @@
     pub recorded: bool,
     /// What is not booked.
     pub free: Size,
-    /// The attempts that are booked.
-    pub attempts: BTreeSet<Attempt>,
+    /// The attempts that are booked, and what they are for.
+    pub attempts: BTreeMap<Attempt, Purpose>,
     /// What runs there unasked: it takes room until it has stopped, and nobody knows how much.
     pub strays: BTreeSet<Attempt>,
     /// The highest number of an end that was taken in.
@@ -103,7 +104,7 @@
             contact: Contact::Unclaimed,
             listed: true,
             recorded: false,
-            attempts: BTreeSet::new(),
+            attempts: BTreeMap::new(),
             strays: BTreeSet::new(),
             seen: 0,
             unstored: BTreeSet::new(),
@@ -139,16 +140,27 @@
         }
     }
 
+    /// Tells whether tasks of a purpose and what runs here would slow each other down: those that
+    /// fill the gaps are kept apart from those that serve.
+    pub fn disturbs(&self, purpose: Purpose) -> bool {
+        let mut others = self.attempts.values();
+        match purpose {
+            Purpose::Work => false,
+            Purpose::Serve => others.any(|other| other.fills()),
+            Purpose::Fill | Purpose::Background => others.any(|other| *other == Purpose::Serve),
+        }
+    }
+
     /// Books an attempt.
-    pub fn book(&mut self, attempt: Attempt, size: &Size) {
-        if self.attempts.insert(attempt) {
+    pub fn book(&mut self, attempt: Attempt, size: &Size, purpose: Purpose) {
+        if self.attempts.insert(attempt, purpose).is_none() {
             self.free = self.free.minus(size);
         }
     }
 
     /// Gives the room of an attempt back.
     pub fn release(&mut self, attempt: &Attempt, size: &Size) {
-        if self.attempts.remove(attempt) {
+        if self.attempts.remove(attempt).is_some() {
             self.free = self.free.plus(size);
         }
     }
--- a/crates/decide/src/batch/id.rs
+++ b/crates/decide/src/batch/id.rs
@@ -8,6 +8,9 @@
 /// The hexadecimal digits of a job's id.
 const DIGITS: usize = 16;
 
+/// The most steps of a job. The numbers of each occurrence's steps begin at a multiple of this.
+pub const OCCURRENCE_STEPS: u16 = 64;
+
 /// A text that names no job, step or task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("this is no id; give 16 lower-case hexadecimal digits")]
@@ -22,7 +25,8 @@
 pub struct StepId {
     /// The job.
     pub job: JobId,
-    /// The step, counted from 0.
+    /// The step, counted from 0 in the first occurrence of the job, from [`OCCURRENCE_STEPS`] in the
+    /// second, and so on.
     pub step: u16,
 }
 
@@ -52,8 +56,9 @@
 
 impl fmt::Display for StepId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        // The zero is the occurrence, of which a job has only one.
-        write!(f, "{}.0.{}", self.job, self.step)
+        let occurrence = self.step / OCCURRENCE_STEPS;
+        let step = self.step % OCCURRENCE_STEPS;
+        write!(f, "{}.{occurrence}.{step}", self.job)
     }
 }
 
@@ -84,12 +89,14 @@
         let mut parts = text.split('.');
         let mut next = || parts.next().ok_or(Invalid);
         let job = next()?.parse()?;
-        let occurrence: u32 = next()?.parse().map_err(|_| Invalid)?;
-        let step = next()?.parse().map_err(|_| Invalid)?;
+        let occurrence: u16 = next()?.parse().map_err(|_| Invalid)?;
+        let step: u16 = next()?.parse().map_err(|_| Invalid)?;
         let index = next()?.parse().map_err(|_| Invalid)?;
-        if occurrence != 0 || parts.next().is_some() {
+        if step >= OCCURRENCE_STEPS || parts.next().is_some() {
             return Err(Invalid);
         }
+        let first = occurrence.checked_mul(OCCURRENCE_STEPS).ok_or(Invalid)?;
+        let step = first + step;
         Ok(TaskId {
             step: StepId { job, step },
             index,
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -5,10 +5,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::event::Cause;
+use super::id::OCCURRENCE_STEPS;
 use super::order::Times;
 use super::record::{self, Record};
 use super::report::Running;
-use super::spec::Spec;
+use super::spec::{Purpose, Spec};
 use super::{Attempt, State, StepId, TaskId};
 
 /// A job.
@@ -50,6 +51,8 @@
     pub left: u32,
     /// How long the job takes, as last worked out.
     pub times: Option<Times>,
+    /// When its first task was ordered to start, unless one of them has failed since.
+    pub started: Option<Time>,
     /// What it waits for, as was last told.
     pub cause: Option<Cause>,
     /// The scheduler's count of growths when the step last found no room.
@@ -147,7 +150,7 @@
     pub fn from_record(record: Record, accepted: Time, run: u64) -> Job {
         let gang = |index: usize| {
             let spec = record.spec.as_ref();
-            spec.is_some_and(|spec| spec.steps.get(index).is_some_and(|step| step.gang))
+            spec.is_some_and(|spec| spec.get(index).is_some_and(|step| step.gang))
         };
         let step = |(index, tasks): (usize, &Vec<record::Task>)| {
             let done = tasks.iter().filter(|task| task.done).count();
@@ -201,21 +204,36 @@
         }
     }
 
-    /// Tells whether all steps that a step waits for are done.
-    pub fn is_due(&self, step: usize) -> bool {
+    /// Tells whether a step's time has come and all steps that it waits for are done.
+    pub fn is_due(&self, step: usize, wall_ms: u64) -> bool {
         let Some(spec) = &self.spec else {
             return false;
         };
-        let before = &spec.steps[step].after;
-        before
-            .iter()
-            .all(|&earlier| self.steps[usize::from(earlier)].left == 0)
+        let occurrence = step - step % usize::from(OCCURRENCE_STEPS);
+        let mut before = spec.step(step).after.iter();
+        wall_ms >= spec.due_ms(step)
+            && before.all(|&earlier| self.steps[occurrence + usize::from(earlier)].left == 0)
+    }
+
+    /// Tells whether tasks wait, be it for their time.
+    pub fn has_waiting(&self) -> bool {
+        let waits = |step: &Step| {
+            step.left > 0 && step.tasks.iter().any(|task| task.place == Place::Waiting)
+        };
+        !self.state.is_final() && self.steps.iter().any(waits)
+    }
+
+    /// Tells what a step's tasks are for.
+    pub fn purpose(&self, step: usize) -> Purpose {
+        let spec = self.spec.as_ref();
+        spec.and_then(|spec| spec.get(step))
+            .map_or(Purpose::Work, |step| step.purpose)
     }
 
     /// Tells whether a step's tasks work only together.
     pub fn is_gang(&self, step: usize) -> bool {
         let spec = self.spec.as_ref();
-        spec.is_some_and(|spec| spec.steps.get(step).is_some_and(|step| step.gang))
+        spec.is_some_and(|spec| spec.get(step).is_some_and(|step| step.gang))
     }
 
     /// Finds a task.
@@ -247,6 +265,28 @@
 }
 
 impl Step {
+    /// Makes the steps of a job that is new, whose runs come after `run`.
+    pub fn all(spec: &Spec, run: u64) -> Vec<Step> {
+        let task = Task {
+            run,
+            ..Task::default()
+        };
+        let step = |count: u32| Step {
+            tasks: vec![task.clone(); count as usize],
+            left: count,
+            run,
+            ..Step::default()
+        };
+        let mut steps = Vec::new();
+        for occurrence in 0..spec.occurrences() {
+            // What is left of the range of the occurrence before stays empty.
+            let first = occurrence * OCCURRENCE_STEPS;
+            steps.resize_with(usize::from(first), Step::default);
+            steps.extend(spec.steps.iter().map(|each| step(each.count)));
+        }
+        steps
+    }
+
     /// Returns the newest checkpoint of a gang, whose members share it.
     pub fn shared_checkpoint(&self) -> Option<Name> {
         let saved = self.tasks.iter().filter(|task| task.checkpoint.is_some());
--- a/crates/decide/src/batch/order.rs
+++ b/crates/decide/src/batch/order.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::Time;
 
 use super::StepId;
@@ -42,6 +44,9 @@
     }
 }
 
+/// How long after its last task's end a job is stored as completed and seen so by its client.
+const UNSEEN: Duration = Duration::from_millis(150);
+
 /// How long a job is expected to take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Times {
@@ -64,8 +69,22 @@
     pub step: StepId,
 }
 
+impl Rank {
+    /// Returns the place of a step whose tasks serve: before all work, which can wait.
+    pub fn serving(step: StepId, accepted: Time) -> Rank {
+        Rank {
+            lateness: Lateness::OnTime,
+            priority: 0,
+            latest: accepted,
+            step,
+        }
+    }
+}
+
 /// How late a job is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, strum::Display,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Lateness {
     /// It can be on time.
@@ -88,8 +107,9 @@
     now: Time,
 ) -> Rank {
     let allowed = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
-    let latest = accepted.after(allowed.saturating_sub(rest));
-    let last = accepted.after(allowed.mul_f64(WORTHLESS).saturating_sub(rest));
+    let latest = accepted.after(allowed.saturating_sub(rest + UNSEEN));
+    let last = allowed.mul_f64(WORTHLESS).saturating_sub(rest + UNSEEN);
+    let last = accepted.after(last);
     let lateness = if now > last {
         Lateness::Worthless
     } else if now > latest {
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -30,6 +30,7 @@
 use super::journal::Journal;
 use super::order::Durations;
 use super::record::{Batch, Record, Stored};
+use super::spec::Purpose;
 use super::{Attempt, JobId, State, StepId};
 
 use account::Account;
@@ -83,7 +84,10 @@
     growth: u64,
     by_id: BTreeMap<Name, usize>,
     accounts: BTreeMap<Name, Account>,
+    /// How long tasks of a queue run.
     durations: Map<Name, Durations>,
+    /// How long steps of a queue take, from the order to their last task's end.
+    spans: Map<Name, Durations>,
     journal: Journal,
     /// Whether workers have come or gone since the roster was last written.
     roster_changed: bool,
@@ -94,6 +98,9 @@
     askers: usize,
     /// The part of the workers that may run the steps of a queue, as learnt from answers.
     eligible: Map<Name, f64>,
+    /// Questions that are open, with the time until which they count, and whether they are of what
+    /// comes later.
+    questions: BTreeMap<StepId, (Time, bool)>,
     /// Slow questions that are open, with the time until which they count.
     slow_questions: BTreeMap<StepId, Time>,
     backlog: Backlog,
@@ -125,12 +132,14 @@
             by_id: BTreeMap::new(),
             accounts: BTreeMap::new(),
             durations: Map::default(),
+            spans: Map::default(),
             journal: Journal::default(),
             roster_changed: false,
             recording: None,
             stopping: BTreeMap::new(),
             askers: 1,
             eligible: Map::default(),
+            questions: BTreeMap::new(),
             slow_questions: BTreeMap::new(),
             backlog: Backlog::default(),
             marks_left: 0,
@@ -289,14 +298,12 @@
         self.setup.origin_ms + self.now.0 / 1_000
     }
 
-    fn size_of(&self, attempt: &Attempt) -> Option<Size> {
+    /// Returns what a run takes of its account's limit and of its worker, and what it is for.
+    fn needs_of(&self, attempt: &Attempt) -> Option<(Size, Size, Purpose)> {
         let job = self.jobs.get(&attempt.task.step.job)?;
-        let step = job
-            .spec
-            .as_ref()?
-            .steps
-            .get(usize::from(attempt.task.step.step))?;
-        Some(step.size)
+        let number = usize::from(attempt.task.step.step);
+        let step = job.spec.as_ref()?.get(number)?;
+        Some((step.size, step.booked(), step.purpose))
     }
 }
 
--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -38,7 +38,7 @@
     /// Returns what of its account's limit a gang needs, where the limit can hold it at all.
     pub(super) fn need_of_limit(&self, id: StepId) -> Option<(Name, Size)> {
         let job = self.jobs.get(&id.job)?;
-        let step = &job.spec.as_ref()?.steps[usize::from(id.step)];
+        let step = job.spec.as_ref()?.step(usize::from(id.step));
         let name = job.account.as_ref()?;
         let limit = self.config.account(name)?.limit;
         let need = step.size.times(u64::from(step.count));
--- a/crates/decide/src/batch/scheduler/admission.rs
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -25,6 +25,10 @@
         let Some(queue) = self.queues.get(queue).cloned() else {
             return Some(UNKNOWN_QUEUE_PAUSE);
         };
+        if spec.schedule.is_some() || spec.lasts() {
+            // They run later, or for good: what waits now says little of them.
+            return None;
+        }
         let chain = spec.longest_chain(|step| self.task_time(&queue.name, step));
         let slack = chain.mul_f64((queue.stretch - 1.0).max(0.0)) + queue.objective;
         let pause = self.backlog.refuse(queue.priority, slack, excess);
@@ -54,7 +58,7 @@
                 continue;
             };
             let number = usize::from(rank.step.step);
-            let Some(step) = job.spec.as_ref().map(|spec| &spec.steps[number]) else {
+            let Some(step) = job.spec.as_ref().map(|spec| spec.step(number)) else {
                 continue;
             };
             let tasks = job.steps[number].tasks.iter();
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -11,7 +11,7 @@
 
 use super::super::StepId;
 use super::super::advice::{Advice, Question, SLOW};
-use super::super::config::{Advised, Queue};
+use super::super::config::Advised;
 use super::super::event::Action;
 use super::super::fleet::Worker;
 use super::super::job::{self, Ticket};
@@ -27,9 +27,19 @@
 /// What is taken off a ticket's validity for the way of the ticket and of the order.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
 
-/// How often a step that finds no room looks for workers that it has not asked about.
+/// How often an urgent step that finds no room looks for workers that it has not asked about.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
 
+/// How often any other step does so.
+const LOOK_AGAIN_LATER: Duration = Duration::from_millis(1_000);
+
+/// One in so many instances may be busy with questions for what comes later, though none is idle, and
+/// half as many with those of late jobs.
+const LATER_PART: usize = 3;
+
+/// What a question about some workers may take longer for more of them whose tickets it renews.
+const RENEWED_TOO: f64 = 0.4;
+
 /// How many times the room that a step needs it asks about, beyond the part of the workers that it
 /// may run on: others take some of the room while the question is asked.
 const SPARE_ROOM: f64 = 1.5;
@@ -46,6 +56,9 @@
 /// The largest part of all workers that is left to gangs while they ask.
 const LEFT_TO_GANGS: f64 = 0.35;
 
+/// The least that a worker of a question is reckoned to take, in seconds.
+const LEAST_EACH: f64 = 0.000_01;
+
 /// The least part that is reckoned with.
 const LEAST_ELIGIBLE: f64 = 0.05;
 
@@ -80,24 +93,38 @@
     }
 
     /// Tells whether a question of a step can be asked now.
-    fn may_ask(&self, id: StepId, queue: &Queue) -> bool {
+    fn may_ask(&self, candidate: &Candidate<'_>) -> bool {
+        let Candidate { id, queue, .. } = *candidate;
         let Some(advised) = queue.advice else {
             return false;
         };
         if self.advice_of(id).is_asking(self.now) {
             return false;
         }
+        if candidate.comes_later() && !self.may_ask_later(candidate.is_late()) {
+            return false;
+        }
         let slow = duration(&advised, ASKED_AT_LEAST) > SLOW;
         !slow || self.slow_questions.len() < self.askers.max(1)
     }
 
+    /// Tells whether one more question may be open of what comes later: those that come first need
+    /// the instances that ask.
+    fn may_ask_later(&self, late: bool) -> bool {
+        let open = self.questions.len();
+        let later = self.questions.values().filter(|(_, later)| *later).count();
+        let part = if late { 2 * LATER_PART } else { LATER_PART };
+        let idle = open < self.askers - self.askers / LATER_PART;
+        idle || later < self.askers.div_ceil(part)
+    }
+
     /// Asks for the first time; returns whether a question is open.
     pub(super) fn ask_all(&mut self, candidate: &Candidate<'_>) -> bool {
         let id = candidate.id;
         if self.advice_of(id).is_asking(self.now) {
             return true;
         }
-        if !self.may_ask(id, candidate.queue) {
+        if !self.may_ask(candidate) {
             return false;
         }
         let all = self.open_workers(candidate);
@@ -109,7 +136,7 @@
     fn ask_first(&mut self, candidate: &Candidate<'_>, workers: Vec<usize>) {
         let id = candidate.id;
         let chosen = self.worth_asking(candidate, workers);
-        self.ask_some(id, candidate.queue, &chosen);
+        self.ask_some(candidate, &chosen);
         if candidate.step.gang
             && let Some(until) = self.advice_of(id).open_until
         {
@@ -133,7 +160,7 @@
             let turn = (id.job.0 % workers.len() as u64) as usize;
             workers.rotate_left(turn);
         }
-        let fitting = |worker: usize| step.size.times_within(&self.workers[worker].free);
+        let fitting = |worker: usize| step.booked().times_within(&self.workers[worker].free);
         // A stable sort keeps the turn among those that have the same room. Members of a gang need
         // rooms beside each other: the emptier, the better.
         workers.sort_by_cached_key(|&worker| {
@@ -152,7 +179,9 @@
             if room >= needed && count >= ASKED_AT_LEAST || count >= WORKERS {
                 break;
             }
-            let capacity = step.size.times_within(&self.workers[worker].entry.capacity);
+            let capacity = step
+                .booked()
+                .times_within(&self.workers[worker].entry.capacity);
             room += (fitting(worker) as f64).max(capacity as f64 * ROOM_TO_COME);
             count += 1;
         }
@@ -165,15 +194,20 @@
     pub(super) fn ask_new(&mut self, candidate: &Candidate<'_>) {
         let id = candidate.id;
         let now = self.now;
-        let due = self.advice_of(id).looked.after(LOOK_AGAIN);
-        if now < due || !self.may_ask(id, candidate.queue) {
+        let pause = if candidate.is_urgent() || candidate.step.gang {
+            LOOK_AGAIN
+        } else {
+            LOOK_AGAIN_LATER
+        };
+        let due = self.advice_of(id).looked.after(pause);
+        if now < due || !self.may_ask(candidate) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.steps[usize::from(id.step)].advice.looked = now;
         }
         let answered = &self.advice_of(id).answered;
-        let size = &candidate.step.size;
+        let size = candidate.step.booked();
         let useful = |worker: &usize| {
             !answered.contains(worker)
                 && (candidate.step.gang || size.fits(&self.workers[*worker].free))
@@ -192,13 +226,34 @@
         (0..self.workers.len()).filter(fits).collect()
     }
 
+    /// Asks for new tickets of some workers, and of others that may have room soon.
+    pub(super) fn ask_again(&mut self, candidate: &Candidate<'_>, workers: &[usize]) {
+        let mut asked = workers.to_vec();
+        if let Some(advised) = candidate.queue.advice.filter(|_| !candidate.step.gang) {
+            let longer = advised.base.mul_f64(RENEWED_TOO).as_secs_f64();
+            let more = longer / advised.each.as_secs_f64().max(LEAST_EACH);
+            let now = self.now;
+            let known = self.advice_of(candidate.id).tickets.keys().copied();
+            let others = known.filter(|worker| !workers.contains(worker));
+            let open = others.filter(|&worker| self.workers[worker].is_open(now));
+            asked.extend(open.take(more as usize));
+        }
+        self.ask_some(candidate, &asked);
+    }
+
     /// Asks about some workers, unless a question of the step is open.
-    pub(super) fn ask_some(&mut self, id: StepId, queue: &Queue, workers: &[usize]) {
+    pub(super) fn ask_some(&mut self, candidate: &Candidate<'_>, workers: &[usize]) {
+        let Candidate {
+            id,
+            queue,
+            lateness,
+            ..
+        } = *candidate;
         let Some(advised) = queue.advice else {
             return;
         };
         let now = self.now;
-        if workers.is_empty() || self.advice_of(id).is_asking(now) {
+        if workers.is_empty() || !self.may_ask(candidate) {
             return;
         }
         let distinct: BTreeSet<usize> = workers.iter().copied().take(WORKERS).collect();
@@ -213,9 +268,12 @@
             step: id,
             workers: names.collect(),
             takes,
+            lateness,
             priority: queue.priority,
         };
         self.out.push(Action::Ask(question));
+        let question = (now.after(takes + PATIENCE), candidate.comes_later());
+        self.questions.insert(id, question);
         if let Some(job) = self.jobs.get_mut(&id.job) {
             let advice = &mut job.steps[usize::from(id.step)].advice;
             advice.open = distinct;
@@ -245,6 +303,7 @@
     /// Takes in what the service has answered; `None` where no answer came.
     pub fn advised(&mut self, id: StepId, advice: Option<&Advice>) {
         self.wait(id.job);
+        self.questions.remove(&id);
         self.slow_questions.remove(&id);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&id.job) else {
@@ -252,7 +311,7 @@
         };
         let queue = self.queues.get(&job.queue);
         let spec = job.spec.as_ref();
-        let spec = spec.and_then(|spec| spec.steps.get(usize::from(id.step)));
+        let spec = spec.and_then(|spec| spec.get(usize::from(id.step)));
         let validity = queue.and_then(|queue| queue.advice);
         let validity = validity.map_or(Duration::ZERO, |advised| advised.validity);
         let until = now.after(validity.saturating_sub(TICKET_MARGIN));
--- a/crates/decide/src/batch/scheduler/dump.rs
+++ b/crates/decide/src/batch/scheduler/dump.rs
@@ -83,7 +83,7 @@
                 for task in &step.tasks {
                     match task.place {
                         Place::On { .. } => dump.placed += 1,
-                        Place::Waiting if job.is_due(number) => dump.waiting += 1,
+                        Place::Waiting if job.is_due(number, self.wall_ms()) => dump.waiting += 1,
                         Place::Waiting | Place::Done => {}
                     }
                 }
@@ -113,7 +113,8 @@
         let candidate = Candidate {
             id: rank.step,
             queue,
-            step: job.spec.as_ref()?.steps.get(number)?,
+            step: job.spec.as_ref()?.get(number)?,
+            lateness: rank.lateness,
             kept: Size::ZERO,
         };
         let age = self.now.since(job.accepted).as_millis();
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -13,7 +13,7 @@
     pub(super) fn end(&mut self, index: usize, end: &End) {
         self.stopping.remove(&end.attempt);
         let id = end.attempt.task.step.job;
-        let size = self.size_of(&end.attempt);
+        let needs = self.needs_of(&end.attempt);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -31,7 +31,8 @@
         let counted = task.ended.contains(&end.attempt.run);
         let unheard = inherited && task.place == Place::Waiting && !counted;
         if !current && !unheard {
-            if inherited && !counted && end.how == How::Failed {
+            let work = needs.is_none_or(|(_, _, purpose)| !purpose.lasts());
+            if inherited && !counted && end.how == How::Failed && work {
                 // A worker that was heard late: the failure counts, though another run has begun.
                 task.ended.push(end.attempt.run);
                 self.count_failure(index, end);
@@ -44,11 +45,15 @@
         };
         task.place = Place::Waiting;
         task.run = task.run.max(end.attempt.run);
-        task.ended.push(end.attempt.run);
+        // Tasks that last have no limit of failures and start again whatever is known of their ends.
+        let lasts = needs.is_some_and(|(_, _, purpose)| purpose.lasts());
+        if !lasts {
+            task.ended.push(end.attempt.run);
+        }
         task.note_checkpoint(end.checkpoint.as_ref());
         job.steps[usize::from(end.attempt.task.step.step)].times = None;
-        if current && let Some(size) = size {
-            self.workers[index].release(&end.attempt, &size);
+        if current && let Some((size, booked, _)) = needs {
+            self.workers[index].release(&end.attempt, &booked);
             self.refund(account.as_ref(), &size);
         }
         self.grow(index);
@@ -66,6 +71,7 @@
         }
         self.note_end(index, end);
         match end.how {
+            _ if lasts => {}
             How::Done => {
                 self.note_health(index, id, false);
                 if let Some(since) = since.filter(|_| !inherited) {
@@ -80,6 +86,9 @@
             }
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
+        if end.how != How::Done {
+            self.spoil_span(&end.attempt);
+        }
         if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
             self.wait(id);
         }
@@ -124,6 +133,13 @@
         }
     }
 
+    /// Has the time that a step takes not be learnt, since a run of it was in vain.
+    fn spoil_span(&mut self, attempt: &Attempt) {
+        if let Some(job) = self.jobs.get_mut(&attempt.task.step.job) {
+            job.steps[usize::from(attempt.task.step.step)].started = None;
+        }
+    }
+
     /// Takes in that a task, or the whole gang that it belongs to, is done.
     fn done(&mut self, attempt: &Attempt) {
         let id = attempt.task.step.job;
@@ -144,6 +160,16 @@
                 step.left -= 1;
             }
         }
+        if step.left == 0
+            && let Some(started) = step.started.take()
+        {
+            let queue = job.queue.clone();
+            let span = self.now.since(started);
+            self.spans.entry(queue).or_default().note(span);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         if job.steps.iter().all(|step| step.left == 0) {
             // Members of a gang that have not listed their end yet are not stopped.
             self.conclude(id, State::Completed);
@@ -177,7 +203,7 @@
     pub(super) fn lose(&mut self, index: usize, attempt: Attempt) {
         self.stopping.remove(&attempt);
         let id = attempt.task.step.job;
-        let size = self.size_of(&attempt);
+        let needs = self.needs_of(&attempt);
         let Some(job) = self.jobs.get_mut(&id) else {
             self.workers[index].attempts.remove(&attempt);
             return;
@@ -193,8 +219,8 @@
                 self.wait(id);
             }
         }
-        if let Some(size) = size {
-            self.workers[index].release(&attempt, &size);
+        if let Some((size, booked, _)) = needs {
+            self.workers[index].release(&attempt, &booked);
             self.refund(account.as_ref(), &size);
         }
         self.grow(index);
--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -72,7 +72,7 @@
             self.unreserve(id.job, number);
             self.line.change(id.job);
         } else if !asking {
-            self.ask_some(id, candidate.queue, reserved);
+            self.ask_some(candidate, reserved);
         }
     }
 
@@ -86,7 +86,7 @@
         if self.marks_left == 0 {
             return;
         }
-        let size = &candidate.step.size;
+        let size = candidate.step.booked();
         let usable = |&index: &usize| {
             let worker = &self.workers[index];
             worker.earmark.is_none()
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -6,7 +6,7 @@
 use crate::name::Name;
 
 use super::super::event::{Action, Answer, Note};
-use super::super::job::{Job, Step, Task};
+use super::super::job::{Job, Step};
 use super::super::journal::Deferred;
 use super::super::spec::Spec;
 use super::super::{JobId, State};
@@ -46,22 +46,12 @@
             return;
         }
         let run = self.setup.first_run();
-        let task = Task {
-            run,
-            ..Task::default()
-        };
-        let step = |count: u32| Step {
-            tasks: vec![task.clone(); count as usize],
-            left: count,
-            run,
-            ..Step::default()
-        };
         let job = Job {
             queue: queue.clone(),
             account,
             accepted: self.now,
             accepted_ms: self.wall_ms(),
-            steps: spec.steps.iter().map(|each| step(each.count)).collect(),
+            steps: Step::all(&spec, run),
             spec: Some(spec),
             state: State::Queued,
             stored: false,
--- a/crates/decide/src/batch/scheduler/line.rs
+++ b/crates/decide/src/batch/scheduler/line.rs
@@ -6,6 +6,7 @@
 use crate::name::Name;
 use crate::time::Time;
 
+use super::super::id::OCCURRENCE_STEPS;
 use super::super::job::{Job, Place};
 use super::super::order::{self, Rank};
 use super::super::spec::Step;
@@ -81,10 +82,11 @@
             return;
         };
         let held_back = job.inherited && self.is_unsettled();
-        let waiting: Vec<usize> = waiting_steps(job).collect();
-        if waiting.is_empty() {
+        if !job.has_waiting() {
             self.ready.remove(&id);
+            return;
         }
+        let waiting: Vec<usize> = waiting_steps(job, self.wall_ms()).collect();
         if held_back {
             return;
         }
@@ -108,8 +110,19 @@
             job: id,
             step: number as u16,
         };
-        let (accepted, excess) = (job.accepted, job.excess);
-        Some(order::rank(step, queue, accepted, excess, times, self.now))
+        if job.purpose(number).lasts() {
+            return Some(order::Rank::serving(step, job.accepted));
+        }
+        let begun = self.due(job, number);
+        Some(order::rank(step, queue, begun, job.excess, times, self.now))
+    }
+
+    /// Returns since when a step's occurrence counts: since its time, or since its job was accepted.
+    fn due(&self, job: &Job, number: usize) -> Time {
+        let due_ms = job.spec.as_ref().map_or(0, |spec| spec.due_ms(number));
+        let late = Duration::from_millis(self.wall_ms().saturating_sub(due_ms));
+        let late = u64::try_from(late.as_micros()).unwrap_or(u64::MAX);
+        job.accepted.max(Time(self.now.0.saturating_sub(late)))
     }
 
     /// Returns how long a task of a step is expected to run.
@@ -124,26 +137,26 @@
     fn times(&self, id: JobId, number: usize) -> Option<order::Times> {
         let job = self.jobs.get(&id)?;
         let spec = job.spec.as_ref()?;
-        let each = self.task_time(&job.queue, &spec.steps[number]);
+        let each = self.task_time(&job.queue, spec.step(number));
         let chain = spec.longest_chain(|_| each);
-        let steps_after = (spec.steps.len() - number - 1) as u32;
-        let rest =
-            each.mul_f64(1.0 - job.steps[number].saved(job.is_gang(number))) + each * steps_after;
-        Some(order::Times {
-            chain,
-            rest: chain.min(rest),
-        })
+        let position = number % usize::from(OCCURRENCE_STEPS);
+        let steps_after = (spec.steps.len() - position - 1) as u32;
+        let span = self.spans.get(&job.queue);
+        let span = span.map_or(each, |spans| spans.mean(each));
+        let left = 1.0 - job.steps[number].saved(job.is_gang(number));
+        let rest = span.mul_f64(left) + span * steps_after;
+        Some(order::Times { chain, rest })
     }
 }
 
 /// Returns the steps of a job that are due and have waiting tasks.
-fn waiting_steps(job: &Job) -> impl Iterator<Item = usize> {
-    let waits = |&step: &usize| {
+fn waiting_steps(job: &Job, wall_ms: u64) -> impl Iterator<Item = usize> {
+    let waits = move |&step: &usize| {
         let state = &job.steps[step];
         !job.state.is_final()
             && state.left > 0
             && state.tasks.iter().any(|task| task.place == Place::Waiting)
-            && job.is_due(step)
+            && job.is_due(step, wall_ms)
     };
     (0..job.steps.len()).filter(waits)
 }
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -96,6 +96,7 @@
             worker.wanted = false;
         }
         let now = self.now;
+        self.questions.retain(|_, (until, _)| *until > now);
         self.slow_questions.retain(|_, until| *until > now);
         self.draw_line();
         self.marks_left = (self.open().count() as f64 * EARMARKED) as usize;
@@ -128,7 +129,7 @@
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return;
         };
-        let Some(step) = job.spec.as_ref().map(|spec| &spec.steps[number]) else {
+        let Some(step) = job.spec.as_ref().map(|spec| spec.step(number)) else {
             return;
         };
         let failures = pass.failures.get(&queue.name).copied().unwrap_or(0);
@@ -137,11 +138,12 @@
         }
         // Where no worker has the room, only the first gangs of a queue are looked at, so that
         // workers are emptied for them.
-        let hopeless = !reserved && !step.size.fits(&pass.largest);
+        let hopeless = !reserved && !step.booked().fits(&pass.largest);
         let candidate = Candidate {
             id: rank.step,
             queue: &queue,
             step: &step.clone(),
+            lateness: rank.lateness,
             kept: match &job.account {
                 Some(account) => pass.kept.get(account).copied().unwrap_or_default(),
                 None => Size::ZERO,
--- a/crates/decide/src/batch/scheduler/reservation.rs
+++ b/crates/decide/src/batch/scheduler/reservation.rs
@@ -15,14 +15,14 @@
     /// Keeps room on workers, one task each, and asks about them.
     pub(super) fn reserve(&mut self, candidate: &Candidate<'_>, workers: Vec<usize>) {
         let id = candidate.id;
-        self.ask_some(id, candidate.queue, &workers);
+        self.ask_again(candidate, &workers);
         if !self.advice_of(id).is_asking(self.now) {
             // No instance is free to ask: the room is of more use to others.
             return;
         }
         for &worker in &workers {
             let worker = &mut self.workers[worker];
-            worker.free = worker.free.minus(&candidate.step.size);
+            worker.free = worker.free.minus(&candidate.step.booked());
         }
         let until = self.now.after(RESERVATION);
         if let Some(job) = self.jobs.get_mut(&id.job) {
@@ -38,7 +38,7 @@
             return;
         };
         let reserved = std::mem::take(&mut job.steps[number].reserved);
-        let Some(size) = job.spec.as_ref().map(|spec| spec.steps[number].size) else {
+        let Some(size) = job.spec.as_ref().map(|spec| spec.step(number).booked()) else {
             return;
         };
         for worker in reserved {
--- a/crates/decide/src/batch/scheduler/room.rs
+++ b/crates/decide/src/batch/scheduler/room.rs
@@ -10,6 +10,7 @@
 use super::super::config::Queue;
 use super::super::fleet::Worker;
 use super::super::job::{self, Place};
+use super::super::order::Lateness;
 use super::super::spec;
 use super::Scheduler;
 
@@ -27,16 +28,28 @@
     pub(super) id: StepId,
     pub(super) queue: &'a Queue,
     pub(super) step: &'a spec::Step,
+    /// How late it is.
+    pub(super) lateness: Lateness,
     /// What of its account's limit is kept for gangs that come before it.
     pub(super) kept: Size,
 }
 
 impl Candidate<'_> {
     /// Tells whether the step may use workers that are emptied for a gang.
-    fn is_urgent(&self) -> bool {
+    pub(super) fn is_urgent(&self) -> bool {
         self.queue.priority == 0
     }
 
+    /// Tells whether the step's questions wait for those of others: it is late, or has much time.
+    pub(super) fn comes_later(&self) -> bool {
+        self.is_late() || !(self.is_urgent() || self.step.gang)
+    }
+
+    /// Tells whether the step can't be on time any more.
+    pub(super) fn is_late(&self) -> bool {
+        self.lateness > Lateness::Excess
+    }
+
     /// Tells whether the step leaves workers to gangs that find no room.
     fn yields(&self) -> bool {
         !self.step.gang && !self.is_urgent()
@@ -128,19 +141,20 @@
     ) -> Option<Room> {
         let worker = &self.workers[number];
         let step = candidate.step;
-        if !step.size.fits(&worker.free) || !worker.is_open(self.now) {
+        let size = step.booked();
+        if !size.fits(&worker.free) || !worker.is_open(self.now) || worker.disturbs(step.purpose) {
             return None;
         }
         let other = worker.earmark.is_some_and(|job| job != candidate.id.job);
         if (other && !candidate.is_urgent()) || (worker.is_wanted(self.now) && candidate.yields()) {
             return None;
         }
-        let mut count = step.size.times_within(&worker.free);
+        let mut count = size.times_within(&worker.free);
         if let Some(most) = step.most_on_worker {
             let has = counts.get(&number).copied().unwrap_or(0);
             count = count.min(u64::from(most.saturating_sub(has)));
         }
-        let after = worker.free.minus(&step.size);
+        let after = worker.free.minus(&size);
         let mut score = after.dominant(&worker.entry.capacity);
         if other {
             score += EARMARK_PENALTY;
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -26,12 +26,14 @@
         let Some(spec) = &job.spec else {
             return;
         };
-        let (payload, size) = (spec.payload.clone(), spec.steps[number].size);
-        let gang = spec.steps[number].gang;
+        let step = spec.step(number);
+        let (payload, size, booked) = (spec.payload.clone(), step.size, step.booked());
+        let (gang, purpose) = (step.gang, step.purpose);
         job.state = State::Running;
         let account = job.account.clone();
         let age = self.now.since(job.accepted);
         let step = &mut job.steps[number];
+        step.started = step.started.or(Some(self.now));
         let shared = step.shared_checkpoint();
         step.run += 1;
         let mut orders = Vec::with_capacity(tasks.len());
@@ -79,7 +81,7 @@
         for (index, worker, run, checkpoint, ticket) in orders {
             let task = TaskId { step: id, index };
             let attempt = Attempt { task, run };
-            self.workers[worker].book(attempt, &size);
+            self.workers[worker].book(attempt, &booked, purpose);
             self.charge(account.as_ref(), &size);
             self.out.push(Action::Start {
                 worker,
@@ -139,7 +141,7 @@
             return;
         };
         let step = &job.steps[usize::from(id.step)];
-        let gang = spec.steps[usize::from(id.step)].gang;
+        let gang = spec.step(usize::from(id.step)).gang;
         let ticket = step.advice.tickets.get(&worker);
         self.out.push(Action::Start {
             worker,
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -97,7 +97,7 @@
 
     /// Takes in that the lease of all that ran on a worker has surely expired.
     pub fn write_off(&mut self, index: usize) {
-        let attempts: Vec<Attempt> = self.workers[index].attempts.iter().copied().collect();
+        let attempts: Vec<Attempt> = self.workers[index].attempts.keys().copied().collect();
         for attempt in attempts {
             self.lose(index, attempt);
         }
@@ -159,7 +159,7 @@
                 _ => false,
             }
         };
-        let attempts = self.workers[index].attempts.iter();
+        let attempts = self.workers[index].attempts.keys();
         let over: Vec<Attempt> = attempts.filter(doubtful).copied().collect();
         for attempt in over {
             let runs = report.running.iter().any(|run| run.attempt == attempt);
@@ -209,10 +209,10 @@
     }
 
     fn adopt(&mut self, index: usize, attempt: Attempt) {
-        let Some(size) = self.size_of(&attempt) else {
+        let Some((size, booked, purpose)) = self.needs_of(&attempt) else {
             return;
         };
-        self.workers[index].book(attempt, &size);
+        self.workers[index].book(attempt, &booked, purpose);
         if let Some(job) = self.jobs.get_mut(&attempt.task.step.job) {
             job.state = State::Running;
             let step = &mut job.steps[usize::from(attempt.task.step.step)];
--- /dev/null
+++ b/crates/decide/tests/support/load/mod.rs
@@ -0,0 +1,451 @@
+//! A load of jobs of three kinds on a fleet of workers, and the instances that ask for advice.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use azurepath_decide::batch::advice::{Advice, Desk, Question};
+use azurepath_decide::batch::config::{Account, Advised, Config, Queue};
+use azurepath_decide::batch::fleet::{Entry, Standing};
+use azurepath_decide::batch::record::Stored;
+use azurepath_decide::batch::report::{End, How, Report};
+use azurepath_decide::batch::scheduler::{Scheduler, Setup};
+use azurepath_decide::batch::spec::{Purpose, Spec, Step};
+use azurepath_decide::batch::{Action, Attempt, JobId, Note, Started, State, StepId};
+use azurepath_decide::name::Name;
+use azurepath_decide::size::Size;
+use azurepath_decide::time::Time;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A kind of job.
+pub struct Kind {
+    /// The name of its queue.
+    pub name: &'static str,
+    /// Arrivals a second for 350 workers.
+    per_s: f64,
+    /// Tasks of its only step.
+    tasks: u32,
+    /// How long each runs on average.
+    pub seconds: f64,
+    cores: f64,
+    gigabytes: f64,
+    gang: bool,
+    /// The part of the workers that may run it.
+    eligible: f64,
+    priority: u32,
+    pub stretch: f64,
+    pub objective_ms: u64,
+    /// What a question takes, and each worker of it.
+    advice_ms: (f64, f64),
+}
+
+/// What callers got of one kind of job.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub submitted: u64,
+    pub refused: u64,
+    /// How long after they were accepted jobs were done.
+    pub ages: Vec<Duration>,
+    /// Jobs that were done on time.
+    pub on_time: u64,
+    /// Jobs that could have been done on time before the play ended.
+    pub owed: u64,
+    pub questions: u64,
+    pub asked: Duration,
+}
+
+pub const KINDS: [Kind; 3] = [
+    Kind {
+        name: "plans",
+        per_s: 4.0,
+        tasks: 20,
+        seconds: 5.0,
+        cores: 9.0,
+        gigabytes: 9.0,
+        gang: true,
+        eligible: 0.3,
+        priority: 1,
+        stretch: 2.2,
+        objective_ms: 1_200,
+        advice_ms: (520.0, 7.4),
+    },
+    Kind {
+        name: "sheets",
+        per_s: 9.0,
+        tasks: 35,
+        seconds: 2.7,
+        cores: 3.5,
+        gigabytes: 3.6,
+        gang: false,
+        eligible: 0.45,
+        priority: 2,
+        stretch: 4.0,
+        objective_ms: 3_000,
+        advice_ms: (82.0, 1.2),
+    },
+    Kind {
+        name: "checks",
+        per_s: 100.0,
+        tasks: 3,
+        seconds: 0.8,
+        cores: 5.0,
+        gigabytes: 3.0,
+        gang: false,
+        eligible: 0.7,
+        priority: 0,
+        stretch: 1.5,
+        objective_ms: 500,
+        advice_ms: (9.3, 0.13),
+    },
+];
+
+/// The way of a question to an instance and of its answer back.
+const WAY: Duration = Duration::from_millis(40);
+
+/// Returns how long a job may take: a task may run half as long again as on average.
+fn allowed(kind: &Kind) -> Duration {
+    let chain = Duration::from_secs_f64(kind.seconds * LONGEST);
+    chain.mul_f64(kind.stretch) + Duration::from_millis(kind.objective_ms)
+}
+
+/// The longest time that a task runs, out of its kind's average.
+const LONGEST: f64 = 1.5;
+
+#[derive(Debug)]
+enum Event {
+    Submit(usize),
+    /// An instance has the answer to a question.
+    Advised(usize, Question, usize),
+    Started(usize, Attempt),
+    Ended(usize, Attempt),
+    Written,
+    Tick,
+}
+
+pub struct World {
+    scheduler: Scheduler,
+    now: Time,
+    rng: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    details: BTreeMap<u64, Event>,
+    next: u64,
+    kinds: BTreeMap<JobId, usize>,
+    ends: Vec<(u64, Vec<End>)>,
+    names: Vec<Name>,
+    pub outcomes: [Outcome; 3],
+    /// Questions that wait for an instance.
+    desk: Desk,
+    instances: Vec<Name>,
+    idle: Vec<usize>,
+    end: Time,
+    used: f64,
+    looks: f64,
+    /// The time that the scheduler took.
+    pub busy: Duration,
+    pub calls: u64,
+    pub starts: u64,
+}
+
+fn config() -> Arc<Config> {
+    let queue = |kind: &Kind| Queue {
+        name: Name::from(kind.name),
+        host: Name::from(""),
+        prefix: Name::from(kind.name),
+        pool: Name::from("pool"),
+        priority: kind.priority,
+        attempts: 3,
+        stretch: kind.stretch,
+        objective: Duration::from_millis(kind.objective_ms),
+        advice: Some(Advised {
+            base: Duration::from_secs_f64(kind.advice_ms.0 / 1_000.0),
+            each: Duration::from_secs_f64(kind.advice_ms.1 / 1_000.0),
+            validity: Duration::from_millis(1_500),
+        }),
+        open: false,
+    };
+    let account = Account {
+        name: Name::from("team"),
+        keys: Vec::new(),
+        weight: 0.0,
+        limit: Size::MAX,
+    };
+    Arc::new(Config {
+        version: 1,
+        queues: KINDS.iter().map(queue).collect(),
+        accounts: vec![account],
+    })
+}
+
+impl World {
+    /// Makes a fleet with as many workers and instances.
+    pub fn new(workers: usize, instances: usize) -> World {
+        let setup = Setup {
+            epoch: 1,
+            origin_ms: 0,
+            write_off: Duration::ZERO,
+        };
+        let now = Time::from_millis(1_000);
+        let capacity = Size {
+            millicores: 32_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+            slots: u64::MAX,
+        };
+        let entry = |number: usize| Entry {
+            id: Name::from(format!("i-{number:010x}")),
+            pool: Name::from("pool"),
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: Name::from("a"),
+            rack: Name::from(format!("r{}", number / 8)),
+            labels: Vec::new(),
+            capacity,
+            standing: Standing::Ready,
+            born_ms: 1,
+        };
+        let entries: Vec<Entry> = (0..workers).map(entry).collect();
+        let names = entries.iter().map(|entry| entry.id.clone()).collect();
+        let mut scheduler = Scheduler::new(setup, now, config(), Stored::default());
+        scheduler.set_askers(instances);
+        scheduler.list(entries);
+        let mut world = World {
+            scheduler,
+            now,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            events: BinaryHeap::new(),
+            details: BTreeMap::new(),
+            next: 0,
+            kinds: BTreeMap::new(),
+            ends: vec![(1, Vec::new()); workers],
+            names,
+            outcomes: Default::default(),
+            desk: Desk::default(),
+            idle: (0..instances).collect(),
+            instances: (0..instances)
+                .map(|number| Name::from(format!("instance-{number}")))
+                .collect(),
+            end: Time::MAX,
+            used: 0.0,
+            looks: 0.0,
+            busy: Duration::ZERO,
+            calls: 0,
+            starts: 0,
+        };
+        world.step();
+        world.at(Duration::ZERO, Event::Tick);
+        for worker in 0..workers {
+            let report = world.report(worker);
+            world.scheduler.report(worker, &report);
+        }
+        world
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.next += 1;
+        self.details.insert(self.next, event);
+        self.events
+            .push(Reverse((self.now.after(after), self.next)));
+    }
+
+    fn report(&mut self, worker: usize) -> Report {
+        Report {
+            clock_ms: self.now.0 / 1_000,
+            born_ms: 1,
+            running: Vec::new(),
+            ended: std::mem::take(&mut self.ends[worker].1),
+        }
+    }
+
+    fn arrive(&mut self, kind: usize, load: f64) {
+        let pause: f64 = self.rng.random();
+        let mean = 1.0 / (KINDS[kind].per_s * self.names.len() as f64 / 350.0 * load);
+        // Exponential gaps make a Poisson stream.
+        let pause = -mean * (1.0 - pause).ln();
+        self.at(Duration::from_secs_f64(pause), Event::Submit(kind));
+    }
+
+    fn submit(&mut self, kind: usize) {
+        let id = JobId(self.rng.random());
+        let of = &KINDS[kind];
+        let spread: f64 = self.rng.random_range(0.5..1.5);
+        let step = Step {
+            count: of.tasks,
+            size: Size {
+                millicores: (of.cores * spread * 1_000.0) as u64,
+                memory_mib: (of.gigabytes * spread * 1_024.0) as u64,
+                accelerators: 0,
+                slots: 0,
+            },
+            estimate: Duration::from_secs_f64(of.seconds),
+            after: Vec::new(),
+            gang: of.gang,
+            same_rack: false,
+            label: None,
+            near: None,
+            most_on_worker: None,
+            purpose: Purpose::Work,
+        };
+        let spec = Spec {
+            payload: Name::from("work"),
+            steps: vec![step],
+            schedule: None,
+        };
+        self.kinds.insert(id, kind);
+        self.outcomes[kind].submitted += 1;
+        if self.now.after(allowed(of)) <= self.end {
+            self.outcomes[kind].owed += 1;
+        }
+        let account = Some(Name::from("team"));
+        self.scheduler
+            .submit(self.next, id, &Name::from(of.name), account, spec);
+    }
+
+    fn handle(&mut self, event: Event, load: f64) {
+        match event {
+            Event::Submit(kind) => {
+                self.submit(kind);
+                self.arrive(kind, load);
+            }
+            Event::Advised(instance, question, kind) => {
+                self.advise(&question, kind);
+                self.idle.push(instance);
+            }
+            Event::Started(worker, attempt) => {
+                self.scheduler.started(worker, attempt, Started::Running, 0);
+            }
+            Event::Ended(worker, attempt) => {
+                let (number, ends) = &mut self.ends[worker];
+                ends.push(End {
+                    number: *number,
+                    attempt,
+                    how: How::Done,
+                    checkpoint: None,
+                });
+                *number += 1;
+                let report = self.report(worker);
+                self.scheduler.report(worker, &report);
+            }
+            Event::Written => self.scheduler.written(),
+            Event::Tick => {
+                let dump = self.scheduler.dump();
+                let free = dump.free_millicores as f64 / dump.open_millicores.max(1) as f64;
+                self.used += 1.0 - free;
+                self.looks += 1.0;
+                self.at(Duration::from_millis(20), Event::Tick);
+            }
+        }
+    }
+
+    fn advise(&mut self, question: &Question, kind: usize) {
+        let mut tickets = Vec::new();
+        for worker in &question.workers {
+            // Whether a worker may run a step never changes.
+            let mut hash = question.step.job.0 ^ 0x9e37;
+            for byte in worker.bytes() {
+                hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+            if ((hash >> 20) % 1_000) as f64 / 1_000.0 < KINDS[kind].eligible {
+                tickets.push((worker.clone(), Name::from("t")));
+            }
+        }
+        self.scheduler
+            .advised(question.step, Some(&Advice { tickets }));
+    }
+
+    fn step(&mut self) {
+        let mut actions = Vec::new();
+        self.scheduler.advance(self.now, &mut actions);
+        if self.scheduler.write(97).is_some() {
+            self.at(Duration::from_millis(8), Event::Written);
+        }
+        for action in actions {
+            match action {
+                Action::Start {
+                    worker, attempt, ..
+                } => {
+                    self.starts += 1;
+                    let kind = self.kinds[&attempt.task.step.job];
+                    let spread: f64 = self.rng.random_range(0.5..1.5);
+                    let runs = Duration::from_secs_f64(KINDS[kind].seconds * spread);
+                    self.at(Duration::from_millis(3), Event::Started(worker, attempt));
+                    self.at(runs, Event::Ended(worker, attempt));
+                }
+                Action::Ask(question) => {
+                    let StepId { job, .. } = question.step;
+                    let kind = self.kinds[&job];
+                    self.outcomes[kind].questions += 1;
+                    self.outcomes[kind].asked += question.takes;
+                    self.desk.add(question);
+                }
+                Action::Note(note) => self.note(&note),
+                _ => {}
+            }
+        }
+    }
+
+    /// Gives questions to instances that have nothing to ask.
+    fn ask(&mut self) {
+        for instance in std::mem::take(&mut self.idle) {
+            let name = self.instances[instance].clone();
+            self.desk.idle(&name, self.now);
+            let Some(question) = self.desk.take(&name, self.now) else {
+                self.idle.push(instance);
+                continue;
+            };
+            let kind = self.kinds[&question.step.job];
+            let takes = question.takes + WAY;
+            self.at(takes, Event::Advised(instance, question, kind));
+        }
+    }
+
+    fn note(&mut self, note: &Note) {
+        match note {
+            Note::Finished {
+                job,
+                state: State::Completed,
+                age,
+            } => {
+                let kind = self.kinds[job];
+                let outcome = &mut self.outcomes[kind];
+                outcome.ages.push(*age);
+                let due = allowed(&KINDS[kind]);
+                let owed = self.now.after(due).since(Time::default()) <= self.end.since(Time::default()) + *age;
+                outcome.on_time += u64::from(owed && *age <= due);
+            }
+            Note::Refused { job, .. } => self.outcomes[self.kinds[job]].refused += 1,
+            _ => {}
+        }
+    }
+
+    /// Plays `load` times the usual arrivals; 1 is about two thirds of what the workers hold.
+    pub fn play(&mut self, load: f64, span: Duration) {
+        for kind in 0..KINDS.len() {
+            self.arrive(kind, load);
+        }
+        let end = self.now.after(span);
+        self.end = end;
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            let Some(event) = self.details.remove(&number) else {
+                continue;
+            };
+            let begun = Instant::now();
+            self.handle(event, load);
+            self.step();
+            self.busy += begun.elapsed();
+            self.calls += 1;
+            self.ask();
+        }
+    }
+
+    /// Returns the part of the processors that was booked on average.
+    pub fn booked(&self) -> f64 {
+        self.used / self.looks.max(1.0)
+    }
+}
--- a/crates/server/src/cluster/asker.rs
+++ b/crates/server/src/cluster/asker.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azurepath_wire::batch::{Call, Reply};
-use slog::debug;
+use slog::{info, warn};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -39,8 +39,15 @@
                 let advice = advisor.ask(&question, question.takes + SLACK).await;
                 let seconds = begun.elapsed().as_secs_f64();
                 context.counts.advice.record(seconds, &[]);
-                if let Err(error) = &advice {
-                    debug!(context.log, "no advice"; "step" => %question.step, "error" => error);
+                let micros = begun.elapsed().as_micros() as u64;
+                match &advice {
+                    Ok(advice) if question.is_slow() => info!(context.log, "advice given";
+                        "step" => %question.step, "workers" => question.workers.len(),
+                        "eligible" => advice.tickets.len(), "micros" => micros),
+                    Ok(_) => {}
+                    Err(error) => warn!(context.log, "no advice";
+                        "step" => %question.step, "workers" => question.workers.len(),
+                        "micros" => micros, "error" => error),
                 }
                 answered = Some((question.step, advice.ok()));
             }
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -27,9 +27,10 @@
 use super::writer::{self, Outcome, Writer};
 use super::{Context, note, watch as feed};
 
-/// How long the leader may give orders after its last write: longer than most outages of the store,
-/// during which nobody else can take over.
-pub(super) const AUTHORITY: Duration = Duration::from_secs(6);
+/// How long the leader may give orders after its last write. With the lease that it gave last, tasks
+/// outlast outages of the store of twice this time; a successor waits as long for workers that it
+/// can't reach.
+pub(super) const AUTHORITY: Duration = Duration::from_secs(4);
 
 /// The least time between two writes, so that the others see that the leader lives.
 const BEAT: Duration = Duration::from_millis(400);
@@ -44,6 +45,10 @@
 /// slow.
 const LEASE_PART: f64 = 0.75;
 
+/// The longest lease that is asked for: longer than two changes of the leader in a row take. Tasks
+/// that may run on a worker out of reach wait for it to expire.
+const LONGEST_LEASE: Duration = Duration::from_secs(4);
+
 /// Until when a worker may carry out an order to start, from when it is sent.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
 
@@ -156,17 +161,20 @@
 }
 
 impl Leader {
-    /// Makes the task of a leader that has just taken its seat.
+    /// Makes the task of a leader that has just taken its seat; the one before may give orders for
+    /// `authority_left`.
     pub(super) fn new(
         context: Context,
         writer: Writer,
         sent: Time,
+        authority_left: Duration,
         config: Arc<Config>,
         stored: Stored,
     ) -> (Leader, Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let lease = context.settings.lease.mul_f64(LEASE_PART);
-        let inherited = AUTHORITY + renewal::surely(lease);
+        let lease = lease.min(LONGEST_LEASE);
+        let inherited = authority_left + renewal::surely(lease);
         let epoch = writer.seat().epoch;
         let now = clock::now();
         let setup = Setup {
--- a/crates/server/src/cluster/leadership.rs
+++ b/crates/server/src/cluster/leadership.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use super::leader::{Ended, Leader};
+use super::leader::{AUTHORITY, Ended, Leader};
 use super::peer::{self, Standing};
 use super::watch::{READ_TIMEOUT, read_all};
 use super::writer::{self, JOBS, LEADER, ROSTER, Seat, TABLE, Writer};
@@ -216,6 +216,7 @@
         if !self.read().await || self.view.version != version {
             return;
         }
+        let authority_left = self.authority_left();
         let Some((writer, sent)) = self.claim().await else {
             return;
         };
@@ -226,8 +227,14 @@
             return;
         };
         info!(self.context.log, "leading"; "epoch" => epoch, "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
-        let (leader, handle, receiver) =
-            Leader::new(self.context.clone(), writer, sent, config, stored);
+        let (leader, handle, receiver) = Leader::new(
+            self.context.clone(),
+            writer,
+            sent,
+            authority_left,
+            config,
+            stored,
+        );
         self.context.counts.leads.add(1, &[]);
         self.standing.send_replace(Standing::Here(handle));
         let ended = leader.run(receiver, leaving, self.term()).await;
@@ -239,6 +246,21 @@
         self.view.since = clock::now();
     }
 
+    /// Returns for how long the leader of the row as last read may still give orders.
+    fn authority_left(&self) -> Duration {
+        match &self.view.seat {
+            // It gave its authority up, or was an earlier process of this instance, which is dead.
+            Some(seat) if seat.released || self.is_earlier_self(seat) => Duration::ZERO,
+            // Its last write was stored before the row was first seen as it is.
+            Some(_) => AUTHORITY.saturating_sub(clock::now().since(self.view.since)),
+            None => Duration::ZERO,
+        }
+    }
+
+    fn is_earlier_self(&self, seat: &Seat) -> bool {
+        self.is_own(seat) && seat.address == self.context.peers
+    }
+
     /// Returns for how long this instance leads at most.
     fn term(&self) -> Option<Duration> {
         let factor = 4_u32.saturating_pow(self.yields);
