Late jobs ask more while nothing else does; fewer workers are left to gangs

Questions that wait are overtaken by those of jobs that come first, so two for each instance may be open while few of these are.

Cause 2 (emulator at 1.3 and 2 times the load): sheets were kept off every worker that some gang might use, and a third of the processors stood idle. At most 30 of 100 workers are left to gangs that find no room, and half of the room is reckoned with where another gang asks.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -106,6 +106,8 @@
     backlog: Backlog,
     /// How many more workers may be emptied for gangs in this placing.
     marks_left: usize,
+    /// How many more workers may be left to gangs in this placing.
+    wanted_left: usize,
     /// What all workers hold that take tasks, as of the last placing.
     capacity: Size,
     ended: BTreeMap<Time, Vec<JobId>>,
@@ -143,6 +145,7 @@
             slow_questions: BTreeMap::new(),
             backlog: Backlog::default(),
             marks_left: 0,
+            wanted_left: 0,
             capacity: Size::ZERO,
             ended: BTreeMap::new(),
             placed_at: Time::default(),
--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -37,6 +37,10 @@
 /// half as many with those of late jobs.
 const LATER_PART: usize = 3;
 
+/// How many questions may be open for each instance while few of them are of what comes first: no
+/// instance is idle then while its answer is under way.
+const QUEUED: usize = 2;
+
 /// What a question about some workers may take longer for more of them whose tickets it renews.
 const RENEWED_TOO: f64 = 0.4;
 
@@ -114,7 +118,8 @@
         let open = self.questions.len();
         let later = self.questions.values().filter(|(_, later)| *later).count();
         let part = if late { 2 * LATER_PART } else { LATER_PART };
-        let idle = open < self.askers - self.askers / LATER_PART;
+        // Questions that wait for an instance are overtaken by those of jobs that come first.
+        let idle = open - later <= self.askers / LATER_PART && open < QUEUED * self.askers;
         idle || later < self.askers.div_ceil(part)
     }
 
@@ -149,8 +154,7 @@
         }
     }
 
-    /// Chooses the workers that a step asks about: those with room first that no gang asks about,
-    /// each step beginning elsewhere in the fleet, and no more than are likely to be needed, since
+    /// Chooses the workers that a step asks about: those with room first, each step beginning elsewhere in the fleet, and no more than are likely to be needed, since
     /// each one takes time.
     fn worth_asking(&self, candidate: &Candidate<'_>, mut workers: Vec<usize>) -> Vec<usize> {
         let Candidate {
@@ -160,16 +164,17 @@
             let turn = (id.job.0 % workers.len() as u64) as usize;
             workers.rotate_left(turn);
         }
-        let fitting = |worker: usize| step.booked().times_within(&self.workers[worker].free);
+        // Half of the room where another gang asks will be gone.
+        let fitting = |worker: usize| {
+            let fitting = step.booked().times_within(&self.workers[worker].free);
+            let asked = self.workers[worker].asked_until > self.now;
+            if asked { fitting / 2 } else { fitting }
+        };
         // A stable sort keeps the turn among those that have the same room. Members of a gang need
         // rooms beside each other: the emptier, the better.
         workers.sort_by_cached_key(|&worker| {
             let fitting = fitting(worker);
-            let asked = self.workers[worker].asked_until > self.now;
-            (
-                asked,
-                Reverse(if step.gang { fitting } else { fitting.min(1) }),
-            )
+            Reverse(if step.gang { fitting } else { fitting.min(1) })
         });
         let eligible = self.eligible.get(&queue.name).copied().unwrap_or(ELIGIBLE);
         let needed = f64::from(step.count) * SPARE_ROOM / eligible;
--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -81,7 +81,13 @@
         let number = usize::from(candidate.id.step);
         let known = &self.jobs[&candidate.id.job].steps[number].advice.tickets;
         for &worker in known.keys() {
-            self.workers[worker].wanted = true;
+            if self.wanted_left == 0 {
+                break;
+            }
+            if !self.workers[worker].wanted {
+                self.workers[worker].wanted = true;
+                self.wanted_left -= 1;
+            }
         }
         if self.marks_left == 0 {
             return;
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -35,6 +35,10 @@
 /// The largest part of all workers that may be emptied for gangs.
 const EARMARKED: f64 = 0.4;
 
+/// The largest part of all workers that is left to gangs which find no room: others would find none
+/// either while gangs, which need room on several workers at once, can't use it.
+const WANTED: f64 = 0.3;
+
 /// What is known while one placing goes on.
 struct Pass {
     /// Jobs that have changed; `None` where all steps are looked at.
@@ -99,7 +103,9 @@
         self.questions.retain(|_, (until, _)| *until > now);
         self.slow_questions.retain(|_, until| *until > now);
         self.draw_line();
-        self.marks_left = (self.open().count() as f64 * EARMARKED) as usize;
+        let open = self.open().count() as f64;
+        self.marks_left = (open * EARMARKED) as usize;
+        self.wanted_left = (open * WANTED) as usize;
     }
 
     /// Returns the account of a gang that waits, and what of its limit the gang needs.
--- a/crates/decide/tests/batch_load.rs
+++ b/crates/decide/tests/batch_load.rs
@@ -10,6 +10,9 @@
 /// The part of each kind of job that has to be on time on heavy days, as the users' deployments ask.
 const FLOOR: f64 = 0.45;
 
+/// How long after the end of the traffic accepted jobs may wait though there is room, in seconds.
+const FINISH_S: u64 = 14;
+
 /// Plays a load and checks that no kind of job is starved, and that urgent ones hardly notice.
 fn hold(instances: usize, load: f64) {
     let mut world = World::new(350, instances);
@@ -41,3 +44,14 @@
 fn few_instances() {
     hold(20, 1.0);
 }
+
+/// A line of late jobs is worked off once nothing else comes: at the latest after the time that the
+/// users allow between the end of the traffic and an accepted job that does not run.
+#[test]
+fn late_line() {
+    let mut world = World::new(48, 7);
+    world.play(3.0, Duration::from_secs(30));
+    world.play(0.0, Duration::from_secs(FINISH_S));
+    let waiting: Vec<String> = world.waiting();
+    assert!(waiting.is_empty(), "{} wait: {waiting:#?}", waiting.len());
+}
--- a/crates/decide/tests/support/load/mod.rs
+++ b/crates/decide/tests/support/load/mod.rs
@@ -305,10 +305,11 @@
 
     fn handle(&mut self, event: Event, load: f64) {
         match event {
-            Event::Submit(kind) => {
+            Event::Submit(kind) if load > 0.0 => {
                 self.submit(kind);
                 self.arrive(kind, load);
             }
+            Event::Submit(_) => {}
             Event::Advised(instance, question, kind) => {
                 self.advise(&question, kind);
                 self.idle.push(instance);
@@ -412,7 +413,8 @@
                 let outcome = &mut self.outcomes[kind];
                 outcome.ages.push(*age);
                 let due = allowed(&KINDS[kind]);
-                let owed = self.now.after(due).since(Time::default()) <= self.end.since(Time::default()) + *age;
+                let owed = self.now.after(due).since(Time::default())
+                    <= self.end.since(Time::default()) + *age;
                 outcome.on_time += u64::from(owed && *age <= due);
             }
             Note::Refused { job, .. } => self.outcomes[self.kinds[job]].refused += 1,
@@ -420,15 +422,19 @@
         }
     }
 
-    /// Plays `load` times the usual arrivals; 1 is about two thirds of what the workers hold.
+    /// Plays `load` times the usual arrivals; 1 is about two thirds of what the workers hold. What is
+    /// under way at the end is gone on with by the next play.
     pub fn play(&mut self, load: f64, span: Duration) {
-        for kind in 0..KINDS.len() {
-            self.arrive(kind, load);
+        if load > 0.0 {
+            for kind in 0..KINDS.len() {
+                self.arrive(kind, load);
+            }
         }
         let end = self.now.after(span);
         self.end = end;
         while let Some(Reverse((at, number))) = self.events.pop() {
             if at > end {
+                self.events.push(Reverse((at, number)));
                 return;
             }
             self.now = at;
@@ -444,6 +450,14 @@
         }
     }
 
+    /// Returns the steps that wait though less than half of the processors is booked.
+    pub fn waiting(&self) -> Vec<String> {
+        let dump = self.scheduler.dump();
+        let free = dump.free_millicores * 2 > dump.open_millicores;
+        let line = dump.line.into_iter().filter(|_| free);
+        line.map(|step| format!("{step:?}")).collect()
+    }
+
     /// Returns the part of the processors that was booked on average.
     pub fn booked(&self) -> f64 {
         self.used / self.looks.max(1.0)
