A step of which no asked worker is eligible asks about others at once

Cause, found by reading: after an answer without an eligible worker a step waited two seconds and could then ask about the same workers again, as their choice only depends on their room. Workers that were answered about are left out now, and the pause is gone. lost_advice::none_eligible fails before and passes after.

--- a/crates/decide/src/batch/scheduler/ask.rs
+++ b/crates/decide/src/batch/scheduler/ask.rs
@@ -1,7 +1,8 @@
 //! Tickets: which workers the advice service is asked about, and when.
 //!
 //! What it says of a step and a worker never changes, only the ticket expires. So a step asks about
-//! all workers once, and later only about workers that have room for it.
+//! some workers first, about others only where these don't do, and later only about workers that may
+//! run it and have room.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -123,8 +124,9 @@
         idle || later < self.askers.div_ceil(part)
     }
 
-    /// Asks for the first time; returns whether a question is open.
-    pub(super) fn ask_all(&mut self, candidate: &Candidate<'_>) -> bool {
+    /// Asks while no worker is known that may run a step; returns whether others of its queue may get
+    /// on as well.
+    pub(super) fn ask_unadvised(&mut self, candidate: &Candidate<'_>) -> bool {
         let id = candidate.id;
         if self.advice_of(id).is_asking(self.now) {
             return true;
@@ -132,8 +134,10 @@
         if !self.may_ask(candidate) {
             return false;
         }
-        let all = self.open_workers(candidate);
-        self.ask_first(candidate, all);
+        let mut unknown = self.open_workers(candidate);
+        let answered = &self.advice_of(id).answered;
+        unknown.retain(|worker| !answered.contains(worker));
+        self.ask_first(candidate, unknown);
         true
     }
 
@@ -356,10 +360,6 @@
                 step.advice.tickets.insert(index, Ticket { text, until });
             }
         }
-        if step.advice.tickets.is_empty() {
-            // No worker that was asked about may run it: only a new one can help.
-            step.advice.open_until = Some(now.after(PATIENCE));
-        }
     }
 }
 
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -206,7 +206,7 @@
         let id = candidate.id;
         if candidate.queue.advice.is_some() && !self.is_advised(id) {
             self.note_cause(id, Cause::Advice, 0);
-            return self.ask_all(candidate);
+            return self.ask_unadvised(candidate);
         }
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return true;
--- a/crates/decide/tests/lost_advice.rs
+++ b/crates/decide/tests/lost_advice.rs
@@ -1,4 +1,4 @@
-//! Workers of a question that was lost are asked about again.
+//! Workers of a question that was lost are asked about again, those of an answered one are not.
 
 #[path = "support/batch/bench.rs"]
 mod bench;
@@ -11,6 +11,13 @@
 use azurepath_decide::name::Name;
 use bench::{Bench, JOB, entry, gang, queue};
 
+/// What a question takes, and how long its tickets hold.
+const ADVISED: Advised = Advised {
+    base: Duration::from_millis(1),
+    each: Duration::from_millis(1),
+    validity: Duration::from_secs(1),
+};
+
 fn questions(actions: &[Action]) -> Vec<Question> {
     let asks = |action: &Action| match action {
         Action::Ask(question) => Some(question.clone()),
@@ -34,11 +41,7 @@
 #[test]
 fn second_worker() {
     let mut bench = Bench::with_queue(azurepath_decide::batch::config::Queue {
-        advice: Some(Advised {
-            base: Duration::from_millis(1),
-            each: Duration::from_millis(1),
-            validity: Duration::from_secs(1),
-        }),
+        advice: Some(ADVISED),
         ..queue()
     });
     // Two tasks of five cores each: both workers are needed.
@@ -68,3 +71,31 @@
     }
     assert_eq!(starts, 2, "{JOB} has started");
 }
+
+#[test]
+fn none_eligible() {
+    let mut bench = Bench::with_queue(azurepath_decide::batch::config::Queue {
+        advice: Some(ADVISED),
+        ..queue()
+    });
+    // More workers than one question is about, all with the same room.
+    let worker = |number: usize| {
+        let mut entry = entry();
+        entry.id = Name::from(format!("w{number}"));
+        entry
+    };
+    bench.scheduler.list((0..60).map(worker).collect());
+    bench.store();
+    (0..60).for_each(|worker| bench.report_of(worker));
+    bench.submit(gang(1, 5_000));
+    let first = next_question(&mut bench).expect("it asks about some workers");
+    bench
+        .scheduler
+        .advised(first.step, Some(&Advice::default()));
+    let second = next_question(&mut bench).expect("it asks about others");
+    let again = second
+        .workers
+        .iter()
+        .any(|worker| first.workers.contains(worker));
+    assert!(!again, "{first:?} {second:?}");
+}
