The authority after a lost answer counts from the first try of the write

Cause, found by reading the change of the authority: where a retry finds that an earlier try was carried out, the leader counted its authority from the retry, but a successor counts it from when the row was first seen as it is, which may be 1.4 s earlier. A worker that the leader reaches and the successor does not could have been renewed for longer than the successor waits. No test shows it: the writer is not reachable from tests without the whole program, and the soak has no switch for just this.

--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -75,7 +75,7 @@
 /// What became of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
-    /// It is stored, by a call sent at this time or later.
+    /// It is stored, and the row has not changed since a call sent at this time or later.
     Stored(Time),
     /// Another instance leads.
     Deposed,
@@ -142,6 +142,7 @@
 
     async fn persist(&mut self, batch: &Batch) -> Outcome {
         let mut failures = 0_u32;
+        let first_sent = clock::now();
         loop {
             let sent = clock::now();
             let transaction = self.transaction(batch);
@@ -161,8 +162,9 @@
                     }
                     self.version = version;
                     if seat.write == self.seat.write {
-                        // An earlier try was carried out though no answer came.
-                        return Outcome::Stored(sent);
+                        // An earlier try was carried out though no answer came. A successor may count
+                        // this leader's authority from when that was.
+                        return Outcome::Stored(first_sent);
                     }
                     continue;
                 }
