The stand-in of the advice service names two thirds of the workers for every step

Cause of soak seeds 26, 38 and 42 (state dumps: `eligible` 1, a gang of three tasks of more than 5.3 cores, workers of 16): the stand-in drew each worker by itself, so one step in sixty got a single worker and some gangs could never run. The check that every accepted job comes to its end stays as it is; the stand-in now leaves out each third worker by number, so that all jobs of the soak can run. Seeds 13 and 19 were seen without a state dump; the same cause is likely and not shown. Ruled out: lost questions, leaked room (all 96 cores of the dumps are free), limits.

--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -26,10 +26,9 @@
 
 /// Seeds of a usual run. Add each seed that ever failed, with a line on the cause.
 ///
-/// 38 (as 13, 19 and 26 before): a gang waited for ever, since the workers of a question whose answer
-/// was lost counted as asked about. Whether a seed meets it depends on timing; `lost_advice` in
-/// `azurepath-decide` always does.
-const SEEDS: [u64; 3] = [1, 2, 38];
+/// 38 and 42 (as 26 before): a gang waited for ever, since the stand-in of the advice service named a
+/// single worker for it, which can't hold it. Whether a seed meets such a gang depends on timing.
+const SEEDS: [u64; 4] = [1, 2, 38, 42];
 
 /// How long after the faults the last job may be over.
 const PATIENCE: Duration = Duration::from_secs(120);
--- a/crates/standin/src/cluster/store.rs
+++ b/crates/standin/src/cluster/store.rs
@@ -197,12 +197,15 @@
     }
 }
 
-/// Names two thirds of the workers for each step, always the same ones.
+/// Names two thirds of the workers for each step, always the same ones: each third worker by number is
+/// left out. Drawn one by one, some steps would get a single worker, and a gang might never run.
 fn advise(call: &Call) -> Result<Reply, Reply> {
     let question: Question = call.json()?;
+    let turn = crc32fast::hash(question.step.as_bytes());
     let may = |worker: &&String| {
-        let text = format!("{}{worker}", question.step);
-        !crc32fast::hash(text.as_bytes()).is_multiple_of(3)
+        let digits = worker.trim_start_matches(|letter: char| !letter.is_ascii_digit());
+        let number: u64 = digits.parse().unwrap_or(0);
+        !(u64::from(turn) + number).is_multiple_of(3)
     };
     let eligible: Vec<Value> = question
         .workers
