Lets other instances carry start orders for a leader with a narrow link

Change: the orders of a step go to one instance over the peer connection, with the payload once. New setting link.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod advice;
+pub mod carrier;
 pub mod config;
 pub mod event;
 pub mod fleet;
--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -50,7 +50,7 @@
 }
 
 /// Why a worker did not start a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
     /// The worker has seen a scheduler with a higher epoch.
@@ -74,7 +74,7 @@
 }
 
 /// The outcome of an order to start a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
     /// The task runs.
     Running,
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -2,6 +2,7 @@
 //! leader and runs the scheduler.
 
 mod advice;
+mod carrier;
 mod client;
 mod clock;
 mod decision;
@@ -131,6 +132,7 @@
         halt.clone(),
     ));
     tasks.spawn(advice::run(context.clone(), halt.clone()));
+    tasks.spawn(carrier::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = election::Election::new(context.clone(), leadership_sender);
     let election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -5,22 +5,24 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::advice::Dispatcher;
+use azurepath_decide::batch::carrier::Carriers;
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::batch::fleet::{Contact, Entry};
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
-use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome};
+use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome, StepId};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Start};
-use azurepath_wire::batch::{Call, Reply};
+use azurepath_wire::batch::{Call, Order, Orders, Reply};
 use slog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::carrier::{self, ORDER_TIMEOUT};
 use super::clock::{self, Authority};
 use super::peer::Pending;
 use super::renewal::{self, Renewer};
@@ -52,8 +54,12 @@
 /// How long after it was sent a worker may carry out an order to start.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
 
-/// How long the answer to an order may take: several round trips between two regions.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long the outcome of an order that another instance carries may take beyond the worker's
+/// answer: the ways from and to the instance.
+const CARRIER_SLACK: Duration = Duration::from_millis(300);
+
+/// A leader with a link of this speed, in kbit/s, or a faster one sends all orders itself.
+const DIRECT_LINK_KBPS: u64 = 50_000;
 
 /// How long the leader holds a poll for a question.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -134,6 +140,16 @@
     until: Instant,
 }
 
+/// An order that another instance carries.
+struct Carried {
+    worker: usize,
+    attempt: Attempt,
+    expires_ms: u64,
+    carrier: Name,
+    /// Until when its outcome is awaited.
+    until: Instant,
+}
+
 /// A worker whose lease is renewed.
 struct Attachment {
     stop: CancellationToken,
@@ -152,6 +168,12 @@
     next_call: u64,
     dispatcher: Dispatcher,
     polls: VecDeque<Poll>,
+    carriers: Carriers,
+    /// The polls of instances that wait for orders, by instance.
+    carrier_polls: BTreeMap<Name, Poll>,
+    /// Orders that other instances carry, by number.
+    carried: BTreeMap<u64, Carried>,
+    next_order: u64,
     workers: BTreeMap<usize, Attachment>,
     tasks: JoinSet<()>,
     writer: Option<Writer>,
@@ -200,6 +222,10 @@
             next_call: 0,
             dispatcher: Dispatcher::default(),
             polls: VecDeque::new(),
+            carriers: Carriers::default(),
+            carrier_polls: BTreeMap::new(),
+            carried: BTreeMap::new(),
+            next_order: 0,
             workers: BTreeMap::new(),
             tasks: JoinSet::new(),
             writer: Some(writer),
@@ -260,7 +286,10 @@
                         self.scheduler.configure(config);
                     }
                 }
-                _ = tick.tick() => self.expire_polls(),
+                _ = tick.tick() => {
+                    self.expire_polls();
+                    self.expire_carried();
+                }
             }
             self.step();
             if self.resigned {
@@ -404,6 +433,18 @@
                     until: Instant::now() + POLL_WAIT,
                 });
             }
+            Call::Carry {
+                instance,
+                link_kbps,
+            } => self.wait_for_orders(Name::from(instance), link_kbps, reply),
+            Call::Carried { epoch, outcomes } => {
+                send(reply, Reply::Noted);
+                if epoch == self.epoch {
+                    for (number, outcome) in outcomes {
+                        self.finish_carried(number, Some(outcome));
+                    }
+                }
+            }
         }
     }
 
@@ -427,8 +468,32 @@
     fn step(&mut self) {
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
+        let mut starts: BTreeMap<StepId, Vec<(usize, Start)>> = BTreeMap::new();
         for action in actions {
-            self.execute(action);
+            match action {
+                Action::Start {
+                    worker,
+                    attempt,
+                    payload,
+                    checkpoint,
+                    ticket,
+                } => {
+                    let start = Start {
+                        attempt,
+                        payload,
+                        expires_ms: 0,
+                        epoch: self.epoch,
+                        checkpoint,
+                        ticket,
+                    };
+                    let step = starts.entry(attempt.task.step).or_default();
+                    step.push((worker, start));
+                }
+                action => self.execute(action),
+            }
+        }
+        for starts in starts.into_values() {
+            self.start_step(starts);
         }
         self.answer_polls();
         self.begin_write();
@@ -478,23 +543,8 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Start {
-                worker,
-                attempt,
-                payload,
-                checkpoint,
-                ticket,
-            } => self.start(
-                worker,
-                Start {
-                    attempt,
-                    payload,
-                    expires_ms: 0,
-                    epoch: self.epoch,
-                    checkpoint,
-                    ticket,
-                },
-            ),
+            // Starts are sent by step.
+            Action::Start { .. } => {}
             Action::Stop { worker, attempt } => self.stop(worker, attempt),
             Action::Acknowledge { worker, number } => {
                 if let Some(attachment) = self.workers.get(&worker) {
@@ -549,11 +599,101 @@
         }
     }
 
+    /// Sends the orders of one step, or hands them to an instance that carries them.
+    fn start_step(&mut self, starts: Vec<(usize, Start)>) {
+        let narrow = self.context.settings().link_kbps < DIRECT_LINK_KBPS;
+        let poll = (narrow && self.authority.holds())
+            .then(|| self.carriers.choose(starts.len(), clock::now()))
+            .flatten()
+            .and_then(|carrier| self.carrier_polls.remove(&carrier));
+        let Some(poll) = poll else {
+            for (worker, start) in starts {
+                self.start(worker, start);
+            }
+            return;
+        };
+        let mut batch = Orders {
+            epoch: self.epoch,
+            payload: Name::from(""),
+            orders: Vec::with_capacity(starts.len()),
+        };
+        for (worker, start) in starts {
+            batch.payload = start.payload.clone();
+            let order = self.carried_order(worker, start, &poll.instance);
+            batch.orders.push(order);
+        }
+        send(poll.reply, Reply::Orders(vec![batch]));
+    }
+
+    fn carried_order(&mut self, worker: usize, start: Start, carrier: &Name) -> Order {
+        self.next_order += 1;
+        let endpoint = self.endpoint(worker);
+        // An order without the worker's clock has expired already; the worker refuses it.
+        let expires_ms = self.order_expiry(worker).unwrap_or(0);
+        let carried = Carried {
+            worker,
+            attempt: start.attempt,
+            expires_ms,
+            carrier: carrier.clone(),
+            until: Instant::now() + ORDER_TIMEOUT + CARRIER_SLACK,
+        };
+        self.carried.insert(self.next_order, carried);
+        Order {
+            number: self.next_order,
+            worker: endpoint.id,
+            address: endpoint.address,
+            attempt: start.attempt,
+            expires_ms,
+            checkpoint: start.checkpoint,
+            ticket: start.ticket,
+        }
+    }
+
+    /// Handles the outcome of a carried order, or that the carrier did not deliver any in time. The
+    /// order may have been carried out then.
+    fn finish_carried(&mut self, number: u64, delivered: Option<StartOutcome>) {
+        let Some(order) = self.carried.remove(&number) else {
+            return;
+        };
+        let outcome = delivered.unwrap_or(StartOutcome::Lost);
+        if outcome == StartOutcome::Lost {
+            self.context.counts.lost_orders.add(1, &[]);
+        }
+        self.carriers
+            .mark_done(&order.carrier, delivered.is_none(), clock::now());
+        self.scheduler
+            .handle_start(order.worker, order.attempt, outcome, order.expires_ms);
+    }
+
+    fn expire_carried(&mut self) {
+        let now = Instant::now();
+        let overdue = self.carried.iter().filter(|(_, order)| order.until <= now);
+        let overdue: Vec<u64> = overdue.map(|(number, _)| *number).collect();
+        for number in overdue {
+            self.finish_carried(number, None);
+        }
+    }
+
+    fn wait_for_orders(&mut self, instance: Name, link_kbps: u64, reply: oneshot::Sender<Reply>) {
+        self.carriers.mark_waiting(&instance, link_kbps);
+        let poll = Poll {
+            instance: instance.clone(),
+            reply,
+            until: Instant::now() + carrier::POLL_WAIT,
+        };
+        self.carrier_polls.insert(instance, poll);
+    }
+
+    /// Returns the time of a worker's clock until which it may carry out an order that is sent now,
+    /// or `None` if its clock is not known.
+    fn order_expiry(&self, worker: usize) -> Option<u64> {
+        let (millis, at) = self.workers.get(&worker)?.clock?;
+        let since = at.elapsed() + ORDER_VALIDITY;
+        Some(millis + u64::try_from(since.as_millis()).unwrap_or(0))
+    }
+
     fn start(&mut self, worker: usize, mut start: Start) {
-        let clock = self
-            .workers
-            .get(&worker)
-            .and_then(|attachment| attachment.clock);
+        let expiry = self.order_expiry(worker);
         let endpoint = self.endpoint(worker);
         let workers = self.context.workers.clone();
         let sender = self.sender.clone();
@@ -561,10 +701,9 @@
         self.tasks.spawn(async move {
             let attempt = start.attempt;
             let refused = StartOutcome::Refused(azurepath_decide::batch::Refusal::Late);
-            let (started, expires_ms) = match clock {
-                Some((millis, at)) if authority.holds() => {
-                    let since = at.elapsed() + ORDER_VALIDITY;
-                    start.expires_ms = millis + u64::try_from(since.as_millis()).unwrap_or(0);
+            let (started, expires_ms) = match expiry {
+                Some(expires_ms) if authority.holds() => {
+                    start.expires_ms = expires_ms;
                     let started = workers.start(&endpoint, &start, ORDER_TIMEOUT).await;
                     (started, start.expires_ms)
                 }
@@ -637,6 +776,11 @@
                 send(poll.reply, Reply::Question(None));
             }
         }
+        let expired = |_: &Name, poll: &mut Poll| poll.until <= now || poll.reply.is_closed();
+        for (instance, poll) in self.carrier_polls.extract_if(.., expired) {
+            self.carriers.mark_gone(&instance);
+            send(poll.reply, Reply::Orders(Vec::new()));
+        }
     }
 }
 
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -45,6 +45,8 @@
     pub grace: Duration,
     /// The CPU capacity of the instance in thousandths of a core.
     pub millicores: u64,
+    /// The speed of the instance's network link in kbit/s.
+    pub link_kbps: u64,
 }
 
 impl Settings {
@@ -98,6 +100,7 @@
             lease: document.duration(SECTION, "lease", Duration::from_secs(6)),
             grace: document.duration(SECTION, "grace", Duration::from_secs(6)),
             millicores: document.millicores(SECTION, "cores", 1_000),
+            link_kbps: document.megabits(SECTION, "link", 1_000_000),
         };
         for (key, duration) in [("lease", settings.lease), ("grace", settings.grace)] {
             if duration < Duration::from_secs(1) {
@@ -107,8 +110,10 @@
         if settings.row_bytes < MIN_ROW_BYTES {
             document.conflict(SECTION, "row_bytes", "give 16384 or more");
         }
-        if settings.millicores == 0 {
-            document.conflict(SECTION, "cores", "give more than zero");
+        for (key, value) in [("cores", settings.millicores), ("link", settings.link_kbps)] {
+            if value == 0 {
+                document.conflict(SECTION, key, "give more than zero");
+            }
         }
         document.finish()?;
         Ok(Some(settings))
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -195,11 +195,20 @@
         default: u64,
     ) -> u64 {
         let remedy = "give a number of cores, such as 0.25 or 2";
-        let read = |text: &str| {
-            let cores: f64 = text.parse().ok()?;
-            (cores.is_finite() && cores >= 0.0).then(|| (cores * 1_000.0).round() as u64)
-        };
-        self.optional(section, key, remedy, read).unwrap_or(default)
+        self.optional(section, key, remedy, thousandths)
+            .unwrap_or(default)
+    }
+
+    /// Reads the speed of a link in Mbit/s, such as `20` or `2.5`, as kbit/s.
+    pub(super) fn megabits(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: u64,
+    ) -> u64 {
+        let remedy = "give a number of Mbit/s, such as 20 or 2.5";
+        self.optional(section, key, remedy, thousandths)
+            .unwrap_or(default)
     }
 
     /// Reads a SHA-256 as hexadecimal digits, if it is given.
@@ -331,3 +340,9 @@
         });
     }
 }
+
+/// Reads a decimal number that is not negative as thousandths.
+fn thousandths(text: &str) -> Option<u64> {
+    let number: f64 = text.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then(|| (number * 1_000.0).round() as u64)
+}
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -1,8 +1,11 @@
 //! Calls to the leader and its replies.
 
+use std::net::SocketAddr;
+
 use azurepath_decide::batch::advice::{Advice, Question};
 use azurepath_decide::batch::spec::Spec;
-use azurepath_decide::batch::{JobId, State, StepId};
+use azurepath_decide::batch::{Attempt, JobId, StartOutcome, State, StepId};
+use azurepath_decide::name::Name;
 use serde::{Deserialize, Serialize};
 
 /// A call to the leader. Every call may safely be repeated.
@@ -42,6 +45,50 @@
         /// The step of the previous question and the advice; `None` if the service gave no advice.
         answered: Option<(StepId, Option<Advice>)>,
     },
+    /// Waits for orders to carry to the workers.
+    Carry {
+        /// The instance that waits.
+        instance: String,
+        /// The speed of its link in kbit/s.
+        link_kbps: u64,
+    },
+    /// Delivers the outcomes of orders that the instance has carried.
+    Carried {
+        /// The epoch of the leader that gave the orders.
+        epoch: u64,
+        /// The numbers of the orders with their outcomes.
+        outcomes: Vec<(u64, StartOutcome)>,
+    },
+}
+
+/// Orders to start tasks of one job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// The epoch of the leader.
+    pub epoch: u64,
+    /// The payload that the tasks run.
+    pub payload: Name,
+    /// The tasks.
+    pub orders: Vec<Order>,
+}
+
+/// An order to start a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The number of the order, by which its outcome is delivered.
+    pub number: u64,
+    /// The worker's id.
+    pub worker: Name,
+    /// The worker's address.
+    pub address: SocketAddr,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The time until which the worker may start it, in milliseconds of the worker's clock.
+    pub expires_ms: u64,
+    /// The checkpoint that it resumes from.
+    pub checkpoint: Option<Name>,
+    /// The ticket that permits the step to run on this worker.
+    pub ticket: Option<Name>,
 }
 
 /// A reply of the leader.
@@ -68,4 +115,8 @@
     NotLeading,
     /// The job is larger than the store accepts, and never runs.
     TooLarge,
+    /// Orders to carry to the workers.
+    Orders(Vec<Orders>),
+    /// The outcomes were received.
+    Noted,
 }
