--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -1,35 +1,86 @@
-//! Chooses the instance that sends a step's start orders to the workers.
+//! Chooses the instances that carry the traffic between the leader and the workers.
 //!
-//! Answers the load of many starts at a leader with a narrow link: each order holds the job's whole
+//! Answers two loads of a leader. Many starts over a narrow link: each order holds the job's whole
 //! payload, so that a job of forty tasks keeps a link of 2 Mbit/s busy for a quarter of a second, and
-//! renewals that wait behind it expire. An instance that carries the orders of a step gets the
-//! payload once. All decisions stay with the leader.
+//! renewals that wait behind it expire. And many workers on a small machine: at 1,100 workers the
+//! renewals and orders, one call each, take more than half a core. An instance that carries them
+//! gets the payload of a step once, and sends many reports in one call. All decisions stay with the
+//! leader.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 use crate::time::Time;
 
 /// How long nothing is handed to an instance that has lost an order.
 const SUSPICION: Duration = Duration::from_secs(2);
 
-/// An instance that carries orders.
-#[derive(Clone, Copy, Debug, Default)]
-struct Carrier {
+/// How long an instance may be silent before its workers are given to others. Leases outlast it
+/// several times.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The processor time that a worker's renewals and orders take, in thousandths of a core.
+const MILLICORES_PER_WORKER: u64 = 1;
+
+/// The bytes that a worker's renewals and orders take on a link, in kbit/s.
+const KBPS_PER_WORKER: u64 = 40;
+
+/// The part of an instance that the traffic of workers may take.
+const SHARE: u64 = 4;
+
+/// What an instance can do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Its processor in thousandths of a core.
+    pub millicores: u64,
     /// The speed of its link in kbit/s.
-    link_kbps: u64,
+    pub link_kbps: u64,
+}
+
+impl Capacity {
+    /// Returns for how many workers the instance can carry the traffic beside its other work.
+    pub fn workers(&self) -> usize {
+        let processor = self.millicores / SHARE / MILLICORES_PER_WORKER;
+        let link = self.link_kbps / SHARE / KBPS_PER_WORKER;
+        processor.min(link) as usize
+    }
+
+    /// Tells whether a leader of this capacity needs others for this many workers.
+    pub fn needs_carriers(&self, workers: usize) -> bool {
+        // The leader's own work is the scheduling, which takes little beside its calls.
+        workers > self.workers() * 3
+    }
+}
+
+/// An instance that carries traffic.
+#[derive(Clone, Debug, Default)]
+struct Carrier {
+    capacity: Capacity,
+    failure_domain: Option<Name>,
     /// Whether it waits for orders.
     waiting: bool,
     /// How many orders it has whose outcome is not known yet.
     open: u64,
     /// How many orders it has had.
     total: u64,
-    /// The time until which it gets none.
+    /// The time until which it gets no orders.
     suspect_until: Time,
+    /// When it last reported about its workers.
+    heard: Option<Time>,
+    /// How many workers it has.
+    workers: usize,
 }
 
-/// The instances that carry orders.
+impl Carrier {
+    fn is_alive(&self, now: Time) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < SILENCE)
+    }
+}
+
+/// The instances that carry traffic.
 #[derive(Debug, Default)]
 pub struct Carriers {
     instances: BTreeMap<Name, Carrier>,
@@ -39,7 +90,7 @@
     /// Records that an instance waits for orders.
     pub fn mark_waiting(&mut self, instance: &Name, link_kbps: u64) {
         let carrier = self.instances.entry(instance.clone()).or_default();
-        carrier.link_kbps = link_kbps.max(1);
+        carrier.capacity.link_kbps = link_kbps.max(1);
         carrier.waiting = true;
     }
 
@@ -54,7 +105,9 @@
     /// `None` if none waits.
     pub fn choose(&mut self, orders: usize, now: Time) -> Option<Name> {
         let orders = orders as u64;
-        let load = |carrier: &Carrier| (carrier.open + orders) as f64 / carrier.link_kbps as f64;
+        let load = |carrier: &Carrier| {
+            (carrier.open + orders) as f64 / carrier.capacity.link_kbps.max(1) as f64
+        };
         let usable = self
             .instances
             .iter_mut()
@@ -80,4 +133,43 @@
             }
         }
     }
+
+    /// Records that an instance has reported about its workers.
+    pub fn hear(&mut self, instance: &Name, failure_domain: &Name, capacity: Capacity, now: Time) {
+        let carrier = self.instances.entry(instance.clone()).or_default();
+        carrier.capacity = capacity;
+        carrier.failure_domain = Some(failure_domain.clone());
+        carrier.heard = Some(now);
+    }
+
+    /// Chooses the instance that renews a worker, or `None` if none has room for it: one of the
+    /// worker's failure domain if possible, then the largest.
+    pub fn assign(&mut self, failure_domain: &Name, now: Time) -> Option<Name> {
+        let usable = self.instances.iter_mut().filter(|(_, carrier)| {
+            carrier.is_alive(now) && carrier.workers < carrier.capacity.workers()
+        });
+        let (name, carrier) = usable.max_by_key(|(_, carrier)| {
+            let near = carrier.failure_domain.as_ref() == Some(failure_domain);
+            let left = carrier.capacity.workers() - carrier.workers;
+            (near, carrier.capacity.millicores, left)
+        })?;
+        carrier.workers += 1;
+        Some(name.clone())
+    }
+
+    /// Records that an instance no longer renews one of its workers.
+    pub fn unassign(&mut self, instance: &Name) {
+        if let Some(carrier) = self.instances.get_mut(instance) {
+            carrier.workers = carrier.workers.saturating_sub(1);
+        }
+    }
+
+    /// Returns the instances that have workers and no longer report.
+    pub fn silent(&self, now: Time) -> Vec<Name> {
+        let silent = self
+            .instances
+            .iter()
+            .filter(|(_, carrier)| carrier.workers > 0 && !carrier.is_alive(now));
+        silent.map(|(name, _)| name.clone()).collect()
+    }
 }
--- a/crates/decide/src/batch/report.rs
+++ b/crates/decide/src/batch/report.rs
@@ -1,11 +1,13 @@
 //! The reports of workers about their tasks.
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 
 use super::Attempt;
 
 /// A report of a worker.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The worker's clock in milliseconds.
     pub clock_ms: u64,
@@ -18,7 +20,7 @@
 }
 
 /// A running task.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Running {
     /// The attempt.
     pub attempt: Attempt,
@@ -29,7 +31,7 @@
 }
 
 /// The end of a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// The number of the end, counted from 1 in each incarnation of the worker.
     pub number: u64,
@@ -42,7 +44,7 @@
 }
 
 /// How a task ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Outcome {
     /// The task completed its work.
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -8,8 +8,10 @@
 mod decision;
 mod election;
 mod leader;
+mod links;
 mod listen;
 mod peer;
+mod relay;
 mod reload;
 mod renewal;
 mod watch;
@@ -133,6 +135,7 @@
     ));
     tasks.spawn(advice::run(context.clone(), halt.clone()));
     tasks.spawn(carrier::run(context.clone(), halt.clone()));
+    tasks.spawn(relay::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = election::Election::new(context.clone(), leadership_sender);
     let election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
--- a/crates/server/src/cluster/clock.rs
+++ b/crates/server/src/cluster/clock.rs
@@ -41,8 +41,18 @@
     /// Extends the authority after a write that was sent at `sent` confirmed that this instance
     /// leads.
     pub(super) fn extend(&self, sent: Time) {
-        let until = sent.after(self.duration).0;
-        self.until.fetch_max(until, Ordering::Relaxed);
+        self.extend_by(sent, self.duration);
+    }
+
+    /// Extends the authority until `duration` after `sent`.
+    pub(super) fn extend_by(&self, sent: Time, duration: Duration) {
+        self.until
+            .fetch_max(sent.after(duration).0, Ordering::Relaxed);
+    }
+
+    /// Returns how long orders may still be given.
+    pub(super) fn remaining(&self) -> Duration {
+        Time(self.until.load(Ordering::Relaxed)).since(now())
     }
 
     /// Tells whether orders may be given now.
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -15,6 +15,7 @@
 
 use super::leader::{AUTHORITY_DURATION, EndReason, Leader, Message};
 use super::peer::{self, Leadership};
+use super::relay::MAX_GRANT;
 use super::watch::{READ_TIMEOUT, read_all, read_by_digit};
 use super::writer::{self, JOBS, LEADER, LeaderRow, PROGRESS, ROSTER, TABLE, Writer};
 use super::{Context, clock};
@@ -278,8 +279,8 @@
     fn authority_left(&self) -> Duration {
         match &self.view.leader {
             // It released its authority, or it was an earlier process of this instance, which is
-            // dead.
-            Some(row) if row.released || self.is_previous_process(row) => Duration::ZERO,
+            // dead. Instances that renew workers for it may still do so for a moment.
+            Some(row) if row.released || self.is_previous_process(row) => MAX_GRANT,
             // Its last write was stored before this version of the row was first seen.
             Some(_) => AUTHORITY_DURATION.saturating_sub(clock::now().since(self.view.since)),
             None => Duration::ZERO,
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -5,27 +5,25 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::advice::Dispatcher;
-use azurepath_decide::batch::carrier::Carriers;
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::batch::fleet::{Contact, Entry};
 use azurepath_decide::batch::record::Stored;
-use azurepath_decide::batch::report::Report;
 use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
-use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome, StepId};
+use azurepath_decide::batch::{Action, Answer, JobId, StartOutcome, StepId};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
-use azurepath_platform::worker::{Endpoint, Start};
-use azurepath_wire::batch::{Call, Order, Orders, Reply};
+use azurepath_platform::worker::Start;
+use azurepath_wire::batch::{Call, News, Reply};
 use slog::{info, warn};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::carrier::{self, ORDER_TIMEOUT};
 use super::clock::{self, Authority};
+use super::links::{Links, Started};
 use super::peer::Pending;
-use super::renewal::{self, Renewer};
+use super::renewal;
 use super::writer::{Batch, Outcome, Writer};
 use super::{Context, decision, watch as feed};
 
@@ -51,16 +49,6 @@
 /// that may run on an unreachable worker are started elsewhere only after it has expired.
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
-/// How long after it was sent a worker may carry out an order to start.
-const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
-
-/// How long the outcome of an order that another instance carries may take beyond the worker's
-/// answer: the ways from and to the instance.
-const CARRIER_SLACK: Duration = Duration::from_millis(300);
-
-/// A leader with a link of this speed, in kbit/s, or a faster one sends all orders itself.
-const DIRECT_LINK_KBPS: u64 = 50_000;
-
 /// How long the leader holds a poll for a question.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -76,19 +64,6 @@
 pub(super) enum Message {
     /// A call of a client, possibly forwarded by another instance.
     Call(Box<Pending>),
-    /// The report of a worker, by its number.
-    Report(usize, Report),
-    /// A worker does not answer, with the error.
-    Silent(usize, String),
-    /// The lease of all tasks on a worker has expired for certain.
-    Lapsed(usize),
-    /// Another worker listens at a worker's address.
-    Replaced(usize),
-    /// A worker has seen a leader with a higher epoch.
-    Superseded,
-    /// The outcome of an order to start: worker, attempt, outcome, and the order's expiry by the
-    /// worker's clock in milliseconds.
-    Started(usize, Attempt, StartOutcome, u64),
     /// All entries of the registry.
     Registry(Vec<Entry>),
     /// A request for the state in numbers.
@@ -140,48 +115,24 @@
     until: Instant,
 }
 
-/// An order that another instance carries.
-struct Carried {
-    worker: usize,
-    attempt: Attempt,
-    expires_ms: u64,
-    carrier: Name,
-    /// Until when its outcome is awaited.
-    until: Instant,
-}
-
-/// A worker whose lease is renewed.
-struct Attachment {
-    stop: CancellationToken,
-    acknowledged: watch::Sender<u64>,
-    /// The worker's clock in milliseconds, and when it was read.
-    clock: Option<(u64, Instant)>,
-}
-
 /// The task that drives the scheduler.
 pub(super) struct Leader {
     context: Context,
     scheduler: Scheduler,
     authority: Arc<Authority>,
     sender: mpsc::UnboundedSender<Message>,
+    links: Links,
+    news: mpsc::UnboundedReceiver<renewal::Event>,
+    started: mpsc::UnboundedReceiver<Started>,
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
     next_call: u64,
     dispatcher: Dispatcher,
     polls: VecDeque<Poll>,
-    carriers: Carriers,
-    /// The polls of instances that wait for orders, by instance.
-    carrier_polls: BTreeMap<Name, Poll>,
-    /// Orders that other instances carry, by number.
-    carried: BTreeMap<u64, Carried>,
-    next_order: u64,
-    workers: BTreeMap<usize, Attachment>,
     tasks: JoinSet<()>,
     writer: Option<Writer>,
     writing: JoinSet<(Writer, Outcome)>,
     write_begun: Instant,
     epoch: u64,
-    lease: Duration,
-    inherited_lease: Duration,
     resigned: bool,
 }
 
@@ -214,26 +165,34 @@
         let handle = Handle {
             sender: sender.clone(),
         };
+        let authority = Arc::new(Authority::new(sent, AUTHORITY_DURATION));
+        let (news_sender, news) = mpsc::unbounded_channel();
+        let (started_sender, started) = mpsc::unbounded_channel();
+        let links = Links::new(
+            context.clone(),
+            epoch,
+            lease,
+            inherited_lease,
+            authority.clone(),
+            news_sender,
+            started_sender,
+        );
         let leader = Leader {
             scheduler: Scheduler::new(setup, now, config, stored),
-            authority: Arc::new(Authority::new(sent, AUTHORITY_DURATION)),
+            authority,
             sender,
+            links,
+            news,
+            started,
             calls: BTreeMap::new(),
             next_call: 0,
             dispatcher: Dispatcher::default(),
             polls: VecDeque::new(),
-            carriers: Carriers::default(),
-            carrier_polls: BTreeMap::new(),
-            carried: BTreeMap::new(),
-            next_order: 0,
-            workers: BTreeMap::new(),
             tasks: JoinSet::new(),
             writer: Some(writer),
             writing: JoinSet::new(),
             write_begun: Instant::now(),
             epoch,
-            lease,
-            inherited_lease,
             resigned: false,
             context,
         };
@@ -275,12 +234,28 @@
                         self.handle(message);
                     }
                 }
+                Some((serial, news)) = self.news.recv() => {
+                    self.handle_news(serial, news);
+                    for _ in 0..MAX_MESSAGES_PER_STEP {
+                        let Ok((serial, news)) = self.news.try_recv() else {
+                            break;
+                        };
+                        self.handle_news(serial, news);
+                    }
+                }
+                Some(started) = self.started.recv() => {
+                    self.handle_started(started);
+                    while let Ok(started) = self.started.try_recv() {
+                        self.handle_started(started);
+                    }
+                }
                 Some(written) = self.writing.join_next() => {
                     if !self.written(written) {
                         break EndReason::Deposed;
                     }
                 }
                 Some(_) = self.tasks.join_next() => continue,
+                true = self.links.join_next() => continue,
                 Ok(()) = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
                         self.scheduler.configure(config);
@@ -288,7 +263,7 @@
                 }
                 _ = tick.tick() => {
                     self.expire_polls();
-                    self.expire_carried();
+                    self.links.tick();
                 }
             }
             self.step();
@@ -304,9 +279,6 @@
     async fn end(&mut self, reason: EndReason, halt: &CancellationToken) {
         self.authority.end();
         halt.cancel();
-        for worker in self.workers.values() {
-            worker.stop.cancel();
-        }
         if reason != EndReason::Deposed {
             let wait = self.writing.join_next();
             if let Ok(Some(written)) = tokio::time::timeout(MAX_WRITE_TIME, wait).await {
@@ -324,6 +296,7 @@
             }
         }
         self.writing.shutdown().await;
+        self.links.stop().await;
         while self.tasks.join_next().await.is_some() {}
     }
 
@@ -333,10 +306,18 @@
                 let (call, reply) = *call;
                 self.call(call, reply);
             }
-            Message::Report(worker, report) => {
-                if let Some(attachment) = self.workers.get_mut(&worker) {
-                    attachment.clock = Some((report.clock_ms, Instant::now()));
-                }
+            Message::Registry(entries) => self.scheduler.update_registry(entries),
+            // The requester may have gone.
+            Message::Dump(reply) => drop(reply.send(self.scheduler.dump())),
+        }
+    }
+
+    fn handle_news(&mut self, serial: u64, news: News) {
+        let Some(worker) = self.links.worker_of(serial, &news) else {
+            return;
+        };
+        match news {
+            News::Report(report) => {
                 if self.scheduler.worker(worker).contact != Contact::Claimed {
                     info!(self.context.log, "worker claimed";
                         "worker" => %self.scheduler.worker(worker).entry.id,
@@ -344,13 +325,13 @@
                 }
                 self.scheduler.report(worker, &report);
             }
-            Message::Silent(worker, error) => {
+            News::Silent(error) => {
                 self.context.counts.silent_workers.add(1, &[]);
                 warn!(self.context.log, "worker silent";
                     "worker" => %self.scheduler.worker(worker).entry.id, "error" => error);
                 self.scheduler.mark_silent(worker);
             }
-            Message::Lapsed(worker) => {
+            News::Lapsed => {
                 warn!(self.context.log, "worker leases expired";
                     "worker" => %self.scheduler.worker(worker).entry.id,
                     "attempts" => self.scheduler.worker(worker).attempts.len());
@@ -359,21 +340,19 @@
                     self.scheduler.remove_worker(worker);
                 }
             }
-            Message::Replaced(worker) => self.scheduler.remove_worker(worker),
-            Message::Superseded => self.resigned = true,
-            Message::Started(worker, attempt, started, expires_ms) => {
-                if started == StartOutcome::Lost {
-                    self.context.counts.lost_orders.add(1, &[]);
-                }
-                self.scheduler
-                    .handle_start(worker, attempt, started, expires_ms);
-            }
-            Message::Registry(entries) => self.scheduler.update_registry(entries),
-            // The requester may have gone.
-            Message::Dump(reply) => drop(reply.send(self.scheduler.dump())),
+            News::Replaced => self.scheduler.remove_worker(worker),
+            News::Superseded => self.resigned = true,
         }
     }
 
+    fn handle_started(&mut self, (worker, attempt, outcome, expires_ms): Started) {
+        if outcome == StartOutcome::Lost {
+            self.context.counts.lost_orders.add(1, &[]);
+        }
+        self.scheduler
+            .handle_start(worker, attempt, outcome, expires_ms);
+    }
+
     fn call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
         match call {
             Call::Submit {
@@ -436,14 +415,27 @@
             Call::Carry {
                 instance,
                 link_kbps,
-            } => self.wait_for_orders(Name::from(instance), link_kbps, reply),
+            } => self.links.poll(&Name::from(instance), link_kbps, reply),
             Call::Carried { epoch, outcomes } => {
+                self.links.carried(epoch, outcomes);
                 send(reply, Reply::Noted);
-                if epoch == self.epoch {
-                    for (number, outcome) in outcomes {
-                        self.finish_carried(number, Some(outcome));
-                    }
-                }
+            }
+            Call::Relay {
+                instance,
+                failure_domain,
+                capacity,
+                epoch,
+                seen,
+                news,
+            } => {
+                let relay = self.links.relay(
+                    &Name::from(instance),
+                    &Name::from(failure_domain),
+                    capacity,
+                    (epoch, seen),
+                    news,
+                );
+                send(reply, Reply::Relay(relay));
             }
         }
     }
@@ -493,7 +485,7 @@
             }
         }
         for starts in starts.into_values() {
-            self.start_step(starts);
+            self.links.start_step(starts);
         }
         self.answer_polls();
         self.begin_write();
@@ -545,24 +537,15 @@
         match action {
             // Starts are sent by step.
             Action::Start { .. } => {}
-            Action::Stop { worker, attempt } => self.stop(worker, attempt),
-            Action::Acknowledge { worker, number } => {
-                if let Some(attachment) = self.workers.get(&worker) {
-                    attachment.acknowledged.send_if_modified(|known| {
-                        let higher = number > *known;
-                        *known = number.max(*known);
-                        higher
-                    });
-                }
-            }
+            Action::Stop { worker, attempt } => self.links.stop_run(worker, attempt),
+            Action::Acknowledge { worker, number } => self.links.acknowledge(worker, number),
             Action::Ask(question) => self.dispatcher.add(question),
             Action::Answer { call, answer } => self.answer(call, &answer),
-            Action::Attach { worker } => self.attach(worker),
-            Action::Detach { worker } => {
-                if let Some(attachment) = self.workers.remove(&worker) {
-                    attachment.stop.cancel();
-                }
+            Action::Attach { worker } => {
+                let entry = &self.scheduler.worker(worker).entry;
+                self.links.attach(worker, entry);
             }
+            Action::Detach { worker } => self.links.detach(worker),
             Action::Log(decision) => {
                 decision::log(
                     &self.context.log,
@@ -591,168 +574,6 @@
         send(reply, answer);
     }
 
-    fn endpoint(&self, worker: usize) -> Endpoint {
-        let entry = &self.scheduler.worker(worker).entry;
-        Endpoint {
-            id: entry.id.clone(),
-            address: entry.address,
-        }
-    }
-
-    /// Sends the orders of one step, or hands them to an instance that carries them.
-    fn start_step(&mut self, starts: Vec<(usize, Start)>) {
-        let narrow = self.context.settings().link_kbps < DIRECT_LINK_KBPS;
-        let poll = (narrow && self.authority.holds())
-            .then(|| self.carriers.choose(starts.len(), clock::now()))
-            .flatten()
-            .and_then(|carrier| self.carrier_polls.remove(&carrier));
-        let Some(poll) = poll else {
-            for (worker, start) in starts {
-                self.start(worker, start);
-            }
-            return;
-        };
-        let mut batch = Orders {
-            epoch: self.epoch,
-            payload: Name::from(""),
-            orders: Vec::with_capacity(starts.len()),
-        };
-        for (worker, start) in starts {
-            batch.payload = start.payload.clone();
-            let order = self.carried_order(worker, start, &poll.instance);
-            batch.orders.push(order);
-        }
-        send(poll.reply, Reply::Orders(vec![batch]));
-    }
-
-    fn carried_order(&mut self, worker: usize, start: Start, carrier: &Name) -> Order {
-        self.next_order += 1;
-        let endpoint = self.endpoint(worker);
-        // An order without the worker's clock has expired already; the worker refuses it.
-        let expires_ms = self.order_expiry(worker).unwrap_or(0);
-        let carried = Carried {
-            worker,
-            attempt: start.attempt,
-            expires_ms,
-            carrier: carrier.clone(),
-            until: Instant::now() + ORDER_TIMEOUT + CARRIER_SLACK,
-        };
-        self.carried.insert(self.next_order, carried);
-        Order {
-            number: self.next_order,
-            worker: endpoint.id,
-            address: endpoint.address,
-            attempt: start.attempt,
-            expires_ms,
-            checkpoint: start.checkpoint,
-            ticket: start.ticket,
-        }
-    }
-
-    /// Handles the outcome of a carried order, or that the carrier did not deliver any in time. The
-    /// order may have been carried out then.
-    fn finish_carried(&mut self, number: u64, delivered: Option<StartOutcome>) {
-        let Some(order) = self.carried.remove(&number) else {
-            return;
-        };
-        let outcome = delivered.unwrap_or(StartOutcome::Lost);
-        if outcome == StartOutcome::Lost {
-            self.context.counts.lost_orders.add(1, &[]);
-        }
-        self.carriers
-            .mark_done(&order.carrier, delivered.is_none(), clock::now());
-        self.scheduler
-            .handle_start(order.worker, order.attempt, outcome, order.expires_ms);
-    }
-
-    fn expire_carried(&mut self) {
-        let now = Instant::now();
-        let overdue = self.carried.iter().filter(|(_, order)| order.until <= now);
-        let overdue: Vec<u64> = overdue.map(|(number, _)| *number).collect();
-        for number in overdue {
-            self.finish_carried(number, None);
-        }
-    }
-
-    fn wait_for_orders(&mut self, instance: Name, link_kbps: u64, reply: oneshot::Sender<Reply>) {
-        self.carriers.mark_waiting(&instance, link_kbps);
-        let poll = Poll {
-            instance: instance.clone(),
-            reply,
-            until: Instant::now() + carrier::POLL_WAIT,
-        };
-        self.carrier_polls.insert(instance, poll);
-    }
-
-    /// Returns the time of a worker's clock until which it may carry out an order that is sent now,
-    /// or `None` if its clock is not known.
-    fn order_expiry(&self, worker: usize) -> Option<u64> {
-        let (millis, at) = self.workers.get(&worker)?.clock?;
-        let since = at.elapsed() + ORDER_VALIDITY;
-        Some(millis + u64::try_from(since.as_millis()).unwrap_or(0))
-    }
-
-    fn start(&mut self, worker: usize, mut start: Start) {
-        let expiry = self.order_expiry(worker);
-        let endpoint = self.endpoint(worker);
-        let workers = self.context.workers.clone();
-        let sender = self.sender.clone();
-        let authority = self.authority.clone();
-        self.tasks.spawn(async move {
-            let attempt = start.attempt;
-            let refused = StartOutcome::Refused(azurepath_decide::batch::Refusal::Late);
-            let (started, expires_ms) = match expiry {
-                Some(expires_ms) if authority.holds() => {
-                    start.expires_ms = expires_ms;
-                    let started = workers.start(&endpoint, &start, ORDER_TIMEOUT).await;
-                    (started, start.expires_ms)
-                }
-                // Without authority or the worker's clock, no order is sent.
-                Some(_) | None => (refused, 0),
-            };
-            // If the leader has ended, its successor learns from the worker which tasks run.
-            let _ = sender.send(Message::Started(worker, attempt, started, expires_ms));
-        });
-    }
-
-    fn stop(&mut self, worker: usize, attempt: Attempt) {
-        let endpoint = self.endpoint(worker);
-        let workers = self.context.workers.clone();
-        let epoch = self.epoch;
-        let authority = self.authority.clone();
-        self.tasks.spawn(async move {
-            if authority.holds() {
-                // The scheduler repeats the order until the worker reports the end.
-                let _ = workers
-                    .stop(&endpoint, &attempt, epoch, ORDER_TIMEOUT)
-                    .await;
-            }
-        });
-    }
-
-    fn attach(&mut self, worker: usize) {
-        let (acknowledged, receiver) = watch::channel(0);
-        let stop = CancellationToken::new();
-        let renewer = Renewer {
-            worker,
-            endpoint: self.endpoint(worker),
-            workers: self.context.workers.clone(),
-            epoch: self.epoch,
-            lease: self.lease,
-            inherited_lease: self.inherited_lease,
-            authority: self.authority.clone(),
-            acknowledged: receiver,
-            leader: self.sender.clone(),
-        };
-        self.tasks.spawn(renewer.run(stop.clone()));
-        let attachment = Attachment {
-            stop,
-            acknowledged,
-            clock: None,
-        };
-        self.workers.insert(worker, attachment);
-    }
-
     /// Hands waiting questions to the polling instances.
     fn answer_polls(&mut self) {
         let now = clock::now();
@@ -776,11 +597,6 @@
                 send(poll.reply, Reply::Question(None));
             }
         }
-        let expired = |_: &Name, poll: &mut Poll| poll.until <= now || poll.reply.is_closed();
-        for (instance, poll) in self.carrier_polls.extract_if(.., expired) {
-            self.carriers.mark_gone(&instance);
-            send(poll.reply, Reply::Orders(Vec::new()));
-        }
     }
 }
 
--- /dev/null
+++ b/crates/server/src/cluster/links.rs
@@ -0,0 +1,576 @@
+//! The ways from the leader to the workers: its own calls, or other instances that carry them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::batch::carrier::{Capacity, Carriers};
+use azurepath_decide::batch::fleet::Entry;
+use azurepath_decide::batch::{Attempt, Refusal, StartOutcome};
+use azurepath_decide::name::{Map, Name};
+use azurepath_platform::worker::{Endpoint, Start};
+use azurepath_wire::batch::{News, Order, Orders, Relay, RelayChange, Reply};
+use slog::info;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::Context;
+use super::carrier::{self, ORDER_TIMEOUT};
+use super::clock::{self, Authority};
+use super::relay::MAX_GRANT;
+use super::renewal::{self, Renewer};
+
+/// How long after it was sent a worker may carry out an order to start.
+const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
+
+/// How long the outcome of an order that another instance carries may take beyond the worker's
+/// answer: the ways from and to the instance.
+const CARRIER_SLACK: Duration = Duration::from_millis(300);
+
+/// How long a new leader waits for instances that renew workers before it does so itself.
+const CARRIER_WAIT: Duration = Duration::from_millis(600);
+
+/// The most workers that change from the leader to another instance at a time.
+const MAX_MOVES: usize = 20;
+
+/// The outcome of an order to start: worker, attempt, outcome, and the order's expiry by the
+/// worker's clock in milliseconds.
+pub(super) type Started = (usize, Attempt, StartOutcome, u64);
+
+/// A worker whose lease is renewed.
+struct Link {
+    endpoint: Endpoint,
+    failure_domain: Name,
+    /// The number under which it is renewed; a new one with each change of who renews it.
+    serial: u64,
+    renewal: Renewal,
+    /// The number up to which its ends are stored.
+    acknowledged: u64,
+    /// The worker's clock in milliseconds, and when it was read.
+    clock: Option<(u64, Instant)>,
+    /// Until when leases may last that others have renewed before.
+    inherited_until: Instant,
+}
+
+/// Who renews a worker.
+enum Renewal {
+    /// Nobody yet.
+    None,
+    /// The leader.
+    Own {
+        stop: CancellationToken,
+        acknowledged: watch::Sender<u64>,
+    },
+    /// Another instance.
+    Carried(Name),
+}
+
+/// The changes that an instance has not confirmed yet.
+#[derive(Default)]
+struct Outbox {
+    last: u64,
+    changes: VecDeque<(u64, RelayChange)>,
+}
+
+impl Outbox {
+    fn push(&mut self, change: RelayChange) {
+        self.last += 1;
+        self.changes.push_back((self.last, change));
+    }
+}
+
+/// An instance's poll for orders that waits for its reply.
+struct Poll {
+    reply: oneshot::Sender<Reply>,
+    until: Instant,
+}
+
+/// An order that another instance carries.
+struct Carried {
+    worker: usize,
+    attempt: Attempt,
+    expires_ms: u64,
+    carrier: Name,
+    /// Until when its outcome is awaited.
+    until: Instant,
+}
+
+/// The ways to all workers.
+pub(super) struct Links {
+    context: Context,
+    epoch: u64,
+    lease: Duration,
+    authority: Arc<Authority>,
+    begun: Instant,
+    inherited_lease: Duration,
+    news: mpsc::UnboundedSender<renewal::Event>,
+    started: mpsc::UnboundedSender<Started>,
+    tasks: JoinSet<()>,
+    workers: BTreeMap<usize, Link>,
+    by_serial: Map<u64, usize>,
+    last_serial: u64,
+    /// The workers that nobody renews yet.
+    unattached: BTreeSet<usize>,
+    carriers: Carriers,
+    outboxes: BTreeMap<Name, Outbox>,
+    polls: BTreeMap<Name, Poll>,
+    carried: BTreeMap<u64, Carried>,
+    last_order: u64,
+}
+
+impl Links {
+    /// Creates the ways of a leader. Leases that earlier leaders have renewed last up to
+    /// `inherited_lease`.
+    pub(super) fn new(
+        context: Context,
+        epoch: u64,
+        lease: Duration,
+        inherited_lease: Duration,
+        authority: Arc<Authority>,
+        news: mpsc::UnboundedSender<renewal::Event>,
+        started: mpsc::UnboundedSender<Started>,
+    ) -> Links {
+        Links {
+            context,
+            epoch,
+            lease,
+            authority,
+            begun: Instant::now(),
+            inherited_lease,
+            news,
+            started,
+            tasks: JoinSet::new(),
+            workers: BTreeMap::new(),
+            by_serial: Map::default(),
+            last_serial: 0,
+            unattached: BTreeSet::new(),
+            carriers: Carriers::default(),
+            outboxes: BTreeMap::new(),
+            polls: BTreeMap::new(),
+            carried: BTreeMap::new(),
+            last_order: 0,
+        }
+    }
+
+    /// Stops all own calls.
+    pub(super) async fn stop(&mut self) {
+        for link in self.workers.values() {
+            if let Renewal::Own { stop, .. } = &link.renewal {
+                stop.cancel();
+            }
+        }
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    /// Waits for a call to end, so that ended calls take no memory.
+    pub(super) async fn join_next(&mut self) -> bool {
+        self.tasks.join_next().await.is_some()
+    }
+
+    /// Begins to renew a worker.
+    pub(super) fn attach(&mut self, worker: usize, entry: &Entry) {
+        let link = Link {
+            endpoint: Endpoint {
+                id: entry.id.clone(),
+                address: entry.address,
+            },
+            failure_domain: entry.failure_domain.clone(),
+            serial: 0,
+            renewal: Renewal::None,
+            acknowledged: 0,
+            clock: None,
+            inherited_until: self.begun + self.inherited_lease,
+        };
+        self.workers.insert(worker, link);
+        self.unattached.insert(worker);
+    }
+
+    /// Stops renewing a worker.
+    pub(super) fn detach(&mut self, worker: usize) {
+        self.release(worker);
+        self.unattached.remove(&worker);
+        self.workers.remove(&worker);
+    }
+
+    /// Ends the present renewal of a worker.
+    fn release(&mut self, worker: usize) {
+        let Some(link) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        self.by_serial.remove(&link.serial);
+        match std::mem::replace(&mut link.renewal, Renewal::None) {
+            Renewal::None => return,
+            Renewal::Own { stop, .. } => stop.cancel(),
+            Renewal::Carried(instance) => {
+                self.carriers.unassign(&instance);
+                if let Some(outbox) = self.outboxes.get_mut(&instance) {
+                    outbox.push(RelayChange::Detach(link.serial));
+                }
+            }
+        }
+        // The former renewer may have extended the lease until its grant ended.
+        let until = Instant::now() + MAX_GRANT + renewal::expiry_bound(self.lease);
+        link.inherited_until = link.inherited_until.max(until);
+        self.unattached.insert(worker);
+    }
+
+    /// Allows a worker to forget its ends up to a number.
+    pub(super) fn acknowledge(&mut self, worker: usize, number: u64) {
+        let Some(link) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        if number <= link.acknowledged {
+            return;
+        }
+        link.acknowledged = number;
+        match &link.renewal {
+            Renewal::None => {}
+            Renewal::Own { acknowledged, .. } => drop(acknowledged.send_replace(number)),
+            Renewal::Carried(instance) => {
+                if let Some(outbox) = self.outboxes.get_mut(instance) {
+                    outbox.push(RelayChange::Acknowledge(link.serial, number));
+                }
+            }
+        }
+    }
+
+    /// Returns the worker that news is about, or `None` if someone else renews it by now.
+    pub(super) fn worker_of(&mut self, serial: u64, news: &News) -> Option<usize> {
+        let worker = *self.by_serial.get(&serial)?;
+        if let News::Report(report) = news
+            && let Some(link) = self.workers.get_mut(&worker)
+        {
+            link.clock = Some((report.clock_ms, Instant::now()));
+        }
+        Some(worker)
+    }
+
+    /// Tells whether other instances should carry the traffic of the workers.
+    fn wants_carriers(&self) -> bool {
+        let settings = self.context.settings();
+        let capacity = Capacity {
+            millicores: settings.millicores,
+            link_kbps: settings.link_kbps,
+        };
+        capacity.needs_carriers(self.workers.len())
+    }
+
+    /// Gives workers to renewers, and takes back those of instances that are silent.
+    pub(super) fn tick(&mut self) {
+        self.expire_polls();
+        self.expire_carried();
+        let now = clock::now();
+        for instance in self.carriers.silent(now) {
+            self.take_back(&instance);
+        }
+        if !self.wants_carriers() {
+            for worker in std::mem::take(&mut self.unattached) {
+                self.renew(worker);
+            }
+            return;
+        }
+        let waits = self.begun.elapsed() < CARRIER_WAIT;
+        for worker in std::mem::take(&mut self.unattached) {
+            match self.assign(worker) {
+                Some(instance) => self.give(worker, instance),
+                None if waits => drop(self.unattached.insert(worker)),
+                None => self.renew(worker),
+            }
+        }
+        let is_own = |(_, link): &(&usize, &Link)| matches!(link.renewal, Renewal::Own { .. });
+        let own: Vec<usize> = self
+            .workers
+            .iter()
+            .filter(is_own)
+            .map(|(worker, _)| *worker)
+            .take(MAX_MOVES)
+            .collect();
+        for worker in own {
+            let Some(instance) = self.assign(worker) else {
+                break;
+            };
+            self.release(worker);
+            self.unattached.remove(&worker);
+            self.give(worker, instance);
+        }
+    }
+
+    fn assign(&mut self, worker: usize) -> Option<Name> {
+        let link = self.workers.get(&worker)?;
+        self.carriers.assign(&link.failure_domain, clock::now())
+    }
+
+    fn take_back(&mut self, instance: &Name) {
+        let is_given = |(_, link): &(&usize, &Link)| matches!(&link.renewal, Renewal::Carried(carrier) if carrier == instance);
+        let workers: Vec<usize> = self
+            .workers
+            .iter()
+            .filter(is_given)
+            .map(|(worker, _)| *worker)
+            .collect();
+        info!(self.context.log, "workers taken back";
+            "instance" => %instance, "epoch" => self.epoch, "workers" => workers.len());
+        for worker in workers {
+            self.release(worker);
+        }
+    }
+
+    fn next_serial(&mut self, worker: usize) -> u64 {
+        self.last_serial += 1;
+        self.by_serial.insert(self.last_serial, worker);
+        self.last_serial
+    }
+
+    /// Lets another instance renew a worker.
+    fn give(&mut self, worker: usize, instance: Name) {
+        let serial = self.next_serial(worker);
+        let Some(link) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        link.serial = serial;
+        let change = RelayChange::Attach {
+            serial,
+            worker: link.endpoint.id.clone(),
+            address: link.endpoint.address,
+            inherited_lease: link
+                .inherited_until
+                .saturating_duration_since(Instant::now()),
+            acknowledged: link.acknowledged,
+        };
+        let outbox = self.outboxes.entry(instance.clone()).or_default();
+        outbox.push(change);
+        link.renewal = Renewal::Carried(instance);
+    }
+
+    /// Renews a worker by own calls.
+    fn renew(&mut self, worker: usize) {
+        let serial = self.next_serial(worker);
+        let Some(link) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        link.serial = serial;
+        let (acknowledged, receiver) = watch::channel(link.acknowledged);
+        let stop = CancellationToken::new();
+        let renewer = Renewer {
+            serial,
+            endpoint: link.endpoint.clone(),
+            workers: self.context.workers.clone(),
+            epoch: self.epoch,
+            lease: self.lease,
+            inherited_lease: link
+                .inherited_until
+                .saturating_duration_since(Instant::now()),
+            authority: self.authority.clone(),
+            acknowledged: receiver,
+            events: self.news.clone(),
+        };
+        self.tasks.spawn(renewer.run(stop.clone()));
+        link.renewal = Renewal::Own { stop, acknowledged };
+    }
+
+    /// Handles the call of an instance that renews workers: its news goes to the leader, and the
+    /// changes that it has not seen come back.
+    pub(super) fn relay(
+        &mut self,
+        instance: &Name,
+        failure_domain: &Name,
+        capacity: Capacity,
+        (epoch, seen): (u64, u64),
+        news: Vec<renewal::Event>,
+    ) -> Relay {
+        // Calls of this process save nothing.
+        if *instance != self.context.name {
+            self.carriers
+                .hear(instance, failure_domain, capacity, clock::now());
+        }
+        if epoch == self.epoch {
+            for event in news {
+                // The receiver is the leader itself.
+                let _ = self.news.send(event);
+            }
+        }
+        let outbox = self.outboxes.entry(instance.clone()).or_default();
+        let seen = if epoch == self.epoch { seen } else { 0 };
+        if seen < outbox.last
+            && outbox
+                .changes
+                .front()
+                .is_none_or(|(number, _)| *number > seen + 1)
+        {
+            // A process that has restarted knows nothing of what it was given.
+            self.outboxes.remove(instance);
+            self.take_back(instance);
+        }
+        let wanted = self.wants_carriers();
+        let outbox = self.outboxes.entry(instance.clone()).or_default();
+        while outbox
+            .changes
+            .front()
+            .is_some_and(|(number, _)| *number <= seen)
+        {
+            outbox.changes.pop_front();
+        }
+        Relay {
+            epoch: self.epoch,
+            grant: self.authority.remaining().min(MAX_GRANT),
+            lease: self.lease,
+            wanted,
+            changes: outbox.changes.iter().cloned().collect(),
+        }
+    }
+
+    /// Sends the orders of one step, or hands them to an instance that carries them.
+    pub(super) fn start_step(&mut self, starts: Vec<(usize, Start)>) {
+        let carrier = (self.wants_carriers() && self.authority.holds())
+            .then(|| self.carriers.choose(starts.len(), clock::now()))
+            .flatten();
+        let poll = carrier.and_then(|carrier| Some((self.polls.remove(&carrier)?, carrier)));
+        let Some((poll, carrier)) = poll else {
+            for (worker, start) in starts {
+                self.start(worker, start);
+            }
+            return;
+        };
+        let mut batch = Orders {
+            epoch: self.epoch,
+            payload: Name::from(""),
+            orders: Vec::with_capacity(starts.len()),
+        };
+        for (worker, start) in starts {
+            batch.payload = start.payload.clone();
+            batch
+                .orders
+                .extend(self.carried_order(worker, start, &carrier));
+        }
+        // If the poll has ended, the orders are overdue soon.
+        let _ = poll.reply.send(Reply::Orders(vec![batch]));
+    }
+
+    fn carried_order(&mut self, worker: usize, start: Start, carrier: &Name) -> Option<Order> {
+        let endpoint = self.workers.get(&worker)?.endpoint.clone();
+        self.last_order += 1;
+        // An order without the worker's clock has expired already; the worker refuses it.
+        let expires_ms = self.order_expiry(worker).unwrap_or(0);
+        let carried = Carried {
+            worker,
+            attempt: start.attempt,
+            expires_ms,
+            carrier: carrier.clone(),
+            until: Instant::now() + ORDER_TIMEOUT + CARRIER_SLACK,
+        };
+        self.carried.insert(self.last_order, carried);
+        Some(Order {
+            number: self.last_order,
+            worker: endpoint.id,
+            address: endpoint.address,
+            attempt: start.attempt,
+            expires_ms,
+            checkpoint: start.checkpoint,
+            ticket: start.ticket,
+        })
+    }
+
+    /// Handles the outcomes of carried orders.
+    pub(super) fn carried(&mut self, epoch: u64, outcomes: Vec<(u64, StartOutcome)>) {
+        if epoch == self.epoch {
+            for (number, outcome) in outcomes {
+                self.finish_carried(number, Some(outcome));
+            }
+        }
+    }
+
+    /// Handles the outcome of a carried order, or that the carrier did not deliver any in time. The
+    /// order may have been carried out then.
+    fn finish_carried(&mut self, number: u64, delivered: Option<StartOutcome>) {
+        let Some(order) = self.carried.remove(&number) else {
+            return;
+        };
+        self.carriers
+            .mark_done(&order.carrier, delivered.is_none(), clock::now());
+        let outcome = delivered.unwrap_or(StartOutcome::Lost);
+        let started = (order.worker, order.attempt, outcome, order.expires_ms);
+        // The receiver is the leader itself.
+        let _ = self.started.send(started);
+    }
+
+    fn expire_carried(&mut self) {
+        let now = Instant::now();
+        let overdue = self.carried.iter().filter(|(_, order)| order.until <= now);
+        let overdue: Vec<u64> = overdue.map(|(number, _)| *number).collect();
+        for number in overdue {
+            self.finish_carried(number, None);
+        }
+    }
+
+    /// Handles an instance's poll for orders.
+    pub(super) fn poll(&mut self, instance: &Name, link_kbps: u64, reply: oneshot::Sender<Reply>) {
+        if *instance != self.context.name {
+            self.carriers.mark_waiting(instance, link_kbps);
+        }
+        let until = Instant::now() + carrier::POLL_WAIT;
+        self.polls.insert(instance.clone(), Poll { reply, until });
+    }
+
+    fn expire_polls(&mut self) {
+        let now = Instant::now();
+        let expired = |_: &Name, poll: &mut Poll| poll.until <= now || poll.reply.is_closed();
+        for (instance, poll) in self.polls.extract_if(.., expired) {
+            self.carriers.mark_gone(&instance);
+            let _ = poll.reply.send(Reply::Orders(Vec::new()));
+        }
+    }
+
+    /// Returns the time of a worker's clock until which it may carry out an order that is sent now,
+    /// or `None` if its clock is not known.
+    fn order_expiry(&self, worker: usize) -> Option<u64> {
+        let (millis, at) = self.workers.get(&worker)?.clock?;
+        let since = at.elapsed() + ORDER_VALIDITY;
+        Some(millis + u64::try_from(since.as_millis()).unwrap_or(0))
+    }
+
+    fn start(&mut self, worker: usize, mut start: Start) {
+        let expiry = self.order_expiry(worker);
+        let Some(link) = self.workers.get(&worker) else {
+            return;
+        };
+        let endpoint = link.endpoint.clone();
+        let workers = self.context.workers.clone();
+        let sender = self.started.clone();
+        let authority = self.authority.clone();
+        self.tasks.spawn(async move {
+            let attempt = start.attempt;
+            let (started, expires_ms) = match expiry {
+                Some(expires_ms) if authority.holds() => {
+                    start.expires_ms = expires_ms;
+                    let started = workers.start(&endpoint, &start, ORDER_TIMEOUT).await;
+                    (started, expires_ms)
+                }
+                // Without authority or the worker's clock, no order is sent.
+                Some(_) | None => (StartOutcome::Refused(Refusal::Late), 0),
+            };
+            // If the leader has ended, its successor learns from the worker which tasks run.
+            let _ = sender.send((worker, attempt, started, expires_ms));
+        });
+    }
+
+    /// Orders a worker to stop a run.
+    pub(super) fn stop_run(&mut self, worker: usize, attempt: Attempt) {
+        let Some(link) = self.workers.get(&worker) else {
+            return;
+        };
+        let endpoint = link.endpoint.clone();
+        let workers = self.context.workers.clone();
+        let epoch = self.epoch;
+        let authority = self.authority.clone();
+        self.tasks.spawn(async move {
+            if authority.holds() {
+                // The scheduler repeats the order until the worker reports the end.
+                let _ = workers
+                    .stop(&endpoint, &attempt, epoch, ORDER_TIMEOUT)
+                    .await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/server/src/cluster/relay.rs
@@ -0,0 +1,237 @@
+//! Renews workers on behalf of the leader and passes their news on.
+//!
+//! The leader grants each instance a short time in which it may extend leases, never longer than the
+//! leader's own authority. An instance that was paused or has lost the leader extends none.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_decide::batch::carrier::Capacity;
+use azurepath_decide::time::Time;
+use azurepath_platform::worker::Endpoint;
+use azurepath_wire::batch::{Call, Relay, RelayChange, Reply};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::Context;
+use super::clock::{self, Authority};
+use super::renewal::{Event, Renewer};
+
+/// The longest time that the leader lets others extend leases after one of their calls.
+pub(super) const MAX_GRANT: Duration = Duration::from_millis(1_000);
+
+/// The time between two calls of an instance that renews workers and has no news.
+const CALL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time between two calls of an instance that renews no worker.
+const IDLE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// The same if the leader renews all workers itself.
+const UNWANTED_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The shortest time between two calls, in which news is collected.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long a call to the leader may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The most news in one call.
+const MAX_NEWS: usize = 100;
+
+/// A worker that this instance renews.
+struct Held {
+    stop: CancellationToken,
+    acknowledged: watch::Sender<u64>,
+}
+
+/// What the leader has given to this instance.
+struct Duty {
+    /// The leader's epoch.
+    epoch: u64,
+    /// The number of the last change that was received.
+    seen: u64,
+    authority: Arc<Authority>,
+    workers: BTreeMap<u64, Held>,
+    /// The news of the workers. It belongs to one epoch, since each leader numbers the workers anew.
+    news: mpsc::UnboundedReceiver<Event>,
+    sender: mpsc::UnboundedSender<Event>,
+    lease: Duration,
+    wanted: bool,
+}
+
+impl Duty {
+    fn new(epoch: u64) -> Duty {
+        let (sender, news) = mpsc::unbounded_channel();
+        Duty {
+            news,
+            sender,
+            epoch,
+            seen: 0,
+            authority: Arc::new(Authority::new(Time::default(), Duration::ZERO)),
+            workers: BTreeMap::new(),
+            lease: Duration::ZERO,
+            wanted: true,
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        match (self.workers.is_empty(), self.wanted) {
+            (false, _) => CALL_INTERVAL,
+            (true, true) => IDLE_INTERVAL,
+            (true, false) => UNWANTED_INTERVAL,
+        }
+    }
+}
+
+impl Drop for Duty {
+    fn drop(&mut self) {
+        self.authority.end();
+        for held in self.workers.values() {
+            held.stop.cancel();
+        }
+    }
+}
+
+/// Renews the workers that leaders give to this instance until `halt` is cancelled.
+pub(super) async fn run(context: Context, halt: CancellationToken) {
+    let instance = Instance {
+        duty: Duty::new(0),
+        tasks: JoinSet::new(),
+        context,
+    };
+    instance.run(&halt).await;
+}
+
+struct Instance {
+    context: Context,
+    duty: Duty,
+    tasks: JoinSet<()>,
+}
+
+impl Instance {
+    async fn run(mut self, halt: &CancellationToken) {
+        let mut news = Vec::new();
+        let mut route = self.context.route.clone();
+        let mut called = Instant::now();
+        loop {
+            let due = called + self.duty.interval();
+            tokio::select! {
+                () = halt.cancelled() => break,
+                () = route.changed() => {}
+                () = tokio::time::sleep_until(due) => {}
+                Some(_) = self.tasks.join_next() => continue,
+                event = self.duty.news.recv(), if news.len() < MAX_NEWS => {
+                    news.extend(event);
+                    tokio::time::sleep_until(called + MIN_INTERVAL).await;
+                }
+            }
+            while news.len() < MAX_NEWS
+                && let Ok(event) = self.duty.news.try_recv()
+            {
+                news.push(event);
+            }
+            called = Instant::now();
+            let sent = clock::now();
+            let call = self.call(&news);
+            let reply = tokio::select! {
+                () = halt.cancelled() => break,
+                reply = self.context.route.call(call, CALL_TIMEOUT) => reply,
+            };
+            if let Ok(Reply::Relay(relay)) = reply {
+                news.clear();
+                self.apply(relay, sent);
+            }
+        }
+        drop(self.duty);
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    fn call(&self, news: &[Event]) -> Call {
+        let settings = self.context.settings();
+        Call::Relay {
+            instance: self.context.name.to_string(),
+            failure_domain: settings.server.failure_domain.to_string(),
+            capacity: Capacity {
+                millicores: settings.millicores,
+                link_kbps: settings.link_kbps,
+            },
+            epoch: self.duty.epoch,
+            seen: self.duty.seen,
+            news: news.to_vec(),
+        }
+    }
+
+    /// Applies a reply to a call that was sent at `sent`.
+    fn apply(&mut self, relay: Relay, sent: Time) {
+        if relay.epoch < self.duty.epoch {
+            return;
+        }
+        if relay.epoch > self.duty.epoch {
+            // The workers of the earlier leader belong to the new one, which gives them out again.
+            self.duty = Duty::new(relay.epoch);
+        }
+        self.duty.lease = relay.lease;
+        self.duty.wanted = relay.wanted;
+        self.duty.authority.extend_by(sent, relay.grant);
+        for (number, change) in relay.changes {
+            if number <= self.duty.seen {
+                continue;
+            }
+            self.duty.seen = number;
+            match change {
+                RelayChange::Attach {
+                    serial,
+                    worker,
+                    address,
+                    inherited_lease,
+                    acknowledged,
+                } => {
+                    let endpoint = Endpoint {
+                        id: worker,
+                        address,
+                    };
+                    self.attach(serial, endpoint, inherited_lease, acknowledged);
+                }
+                RelayChange::Detach(serial) => {
+                    if let Some(held) = self.duty.workers.remove(&serial) {
+                        held.stop.cancel();
+                    }
+                }
+                RelayChange::Acknowledge(serial, number) => {
+                    if let Some(held) = self.duty.workers.get(&serial) {
+                        held.acknowledged.send_replace(number);
+                    }
+                }
+            }
+        }
+    }
+
+    fn attach(
+        &mut self,
+        serial: u64,
+        endpoint: Endpoint,
+        inherited_lease: Duration,
+        acknowledged: u64,
+    ) {
+        let (acknowledged, receiver) = watch::channel(acknowledged);
+        let stop = CancellationToken::new();
+        let renewer = Renewer {
+            serial,
+            endpoint,
+            workers: self.context.workers.clone(),
+            epoch: self.duty.epoch,
+            lease: self.duty.lease,
+            inherited_lease,
+            authority: self.duty.authority.clone(),
+            acknowledged: receiver,
+            events: self.duty.sender.clone(),
+        };
+        self.tasks.spawn(renewer.run(stop.clone()));
+        self.duty
+            .workers
+            .insert(serial, Held { stop, acknowledged });
+    }
+}
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -6,12 +6,12 @@
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Renewal, RenewalOutcome, Workers};
+use azurepath_wire::batch::News;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::clock::{self, Authority};
-use super::leader::Message;
 
 /// How long a worker may wait for a task to end before it answers. A lost answer delays the report
 /// of ends by as much.
@@ -35,9 +35,12 @@
 /// The time that is added to a lease for timers that fire late.
 const TIMER_MARGIN: Duration = Duration::from_millis(150);
 
+/// News of a worker, by the number under which it is renewed.
+pub(super) type Event = (u64, News);
+
 /// The task that claims and renews one worker.
 pub(super) struct Renewer {
-    pub(super) worker: usize,
+    pub(super) serial: u64,
     pub(super) endpoint: Endpoint,
     pub(super) workers: Workers,
     pub(super) epoch: u64,
@@ -47,7 +50,7 @@
     pub(super) authority: Arc<Authority>,
     /// The number up to which ends are stored.
     pub(super) acknowledged: watch::Receiver<u64>,
-    pub(super) leader: mpsc::UnboundedSender<Message>,
+    pub(super) events: mpsc::UnboundedSender<Event>,
 }
 
 /// Returns the time after which a lease has expired for certain, counted from when it was sent.
@@ -93,27 +96,27 @@
                     failures = 0;
                     lapse_reported = false;
                     let has_new_ends = highest_end(&report) > acknowledged;
-                    self.send(Message::Report(self.worker, report));
+                    self.send(News::Report(report));
                     if has_new_ends {
                         self.wait_stored(&halt).await;
                     }
                     continue;
                 }
-                Ok(RenewalOutcome::Superseded) => self.send(Message::Superseded),
+                Ok(RenewalOutcome::Superseded) => self.send(News::Superseded),
                 Ok(RenewalOutcome::Replaced) => {
-                    self.send(Message::Replaced(self.worker));
+                    self.send(News::Replaced);
                     return;
                 }
                 Err(error) => {
                     if failures == 0 {
-                        self.send(Message::Silent(self.worker, error));
+                        self.send(News::Silent(error));
                     }
                 }
             }
             failures += 1;
             if !lapse_reported && clock::now() >= lease_end {
                 lapse_reported = true;
-                self.send(Message::Lapsed(self.worker));
+                self.send(News::Lapsed);
             }
             self.pause(failures, lease_end, &halt).await;
         }
@@ -141,9 +144,9 @@
         }
     }
 
-    fn send(&self, message: Message) {
-        // If the leader has ended, this task is about to be stopped.
-        let _ = self.leader.send(message);
+    fn send(&self, news: News) {
+        // If the receiver has ended, this task is about to be stopped.
+        let _ = self.events.send((self.serial, news));
     }
 }
 
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -1,15 +1,18 @@
 //! Calls to the leader and its replies.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use azurepath_decide::batch::advice::{Advice, Question};
+use azurepath_decide::batch::carrier::Capacity;
+use azurepath_decide::batch::report::Report;
 use azurepath_decide::batch::spec::Spec;
 use azurepath_decide::batch::{Attempt, JobId, StartOutcome, State, StepId};
 use azurepath_decide::name::Name;
 use serde::{Deserialize, Serialize};
 
 /// A call to the leader. Every call may safely be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Call {
     /// Submits a job.
@@ -59,6 +62,73 @@
         /// The numbers of the orders with their outcomes.
         outcomes: Vec<(u64, StartOutcome)>,
     },
+    /// Reports about the workers that the instance renews, and asks for changes.
+    Relay {
+        /// The instance.
+        instance: String,
+        /// Its failure domain.
+        failure_domain: String,
+        /// What it can do.
+        capacity: Capacity,
+        /// The epoch of the leader that gave it its workers.
+        epoch: u64,
+        /// The number of the last change that it has received in this epoch.
+        seen: u64,
+        /// The news of its workers, in their order.
+        news: Vec<(u64, News)>,
+    },
+}
+
+/// News of a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// Its report.
+    Report(Report),
+    /// It does not answer, with the error.
+    Silent(String),
+    /// The lease of all tasks on it has expired for certain.
+    Lapsed,
+    /// Another worker listens at its address.
+    Replaced,
+    /// It has seen a leader with a higher epoch.
+    Superseded,
+}
+
+/// The reply to an instance that renews workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relay {
+    /// The leader's epoch. Workers of an earlier one are given up.
+    pub epoch: u64,
+    /// How long the instance may renew leases, counted from when it sent its call.
+    pub grant: Duration,
+    /// The lease to give.
+    pub lease: Duration,
+    /// Whether the leader wants instances to renew workers.
+    pub wanted: bool,
+    /// The changes with their numbers.
+    pub changes: Vec<(u64, RelayChange)>,
+}
+
+/// A change of what an instance renews. Each worker that is given to an instance has a number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayChange {
+    /// Renew a worker.
+    Attach {
+        /// The number.
+        serial: u64,
+        /// The worker's id.
+        worker: Name,
+        /// The worker's address.
+        address: SocketAddr,
+        /// How long tasks may run on it whose lease others have renewed.
+        inherited_lease: Duration,
+        /// The number up to which its ends are stored.
+        acknowledged: u64,
+    },
+    /// Renew a worker no longer.
+    Detach(u64),
+    /// The ends of a worker are stored up to a number.
+    Acknowledge(u64, u64),
 }
 
 /// Orders to start tasks of one job.
@@ -119,4 +189,6 @@
     Orders(Vec<Orders>),
     /// The outcomes were received.
     Noted,
+    /// What the instance is to renew.
+    Relay(Relay),
 }
