Leaves out reports that tell nothing new and asks idle workers less often

Change: a renewer waits 120 ms for them if another instance decides; reports without start or end are left out for 2 s; idle workers answer after 1.4 s.

--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -363,6 +363,7 @@
                 .inherited_until
                 .saturating_duration_since(Instant::now()),
             authority: self.authority.clone(),
+            store_wait: renewal::STORE_WAIT,
             acknowledged: receiver,
             events: self.news.clone(),
         };
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azurepath_decide::batch::Attempt;
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
-use azurepath_wire::batch::{Call, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Call, News, Relay, RelayChange, Reply};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -18,7 +19,7 @@
 
 use super::Context;
 use super::clock::{self, Authority};
-use super::renewal::{Event, Renewer};
+use super::renewal::{self, Event, Renewer};
 
 /// The longest time that the leader lets others extend leases after one of their calls.
 pub(super) const MAX_GRANT: Duration = Duration::from_millis(1_000);
@@ -38,6 +39,14 @@
 /// How long a call to the leader may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long the next renewal of a worker waits until new ends are stored: the way to the leader and
+/// back, and a write.
+const STORE_WAIT: Duration = Duration::from_millis(120);
+
+/// How long reports that tell of no start and no end are left out. The progress of tasks is of use
+/// only after their worker is lost.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The most news in one call.
 const MAX_NEWS: usize = 100;
 
@@ -45,6 +54,15 @@
 struct Held {
     stop: CancellationToken,
     acknowledged: watch::Sender<u64>,
+    /// What the leader was told last.
+    told: Option<Told>,
+}
+
+/// What a report has told the leader.
+struct Told {
+    at: Instant,
+    running: Vec<Attempt>,
+    highest_end: u64,
 }
 
 /// What the leader has given to this instance.
@@ -86,6 +104,34 @@
     }
 }
 
+impl Duty {
+    /// Tells whether the leader has to hear of an event, and remembers that it has.
+    fn is_news(&mut self, (serial, news): &Event) -> bool {
+        let Some(held) = self.workers.get_mut(serial) else {
+            return false;
+        };
+        let News::Report(report) = news else {
+            held.told = None;
+            return true;
+        };
+        let now = Instant::now();
+        let told = Told {
+            at: now,
+            running: report.running.iter().map(|run| run.attempt).collect(),
+            highest_end: renewal::highest_end(report),
+        };
+        let known = held.told.as_ref().is_some_and(|last| {
+            now < last.at + REPEAT_INTERVAL
+                && last.running == told.running
+                && last.highest_end == told.highest_end
+        });
+        if !known {
+            held.told = Some(told);
+        }
+        !known
+    }
+}
+
 impl Drop for Duty {
     fn drop(&mut self) {
         self.authority.end();
@@ -124,6 +170,10 @@
                 () = tokio::time::sleep_until(due) => {}
                 Some(_) = self.tasks.join_next() => continue,
                 event = self.duty.news.recv(), if news.len() < MAX_NEWS => {
+                    let event = event.filter(|event| self.duty.is_news(event));
+                    if event.is_none() {
+                        continue;
+                    }
                     news.extend(event);
                     tokio::time::sleep_until(called + MIN_INTERVAL).await;
                 }
@@ -131,7 +181,9 @@
             while news.len() < MAX_NEWS
                 && let Ok(event) = self.duty.news.try_recv()
             {
-                news.push(event);
+                if self.duty.is_news(&event) {
+                    news.push(event);
+                }
             }
             called = Instant::now();
             let sent = clock::now();
@@ -226,12 +278,16 @@
             lease: self.duty.lease,
             inherited_lease,
             authority: self.duty.authority.clone(),
+            store_wait: STORE_WAIT,
             acknowledged: receiver,
             events: self.duty.sender.clone(),
         };
         self.tasks.spawn(renewer.run(stop.clone()));
-        self.duty
-            .workers
-            .insert(serial, Held { stop, acknowledged });
+        let held = Held {
+            stop,
+            acknowledged,
+            told: None,
+        };
+        self.duty.workers.insert(serial, held);
     }
 }
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -17,11 +17,15 @@
 /// of ends by as much.
 const END_WAIT: Duration = Duration::from_millis(700);
 
+/// The same while no task runs on the worker.
+const IDLE_WAIT: Duration = Duration::from_millis(1_400);
+
 /// How long an answer may take beyond the worker's wait: several round trips between two regions.
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 
-/// How long the next renewal waits until new ends are stored, so that it can acknowledge them.
-const STORE_WAIT: Duration = Duration::from_millis(60);
+/// How long the leader's next renewal waits until new ends are stored, so that it can acknowledge
+/// them.
+pub(super) const STORE_WAIT: Duration = Duration::from_millis(60);
 
 /// The pause after the first failed renewal.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
@@ -48,6 +52,8 @@
     /// How long tasks may run on the worker whose lease an earlier leader renewed.
     pub(super) inherited_lease: Duration,
     pub(super) authority: Arc<Authority>,
+    /// How long the next renewal waits until new ends are stored.
+    pub(super) store_wait: Duration,
     /// The number up to which ends are stored.
     pub(super) acknowledged: watch::Receiver<u64>,
     pub(super) events: mpsc::UnboundedSender<Event>,
@@ -65,6 +71,7 @@
         let mut lease_end = clock::now().after(self.inherited_lease);
         let mut failures = 0;
         let mut lapse_reported = false;
+        let mut idle = false;
         while !halt.is_cancelled() {
             let extend = failures == 0 && self.authority.holds();
             let expires_ms = clock.filter(|_| extend).map(|(millis, at)| {
@@ -80,10 +87,10 @@
                 acknowledged,
                 expires_ms,
                 // The first call only reads the clock and the running tasks.
-                wait: if clock.is_some() && failures == 0 {
-                    END_WAIT
-                } else {
-                    Duration::ZERO
+                wait: match (clock, failures, idle) {
+                    (None, _, _) | (_, 1.., _) => Duration::ZERO,
+                    (Some(_), 0, false) => END_WAIT,
+                    (Some(_), 0, true) => IDLE_WAIT,
                 },
             };
             let outcome = tokio::select! {
@@ -95,6 +102,7 @@
                     clock = Some((report.clock_ms, Instant::now()));
                     failures = 0;
                     lapse_reported = false;
+                    idle = report.running.is_empty();
                     let has_new_ends = highest_end(&report) > acknowledged;
                     self.send(News::Report(report));
                     if has_new_ends {
@@ -122,13 +130,13 @@
         }
     }
 
-    /// Waits until the ends that were just reported are stored, at most for [`STORE_WAIT`].
+    /// Waits until the ends that were just reported are stored, at most for the configured time.
     async fn wait_stored(&mut self, halt: &CancellationToken) {
         tokio::select! {
             () = halt.cancelled() => {}
             // Without a sender the leader has ended, and this task is about to be stopped.
             _ = self.acknowledged.changed() => {}
-            () = tokio::time::sleep(STORE_WAIT) => {}
+            () = tokio::time::sleep(self.store_wait) => {}
         }
     }
 
@@ -150,6 +158,7 @@
     }
 }
 
-fn highest_end(report: &Report) -> u64 {
+/// Returns the highest number of an end in a report, or 0 if it has none.
+pub(super) fn highest_end(report: &Report) -> u64 {
     report.ended.iter().map(|end| end.number).max().unwrap_or(0)
 }
--- /dev/null
+++ b/crates/server/tests/carried_traffic.rs
@@ -0,0 +1,119 @@
+//! A leader that is small for its workers lets other instances renew them and carry its orders.
+
+mod support;
+
+use anyhow::Result;
+use support::cluster::{Cluster, address, id, job_body, submit_until};
+use support::{Process, get, until};
+
+/// Settings of a leader that needs others for more than three workers.
+const SMALL: &str = "cores = 0.004\n";
+
+const WORKERS: usize = 8;
+
+/// Starts a small instance, which leads, and two others.
+async fn start_three(cluster: &Cluster) -> Result<Vec<Process>> {
+    let leader = cluster.instance_with("a", SMALL).await?;
+    let others = [cluster.instance("b").await?, cluster.instance("c").await?];
+    until(async || {
+        let mut carry = 0;
+        for other in &others {
+            carry += usize::from(renews(other).await.unwrap_or(false));
+        }
+        carry > 0
+    })
+    .await;
+    Ok([leader].into_iter().chain(others).collect())
+}
+
+/// Tells whether an instance has called workers to renew leases.
+async fn renews(instance: &Process) -> Result<bool> {
+    let metrics = get(address(instance, "metrics")?, "/metrics").await?;
+    Ok(String::from_utf8_lossy(&metrics.body).contains("/api/hold"))
+}
+
+async fn submit_all(instances: &[Process], millis: u64) -> Vec<String> {
+    let ids: Vec<String> = (0..12).map(id).collect();
+    let all: Vec<&Process> = instances.iter().collect();
+    for (number, id) in ids.iter().enumerate() {
+        submit_until(&all, id, &job_body(3, millis, number % 3 == 0)).await;
+    }
+    ids
+}
+
+#[tokio::test]
+async fn no_faults() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let instances = start_three(&cluster).await?;
+    let ids = submit_all(&instances, 40).await;
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
+
+/// What runs on the workers of an instance that dies goes on.
+#[tokio::test]
+async fn killed_carrier() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let mut instances = start_three(&cluster).await?;
+    let ids = submit_all(&instances, 2_500).await;
+    until(async || cluster.fleet.started_runs() == 36).await;
+    instances[1].kill()?;
+    instances.remove(1);
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
+
+/// An instance that was paused finds that others renew its workers by now.
+#[tokio::test]
+async fn paused_carrier() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let instances = start_three(&cluster).await?;
+    let ids = submit_all(&instances, 3_500).await;
+    until(async || cluster.fleet.started_runs() == 36).await;
+    instances[1].signal("STOP")?;
+    until(async || instances[0].logged("workers taken back").is_some()).await;
+    tokio::time::sleep(std::time::Duration::from_millis(800)).await;
+    instances[1].signal("CONT")?;
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn killed_leader() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let mut instances = start_three(&cluster).await?;
+    let ids = submit_all(&instances, 2_500).await;
+    until(async || cluster.fleet.started_runs() == 36).await;
+    instances[0].kill()?;
+    instances.remove(0);
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn stopped_leader() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let mut instances = start_three(&cluster).await?;
+    let ids = submit_all(&instances, 2_500).await;
+    until(async || cluster.fleet.started_runs() == 36).await;
+    let mut leader = instances.remove(0);
+    leader.signal("TERM")?;
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert!(leader.wait().await?.success());
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
--- a/crates/server/tests/support/cluster.rs
+++ b/crates/server/tests/support/cluster.rs
@@ -50,7 +50,12 @@
 
     /// Starts an instance and waits until it leads or knows the leader.
     pub async fn instance(&self, name: &str) -> Result<Process> {
-        let path = self.write_settings(name, "")?;
+        self.instance_with(name, "").await
+    }
+
+    /// Starts an instance with more lines in the section `[cluster]` of its settings.
+    pub async fn instance_with(&self, name: &str, more: &str) -> Result<Process> {
+        let path = self.write_settings(name, more)?;
         let process = Process::start(&path).await?;
         until(async || {
             process.logged("leading").is_some()
