--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -18,9 +18,9 @@
 /// How long nothing is handed to an instance that has lost an order.
 const SUSPICION: Duration = Duration::from_secs(2);
 
-/// How long an instance may be silent before its workers are given to others. Leases outlast it
-/// several times.
-const SILENCE: Duration = Duration::from_millis(1_000);
+/// How long an instance may be silent before its workers are given to others. Leases outlast it and
+/// the time until another one has renewed them.
+const SILENCE: Duration = Duration::from_millis(2_200);
 
 /// The processor time that a worker's renewals and orders take, in thousandths of a core.
 const MILLICORES_PER_WORKER: u64 = 1;
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -22,7 +22,7 @@
 use super::renewal::{self, Event, Renewer};
 
 /// The longest time that the leader lets others extend leases after one of their calls.
-pub(super) const MAX_GRANT: Duration = Duration::from_millis(1_000);
+pub(super) const MAX_GRANT: Duration = Duration::from_millis(2_000);
 
 /// The time between two calls of an instance that renews workers and has no news.
 const CALL_INTERVAL: Duration = Duration::from_millis(250);
@@ -36,8 +36,9 @@
 /// The shortest time between two calls, in which news is collected.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How long a call to the leader may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a call to the leader may take. If a busy link needed longer, each repetition would make
+/// it busier.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// How long the next renewal of a worker waits until new ends are stored: the way to the leader and
 /// back, and a write.
