Queues orders for an instance until it polls again

Cause: after a takeover more steps start in one pass than instances poll, and the rest went over the leader's link (1.0 MB in 5 s). Change: orders wait for the next poll of their carrier.

--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -15,9 +15,6 @@
 use crate::name::Name;
 use crate::time::Time;
 
-/// How long nothing is handed to an instance that has lost an order.
-const SUSPICION: Duration = Duration::from_secs(2);
-
 /// How long an instance may be silent before its workers are given to others. Leases outlast it and
 /// the time until another one has renewed them.
 const SILENCE: Duration = Duration::from_millis(2_200);
@@ -60,14 +57,12 @@
 struct Carrier {
     capacity: Capacity,
     failure_domain: Option<Name>,
-    /// Whether it waits for orders.
-    waiting: bool,
+    /// Whether it takes orders.
+    takes_orders: bool,
     /// How many orders it has whose outcome is not known yet.
     open: u64,
     /// How many orders it has had.
     total: u64,
-    /// The time until which it gets no orders.
-    suspect_until: Time,
     /// When it last reported about its workers.
     heard: Option<Time>,
     /// How many workers it has.
@@ -87,23 +82,23 @@
 }
 
 impl Carriers {
-    /// Records that an instance waits for orders.
-    pub fn mark_waiting(&mut self, instance: &Name, link_kbps: u64) {
+    /// Records that an instance takes orders.
+    pub fn mark_ready(&mut self, instance: &Name, link_kbps: u64) {
         let carrier = self.instances.entry(instance.clone()).or_default();
         carrier.capacity.link_kbps = link_kbps.max(1);
-        carrier.waiting = true;
+        carrier.takes_orders = true;
     }
 
-    /// Records that an instance no longer waits.
+    /// Records that an instance takes no more orders.
     pub fn mark_gone(&mut self, instance: &Name) {
         if let Some(carrier) = self.instances.get_mut(instance) {
-            carrier.waiting = false;
+            carrier.takes_orders = false;
         }
     }
 
-    /// Chooses the waiting instance whose link is the least busy for a step with this many orders, or
-    /// `None` if none waits.
-    pub fn choose(&mut self, orders: usize, now: Time) -> Option<Name> {
+    /// Chooses the instance whose link is the least busy for a step with this many orders, or `None`
+    /// if there is none.
+    pub fn choose(&mut self, orders: usize) -> Option<Name> {
         let orders = orders as u64;
         let load = |carrier: &Carrier| {
             (carrier.open + orders) as f64 / carrier.capacity.link_kbps.max(1) as f64
@@ -111,26 +106,24 @@
         let usable = self
             .instances
             .iter_mut()
-            .filter(|(_, carrier)| carrier.waiting && now >= carrier.suspect_until);
+            .filter(|(_, carrier)| carrier.takes_orders);
         let least = usable.min_by(|(_, a), (_, b)| {
             load(a)
                 .total_cmp(&load(b))
                 .then_with(|| a.total.cmp(&b.total))
         });
         let (name, carrier) = least?;
-        carrier.waiting = false;
         carrier.open += orders;
         carrier.total += orders;
         Some(name.clone())
     }
 
-    /// Records the outcome of an order, or that none came in time.
-    pub fn mark_done(&mut self, instance: &Name, lost: bool, now: Time) {
+    /// Records the outcome of an order, or that none came in time. An instance that delivers none
+    /// takes no orders until it asks for them again.
+    pub fn mark_done(&mut self, instance: &Name, lost: bool) {
         if let Some(carrier) = self.instances.get_mut(instance) {
             carrier.open = carrier.open.saturating_sub(1);
-            if lost {
-                carrier.suspect_until = now.after(SUSPICION);
-            }
+            carrier.takes_orders &= !lost;
         }
     }
 
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -27,7 +27,7 @@
 
 /// How long the outcome of an order that another instance carries may take beyond the worker's
 /// answer: the ways from and to the instance.
-const CARRIER_SLACK: Duration = Duration::from_millis(300);
+const CARRIER_SLACK: Duration = Duration::from_millis(700);
 
 /// How long a new leader waits for instances that renew workers before it does so itself.
 const CARRIER_WAIT: Duration = Duration::from_millis(600);
@@ -116,6 +116,8 @@
     carriers: Carriers,
     outboxes: BTreeMap<Name, Outbox>,
     polls: BTreeMap<Name, Poll>,
+    /// Orders for instances that have not polled again yet.
+    queued: BTreeMap<Name, Vec<Orders>>,
     carried: BTreeMap<u64, Carried>,
     last_order: u64,
 }
@@ -149,6 +151,7 @@
             carriers: Carriers::default(),
             outboxes: BTreeMap::new(),
             polls: BTreeMap::new(),
+            queued: BTreeMap::new(),
             carried: BTreeMap::new(),
             last_order: 0,
         }
@@ -425,10 +428,9 @@
     /// Sends the orders of one step, or hands them to an instance that carries them.
     pub(super) fn start_step(&mut self, starts: Vec<(usize, Start)>) {
         let carrier = (self.wants_carriers() && self.authority.holds())
-            .then(|| self.carriers.choose(starts.len(), clock::now()))
+            .then(|| self.carriers.choose(starts.len()))
             .flatten();
-        let poll = carrier.and_then(|carrier| Some((self.polls.remove(&carrier)?, carrier)));
-        let Some((poll, carrier)) = poll else {
+        let Some(carrier) = carrier else {
             for (worker, start) in starts {
                 self.start(worker, start);
             }
@@ -445,8 +447,32 @@
                 .orders
                 .extend(self.carried_order(worker, start, &carrier));
         }
-        // If the poll has ended, the orders are overdue soon.
-        let _ = poll.reply.send(Reply::Orders(vec![batch]));
+        self.queued.entry(carrier.clone()).or_default().push(batch);
+        self.hand_over(&carrier);
+    }
+
+    /// Hands queued orders to an instance if it polls.
+    fn hand_over(&mut self, carrier: &Name) {
+        let is_queued = self
+            .queued
+            .get(carrier)
+            .is_some_and(|queue| !queue.is_empty());
+        if is_queued
+            && let Some(poll) = self.polls.remove(carrier)
+            && let Some(queue) = self.queued.remove(carrier)
+        {
+            // If the instance has gone, the orders are overdue soon.
+            let _ = poll.reply.send(Reply::Orders(queue));
+        }
+    }
+
+    /// Takes back the orders that an instance has not fetched.
+    fn drop_queued(&mut self, carrier: &Name) {
+        let queue = self.queued.remove(carrier).unwrap_or_default();
+        for order in queue.into_iter().flat_map(|batch| batch.orders) {
+            let refused = StartOutcome::Refused(Refusal::Late);
+            self.finish_carried(order.number, Some(refused));
+        }
     }
 
     fn carried_order(&mut self, worker: usize, start: Start, carrier: &Name) -> Option<Order> {
@@ -488,8 +514,7 @@
         let Some(order) = self.carried.remove(&number) else {
             return;
         };
-        self.carriers
-            .mark_done(&order.carrier, delivered.is_none(), clock::now());
+        self.carriers.mark_done(&order.carrier, delivered.is_none());
         let outcome = delivered.unwrap_or(StartOutcome::Lost);
         let started = (order.worker, order.attempt, outcome, order.expires_ms);
         // The receiver is the leader itself.
@@ -508,17 +533,22 @@
     /// Handles an instance's poll for orders.
     pub(super) fn poll(&mut self, instance: &Name, link_kbps: u64, reply: oneshot::Sender<Reply>) {
         if *instance != self.context.name {
-            self.carriers.mark_waiting(instance, link_kbps);
+            self.carriers.mark_ready(instance, link_kbps);
         }
         let until = Instant::now() + carrier::POLL_WAIT;
         self.polls.insert(instance.clone(), Poll { reply, until });
+        self.hand_over(instance);
     }
 
     fn expire_polls(&mut self) {
         let now = Instant::now();
         let expired = |_: &Name, poll: &mut Poll| poll.until <= now || poll.reply.is_closed();
-        for (instance, poll) in self.polls.extract_if(.., expired) {
-            self.carriers.mark_gone(&instance);
+        let expired: Vec<(Name, Poll)> = self.polls.extract_if(.., expired).collect();
+        for (instance, poll) in expired {
+            if poll.reply.is_closed() {
+                self.carriers.mark_gone(&instance);
+                self.drop_queued(&instance);
+            }
             let _ = poll.reply.send(Reply::Orders(Vec::new()));
         }
     }
