Bounds the orders under way on a carrier's link

Cause: 40 orders at once on 2 Mbit/s delay each other beyond the time an answer may take. Change: one order for each 100 kbit/s; an order that waited 800 ms is not sent. The worker's clock is read from the report that shows the latest time. Counter of refused orders by reason.

--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -1,13 +1,16 @@
 //! Carries the leader's start orders to the workers and returns their outcomes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use azurepath_decide::batch::StartOutcome;
+use azurepath_decide::batch::{Refusal, StartOutcome};
+use azurepath_decide::name::Name;
 use azurepath_platform::worker::{Endpoint, Start, Workers};
 use azurepath_wire::batch::{Call, Order, Orders, Reply};
 use slog::info;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Context;
@@ -24,6 +27,17 @@
 /// How long a worker's answer to an order may take: several round trips between two regions.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long an order may wait in the instance for others before it. It is not sent after that, since
+/// it expires soon.
+pub(super) const MAX_QUEUE_TIME: Duration = Duration::from_millis(800);
+
+/// The part of a link that orders under way may take, in kbit/s for each order. More of them delay
+/// each other for longer than an answer may take.
+const KBPS_PER_ORDER: u64 = 100;
+
+/// The least number of orders that are under way at a time.
+const MIN_ORDERS: u64 = 4;
+
 /// How long the delivery of outcomes may take. The leader sends an order again if it learns no
 /// outcome.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(600);
@@ -34,6 +48,8 @@
 /// Carries orders until `halt` is cancelled.
 pub(super) async fn run(context: Context, halt: CancellationToken) {
     let (sender, receiver) = mpsc::unbounded_channel();
+    let under_way = (context.settings().link_kbps / KBPS_PER_ORDER).max(MIN_ORDERS);
+    let permits = Arc::new(Semaphore::new(under_way as usize));
     let mut tasks = JoinSet::new();
     tasks.spawn(deliver(context.clone(), receiver, halt.clone()));
     while !halt.is_cancelled() {
@@ -49,7 +65,7 @@
         match reply {
             Ok(Reply::Orders(batches)) => {
                 for batch in batches {
-                    spawn(&context.workers, batch, &sender, &mut tasks);
+                    spawn(&context.workers, batch, &permits, &sender, &mut tasks);
                 }
             }
             Ok(_) | Err(_) => tokio::select! {
@@ -65,23 +81,32 @@
 fn spawn(
     workers: &Workers,
     batch: Orders,
+    permits: &Arc<Semaphore>,
     sender: &mpsc::UnboundedSender<Outcome>,
     tasks: &mut JoinSet<()>,
 ) {
     for order in batch.orders {
         let (workers, sender) = (workers.clone(), sender.clone());
+        let permits = permits.clone();
+        let received = Instant::now();
         let (epoch, payload) = (batch.epoch, batch.payload.clone());
         tasks.spawn(async move {
             let number = order.number;
             let (endpoint, start) = split(order, epoch, payload);
-            let outcome = workers.start(&endpoint, &start, ORDER_TIMEOUT).await;
+            // The semaphore is never closed.
+            let _permit = permits.acquire().await;
+            let outcome = if received.elapsed() < MAX_QUEUE_TIME {
+                workers.start(&endpoint, &start, ORDER_TIMEOUT).await
+            } else {
+                StartOutcome::Refused(Refusal::Late)
+            };
             // The receiver lives until all senders are dropped.
             let _ = sender.send((epoch, number, outcome));
         });
     }
 }
 
-fn split(order: Order, epoch: u64, payload: azurepath_decide::name::Name) -> (Endpoint, Start) {
+fn split(order: Order, epoch: u64, payload: Name) -> (Endpoint, Start) {
     let endpoint = Endpoint {
         id: order.worker,
         address: order.address,
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -14,6 +14,7 @@
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
 use azurepath_wire::batch::{Call, News, Reply};
+use opentelemetry::KeyValue;
 use slog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -346,8 +347,13 @@
     }
 
     fn handle_started(&mut self, (worker, attempt, outcome, expires_ms): Started) {
-        if outcome == StartOutcome::Lost {
-            self.context.counts.lost_orders.add(1, &[]);
+        match outcome {
+            StartOutcome::Running => {}
+            StartOutcome::Lost => self.context.counts.lost_orders.add(1, &[]),
+            StartOutcome::Refused(refusal) => {
+                let kind = KeyValue::new("kind", refusal.to_string());
+                self.context.counts.refused_orders.add(1, &[kind]);
+            }
         }
         self.scheduler
             .handle_start(worker, attempt, outcome, expires_ms);
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -17,17 +17,17 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Context;
-use super::carrier::{self, ORDER_TIMEOUT};
+use super::carrier::{self, MAX_QUEUE_TIME, ORDER_TIMEOUT};
 use super::clock::{self, Authority};
 use super::relay::MAX_GRANT;
-use super::renewal::{self, Renewer};
+use super::renewal::{self, MAX_CLOCK_DRIFT, Renewer};
 
 /// How long after it was sent a worker may carry out an order to start.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
 
 /// How long the outcome of an order that another instance carries may take beyond the worker's
-/// answer: the ways from and to the instance.
-const CARRIER_SLACK: Duration = Duration::from_millis(700);
+/// answer: the ways from and to the instance, and the wait in it.
+const CARRIER_SLACK: Duration = MAX_QUEUE_TIME.saturating_add(Duration::from_millis(600));
 
 /// How long a new leader waits for instances that renew workers before it does so itself.
 const CARRIER_WAIT: Duration = Duration::from_millis(600);
@@ -54,6 +54,24 @@
     inherited_until: Instant,
 }
 
+impl Link {
+    /// Notes the worker's clock in a report. A report that was long under way shows less than the
+    /// clock has by now, so the earlier reading counts if it leads to a later time.
+    fn read_clock(&mut self, millis: u64) {
+        let now = Instant::now();
+        if self.clock_at(now).is_none_or(|expected| millis >= expected) {
+            self.clock = Some((millis, now));
+        }
+    }
+
+    /// Returns what the worker's clock surely shows.
+    fn clock_at(&self, now: Instant) -> Option<u64> {
+        let (millis, at) = self.clock?;
+        let elapsed = now.saturating_duration_since(at).div_f64(MAX_CLOCK_DRIFT);
+        Some(millis + u64::try_from(elapsed.as_millis()).unwrap_or(0))
+    }
+}
+
 /// Who renews a worker.
 enum Renewal {
     /// Nobody yet.
@@ -245,7 +263,7 @@
         if let News::Report(report) = news
             && let Some(link) = self.workers.get_mut(&worker)
         {
-            link.clock = Some((report.clock_ms, Instant::now()));
+            link.read_clock(report.clock_ms);
         }
         Some(worker)
     }
@@ -556,9 +574,8 @@
     /// Returns the time of a worker's clock until which it may carry out an order that is sent now,
     /// or `None` if its clock is not known.
     fn order_expiry(&self, worker: usize) -> Option<u64> {
-        let (millis, at) = self.workers.get(&worker)?.clock?;
-        let since = at.elapsed() + ORDER_VALIDITY;
-        Some(millis + u64::try_from(since.as_millis()).unwrap_or(0))
+        let millis = self.workers.get(&worker)?.clock_at(Instant::now())?;
+        Some(millis + u64::try_from(ORDER_VALIDITY.as_millis()).unwrap_or(0))
     }
 
     fn start(&mut self, worker: usize, mut start: Start) {
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -34,7 +34,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
 /// The factor by which a worker's clock may run slower than the leader's.
-const MAX_CLOCK_DRIFT: f64 = 1.02;
+pub(super) const MAX_CLOCK_DRIFT: f64 = 1.02;
 
 /// The time that is added to a lease for timers that fire late.
 const TIMER_MARGIN: Duration = Duration::from_millis(150);
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -61,6 +61,8 @@
     pub advice: Histogram<f64>,
     /// Orders to start a task that were not answered.
     pub lost_orders: Counter<u64>,
+    /// Orders to start a task that were not carried out, by reason.
+    pub refused_orders: Counter<u64>,
     /// Renewals of workers' leases that failed after a successful one.
     pub silent_workers: Counter<u64>,
     /// How often this instance became the leader.
@@ -104,6 +106,7 @@
             writes: histogram("azurepath.store.writes"),
             advice: histogram("azurepath.advice"),
             lost_orders: counter("azurepath.orders.lost"),
+            refused_orders: counter("azurepath.orders.refused"),
             silent_workers: counter("azurepath.workers.silent"),
             leads: counter("azurepath.leads"),
             bytes: counter("azurepath.bytes"),
