Keeps a poll for orders when an earlier order ends

Change: ended tasks are reaped between polls. Ruled out: processor time (the same without it), connections of workers.

--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -59,9 +59,10 @@
         };
         let reply = tokio::select! {
             () = halt.cancelled() => break,
-            Some(_) = tasks.join_next() => continue,
             reply = context.route.call(call, POLL_TIMEOUT) => reply,
         };
+        // A poll that was dropped for an ended task could take its orders with it.
+        while tasks.try_join_next().is_some() {}
         match reply {
             Ok(Reply::Orders(batches)) => {
                 for batch in batches {
