Lets only instances that renew workers carry orders

Cause: a worker serves 64 connections; with 147 instances that carry orders it might see one of each. Change: carriers are those with workers, and keep one idle connection to a worker.

--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -97,7 +97,8 @@
     }
 
     /// Chooses the instance whose link is the least busy for a step with this many orders, or `None`
-    /// if there is none.
+    /// if there is none. Only instances that renew workers carry orders, since a worker serves a
+    /// limited number of connections.
     pub fn choose(&mut self, orders: usize) -> Option<Name> {
         let orders = orders as u64;
         let load = |carrier: &Carrier| {
@@ -106,7 +107,7 @@
         let usable = self
             .instances
             .iter_mut()
-            .filter(|(_, carrier)| carrier.takes_orders);
+            .filter(|(_, carrier)| carrier.takes_orders && carrier.workers > 0);
         let least = usable.min_by(|(_, a), (_, b)| {
             load(a)
                 .total_cmp(&load(b))
--- a/crates/decide/tests/carriers.rs
+++ b/crates/decide/tests/carriers.rs
@@ -6,6 +6,18 @@
 
 const NOW: Time = Time::from_millis(10_000);
 
+/// Lets an instance renew a worker and take orders.
+fn ready(carriers: &mut Carriers, name: &Name, link_kbps: u64) {
+    let capacity = Capacity {
+        millicores: 500,
+        link_kbps,
+    };
+    // Each instance is the only one of its failure domain.
+    carriers.hear(name, name, capacity, NOW);
+    assert_eq!(carriers.assign(name, NOW).as_ref(), Some(name));
+    carriers.mark_ready(name, link_kbps);
+}
+
 fn names() -> Vec<Name> {
     (0..6)
         .map(|number| Name::from(format!("i{number}")))
@@ -17,10 +29,10 @@
 fn spread_load() {
     let mut carriers = Carriers::default();
     let mut orders = vec![0; 6];
+    for name in names() {
+        ready(&mut carriers, &name, 2_000);
+    }
     for number in 0..64 {
-        for name in names() {
-            carriers.mark_ready(&name, 2_000);
-        }
         let tasks = if number % 16 == 0 { 40 } else { 4 };
         let chosen = carriers.choose(tasks).expect("all take orders");
         let index = names().iter().position(|name| *name == chosen);
@@ -36,9 +48,9 @@
 fn wide_link() {
     let mut carriers = Carriers::default();
     let mut wide = 0;
+    ready(&mut carriers, &Name::from("narrow"), 20_000);
+    ready(&mut carriers, &Name::from("wide"), 200_000);
     for _ in 0..110 {
-        carriers.mark_ready(&Name::from("narrow"), 20_000);
-        carriers.mark_ready(&Name::from("wide"), 200_000);
         let chosen = carriers.choose(4).expect("both take orders");
         wide += usize::from(*chosen == *"wide");
     }
@@ -49,11 +61,11 @@
 fn lost_order() {
     let mut carriers = Carriers::default();
     let (a, b) = (Name::from("a"), Name::from("b"));
-    carriers.mark_ready(&a, 2_000);
+    ready(&mut carriers, &a, 2_000);
     assert_eq!(carriers.choose(1), Some(a.clone()));
     carriers.mark_done(&a, true);
     assert_eq!(carriers.choose(1), None);
-    carriers.mark_ready(&b, 2_000);
+    ready(&mut carriers, &b, 2_000);
     assert_eq!(carriers.choose(1), Some(b.clone()));
     carriers.mark_ready(&a, 2_000);
     assert_eq!(carriers.choose(1), Some(a));
@@ -64,9 +76,12 @@
     let mut carriers = Carriers::default();
     let a = Name::from("a");
     assert_eq!(carriers.choose(1), None);
-    carriers.mark_ready(&a, 2_000);
+    ready(&mut carriers, &a, 2_000);
     carriers.mark_gone(&a);
     assert_eq!(carriers.choose(1), None);
+    // An instance without workers has no connections to them.
+    carriers.mark_ready(&Name::from("b"), 2_000);
+    assert_eq!(carriers.choose(1), None);
 }
 
 /// Workers go to instances of their own failure domain, and to no more than these can serve.
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -42,6 +42,9 @@
 /// The maximum number of idle connections to one address that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// The same for connections on which the orders of leaders are carried to a worker.
+const MAX_IDLE_CARRIED: usize = 1;
+
 /// The part of the grace period that is reserved for ending the process after the last answers.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(900);
 
@@ -61,6 +64,9 @@
     peers_address: SocketAddr,
     store: Store,
     workers: Workers,
+    /// For the orders of leaders. Each worker may get them from many instances, and serves a limited
+    /// number of connections.
+    carried_workers: Workers,
     advisor: Option<Advisor>,
     config: tokio_watch::Receiver<Option<Arc<Config>>>,
     phase: tokio_watch::Receiver<Phase>,
@@ -100,7 +106,9 @@
     let mut tasks = JoinSet::new();
     let metrics = Arc::new(Metrics::new()?);
     let counts = Arc::new(metrics.cluster());
-    let pool = Pool::new(MAX_IDLE_CONNECTIONS).with_observer(observer(counts.clone()));
+    let observer = observer(counts.clone());
+    let pool = Pool::new(MAX_IDLE_CONNECTIONS).with_observer(observer.clone());
+    let carried_pool = Pool::new(MAX_IDLE_CARRIED).with_observer(observer);
     let route = peer::connect(leadership, &log, &metrics, &halt, &mut tasks);
     let (settings_sender, settings_receiver) = tokio_watch::channel(Arc::new(settings.clone()));
     tasks.spawn(reload::run(
@@ -114,6 +122,7 @@
         peers_address: listeners.peers_address,
         store: Store::new(pool.clone(), settings.store),
         workers: Workers::new(pool.clone()),
+        carried_workers: Workers::new(carried_pool),
         advisor: settings
             .advice
             .map(|address| Advisor::new(pool.clone(), address)),
--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -66,7 +66,13 @@
         match reply {
             Ok(Reply::Orders(batches)) => {
                 for batch in batches {
-                    spawn(&context.workers, batch, &permits, &sender, &mut tasks);
+                    spawn(
+                        &context.carried_workers,
+                        batch,
+                        &permits,
+                        &sender,
+                        &mut tasks,
+                    );
                 }
             }
             Ok(_) | Err(_) => tokio::select! {
--- a/crates/server/tests/carried_traffic.rs
+++ b/crates/server/tests/carried_traffic.rs
@@ -50,6 +50,10 @@
     cluster.wait_until_completed(&all, &ids).await;
     assert_eq!(cluster.fleet.started_runs(), 36);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    let metrics = get(address(&instances[0], "metrics")?, "/metrics").await?;
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    assert!(metrics.contains("carried"), "no order was carried");
+    assert!(!metrics.contains("azurepath_orders_lost"), "{metrics}");
     Ok(())
 }
 
