--- a/crates/server/tests/platform_path.rs
+++ b/crates/server/tests/platform_path.rs
@@ -11,6 +11,9 @@
 };
 use support::{Process, call, get, until};
 
+/// How long a leader may give orders after its last write.
+const AUTHORITY: std::time::Duration = std::time::Duration::from_secs(4);
+
 /// Returns the index of the leading instance.
 fn leader(instances: &[Process]) -> usize {
     let leads = |process: &Process| {
@@ -316,3 +319,38 @@
     until(async || instance.logged("entry of a worker can't be read").is_some()).await;
     Ok(())
 }
+
+/// A leader that was paused for longer than its authority knows nothing of what its successor has
+/// accepted since, and does not deny it.
+#[tokio::test]
+async fn paused_leader() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let instances = [cluster.instance("a").await?, cluster.instance("b").await?];
+    let paused = leader(&instances);
+    let (paused, successor) = (&instances[paused], &instances[1 - paused]);
+    submit_until(&[paused], &id(1), &job_body(2, 8_000, false)).await;
+    until(async || cluster.fleet.started_runs() == 2).await;
+    paused.signal("STOP")?;
+    until(async || successor.logged("leading").is_some()).await;
+    submit_until(&[successor], &id(2), &job_body(1, 10, false)).await;
+    tokio::time::sleep(AUTHORITY).await;
+    // The calls wait in the sockets of the paused process and are its first work.
+    let path = format!("{PATH_PREFIX}{}", id(2));
+    let calls = (0..8).map(|_| call(paused.http, Method::GET, &path, "", &[("credential", KEY)]));
+    let calls = futures::future::join_all(calls);
+    let resume = async {
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        paused.signal("CONT")
+    };
+    let (answers, resumed) = tokio::join!(calls, resume);
+    resumed?;
+    for answer in answers {
+        assert_ne!(answer?.status, 410);
+    }
+    cluster
+        .wait_until_completed(&[paused, successor], &[id(1), id(2)])
+        .await;
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    assert_eq!(cluster.fleet.started_runs(), 3);
+    Ok(())
+}
