Counts tasks that a new leader has not heard of against their account's limit

Change: until all workers have reported, the tasks of inherited jobs that may run on the others count, up to the capacity of these workers. Ruled out: holding back all new jobs until then, which would stop accounts that are far from their limit. Result: takeover_limits::one_reported starts 2 tasks (6 before).

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -130,6 +130,11 @@
             && self.quarantined_until.is_none_or(|until| now >= until)
     }
 
+    /// Tells whether tasks of earlier schedulers may run on it that it has not reported yet.
+    pub fn is_unreported(&self) -> bool {
+        self.in_roster && self.contact == Contact::Unclaimed
+    }
+
     /// Tells whether its capacity is held for a gang, or a gang waits for advice about it.
     pub fn is_held_for_gang(&self, now: Time) -> bool {
         self.held_for_gang || self.advice_pending_until > now
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -88,6 +88,11 @@
     capacity_version: u64,
     by_id: BTreeMap<Name, usize>,
     accounts: BTreeMap<Name, Account>,
+    /// The total size of the tasks of inherited jobs that may run on workers that have not reported
+    /// yet, by account.
+    unreported_tasks: BTreeMap<Name, Size>,
+    /// The capacity of these workers.
+    unreported_capacity: Size,
     /// Observed run times of tasks, by queue.
     task_durations: Map<Name, Durations>,
     /// Observed durations of steps by queue, from the first start order to the end of the last
@@ -139,6 +144,8 @@
             capacity_version: 0,
             by_id: BTreeMap::new(),
             accounts: BTreeMap::new(),
+            unreported_tasks: BTreeMap::new(),
+            unreported_capacity: Size::ZERO,
             task_durations: Map::default(),
             step_durations: Map::default(),
             journal: Journal::default(),
@@ -203,6 +210,7 @@
         self.now = self.now.max(now);
         self.drop_expired_jobs();
         self.repeat_stops();
+        self.update_unreported_capacity();
         self.place();
         actions.append(&mut self.actions);
     }
--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -4,6 +4,7 @@
 use crate::size::Size;
 use crate::time::Time;
 
+use super::super::job::{Job, Place};
 use super::super::{JobId, StepId};
 use super::Scheduler;
 
@@ -24,7 +25,8 @@
 
 impl Scheduler {
     /// Returns how many tasks of a size a job's account may start within its limit, besides the
-    /// started tasks and `reserved_limit`, the part that is reserved for its gangs.
+    /// started tasks, those that may run on workers that have not reported yet, and
+    /// `reserved_limit`, the part that is reserved for its gangs.
     pub(super) fn allowed_tasks(&self, id: JobId, size: &Size, reserved_limit: &Size) -> u64 {
         let Some(name) = self.jobs.get(&id).and_then(|job| job.account.as_ref()) else {
             return u64::MAX;
@@ -36,7 +38,46 @@
             .accounts
             .get(name)
             .map_or(Size::ZERO, |account| account.used);
-        size.times_within(&account.limit.minus(&used).minus(reserved_limit))
+        let unreported = self.unreported_tasks.get(name).map_or(Size::ZERO, |tasks| {
+            Size::min(tasks, &self.unreported_capacity)
+        });
+        let left = account.limit.minus(&used).minus(&unreported);
+        size.times_within(&left.minus(reserved_limit))
+    }
+
+    /// Notes the tasks of an inherited job that may run on workers that have not reported yet.
+    pub(super) fn note_unreported(&mut self, job: &Job) {
+        let (Some(name), Some(spec)) = (&job.account, &job.spec) else {
+            return;
+        };
+        let wall_ms = self.wall_ms();
+        let due = (0..job.steps.len()).filter(|&step| job.is_due(step, wall_ms));
+        for number in due {
+            let Some(step) = spec.get(number) else {
+                continue;
+            };
+            let tasks = job.steps[number].tasks.iter();
+            let waiting = tasks.filter(|task| task.place == Place::Waiting).count();
+            let size = step.size.times(waiting as u64);
+            let total = self.unreported_tasks.entry(name.clone()).or_default();
+            *total = total.plus(&size);
+        }
+    }
+
+    /// Notes that a task of an inherited job was reported.
+    pub(super) fn note_reported(&mut self, account: Option<&Name>, size: &Size) {
+        if let Some(total) = account.and_then(|name| self.unreported_tasks.get_mut(name)) {
+            *total = total.minus(size);
+        }
+    }
+
+    pub(super) fn update_unreported_capacity(&mut self) {
+        self.unreported_capacity = if self.now < self.takeover_ends_at {
+            let unreported = self.workers.iter().filter(|worker| worker.is_unreported());
+            unreported.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
+        } else {
+            Size::ZERO
+        };
     }
 
     /// Returns a gang's account and the part of the account's limit that it needs, or `None` if the
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,7 +1,7 @@
 //! Ends of attempts and their effect on tasks and jobs.
 
 use super::super::event::Decision;
-use super::super::fleet::{Contact, Worker};
+use super::super::fleet::Worker;
 use super::super::job::Place;
 use super::super::journal::Deferred;
 use super::super::record::Row;
@@ -245,7 +245,6 @@
 
     /// Tells whether tasks of inherited jobs may still run on workers that have not reported yet.
     pub(super) fn may_have_unreported_tasks(&self) -> bool {
-        let unreported = |worker: &Worker| worker.in_roster && worker.contact == Contact::Unclaimed;
-        self.now < self.takeover_ends_at && self.workers.iter().any(unreported)
+        self.now < self.takeover_ends_at && self.workers.iter().any(Worker::is_unreported)
     }
 }
--- a/crates/decide/src/batch/scheduler/store.rs
+++ b/crates/decide/src/batch/scheduler/store.rs
@@ -21,12 +21,11 @@
             blocks.entry(id.step.job).or_default().push((id, progress));
         }
         for (id, record) in stored.jobs {
-            match record {
-                Record::Open(_) => {
-                    self.restore_job(id, record, &blocks.remove(&id).unwrap_or_default())
-                }
-                Record::Ended(_) => self.restore_job(id, record, &[]),
-            }
+            let own = match &record {
+                Record::Open(_) => blocks.remove(&id),
+                Record::Ended(_) => None,
+            };
+            self.restore_job(id, record, &own.unwrap_or_default());
         }
         // The jobs of the remaining blocks have ended.
         for (id, _) in blocks.into_values().flatten() {
@@ -51,6 +50,7 @@
             self.ended.entry(self.now).or_default().push(id);
         } else {
             self.ready.insert(id);
+            self.note_unreported(&job);
         }
         self.jobs.insert(id, job);
     }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -229,6 +229,7 @@
             step.run = step.run.max(attempt.run);
             let account = job.account.clone();
             self.charge(account.as_ref(), &size);
+            self.note_reported(account.as_ref(), &size);
         }
     }
 
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -162,6 +162,7 @@
     let _ = tokio::time::timeout_at(end + ANSWER_TIME, context.inflight.drained()).await;
     info!(log, "drained"; "in_flight" => context.inflight.count());
     servers.stop().await?;
+    info!(log, "connections closed");
     halt.cancel();
     election.await?;
     while let Some(joined) = tasks.join_next().await {
--- a/crates/server/src/cluster/listen.rs
+++ b/crates/server/src/cluster/listen.rs
@@ -24,15 +24,15 @@
 }
 
 impl Servers {
-    /// Stops the servers once all requests in flight have been answered.
+    /// Stops the servers once all requests in flight have been answered. Each takes a second or more
+    /// to notice that it has no connections, so they stop at the same time.
     ///
     /// # Errors
     ///
     /// Returns an error if one of them has failed.
     pub(super) async fn stop(self) -> anyhow::Result<()> {
-        for server in self.servers {
-            server.stop().await?;
-        }
+        let stops = self.servers.into_iter().map(HttpServer::stop);
+        futures::future::try_join_all(stops).await?;
         Ok(())
     }
 }
