Gives no workers to instances that report too seldom

An instance that had called before the leader knew its workers was told that none are wanted, called again after 5 s, and counted as silent after 2.2 s with the workers that it had been given meanwhile. After a takeover their leases might lapse. Change: an instance counts as reporting only while instances are wanted; a new leader attaches the stored workers before its first call.

--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -220,6 +220,8 @@
         };
         tokio::pin!(term_end);
         let mut config = self.context.config.clone();
+        // The stored workers are attached before other instances ask for them.
+        self.step();
         let reason = loop {
             tokio::select! {
                 () = leaving.cancelled() => break EndReason::Released,
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -402,8 +402,9 @@
         (epoch, seen): (u64, u64),
         news: Vec<renewal::Event>,
     ) -> Relay {
-        // Calls of this process save nothing.
-        if *instance != self.context.name {
+        let wanted = self.wants_carriers();
+        // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
+        if wanted && *instance != self.context.name {
             self.carriers
                 .hear(instance, failure_domain, capacity, clock::now());
         }
@@ -425,7 +426,6 @@
             self.outboxes.remove(instance);
             self.take_back(instance);
         }
-        let wanted = self.wants_carriers();
         let outbox = self.outboxes.entry(instance.clone()).or_default();
         while outbox
             .changes
