Asks about all workers of a wide gang in one question

A question took the first 100 members, not workers, so the last 7 workers were never asked again. Change: a question names each worker once, those first whose tickets expire first. Ruled out: room and limits (its lines 'step waits' say tickets), lost answers (each question was answered).

--- a/crates/decide/src/batch/scheduler/question.rs
+++ b/crates/decide/src/batch/scheduler/question.rs
@@ -292,11 +292,7 @@
         if workers.is_empty() || !self.may_ask(candidate) {
             return;
         }
-        let distinct: BTreeSet<usize> = workers
-            .iter()
-            .copied()
-            .take(MAX_WORKERS_PER_QUESTION)
-            .collect();
+        let distinct = self.workers_in_question(id, workers);
         let takes = question_duration(&timing, distinct.len());
         if takes > SLOW_QUESTION_THRESHOLD && !self.open_slow_question(id) {
             return;
@@ -321,6 +317,17 @@
         }
     }
 
+    /// Returns the workers that one question covers: each one once, and those first whose tickets
+    /// expire first. Several members of a gang may be meant for the same worker.
+    fn workers_in_question(&self, id: StepId, workers: &[usize]) -> BTreeSet<usize> {
+        let distinct: BTreeSet<usize> = workers.iter().copied().collect();
+        let mut ordered: Vec<usize> = distinct.into_iter().collect();
+        let tickets = &self.advice_of(id).tickets;
+        ordered.sort_by_key(|worker| tickets.get(worker).map(|ticket| ticket.until));
+        ordered.truncate(MAX_WORKERS_PER_QUESTION);
+        ordered.into_iter().collect()
+    }
+
     /// Sets the number of instances that query the advice service.
     pub fn set_advice_instances(&mut self, instances: usize) {
         self.advice_instances = instances;
