--- a/crates/decide/tests/wide_gangs.rs
+++ b/crates/decide/tests/wide_gangs.rs
@@ -14,7 +14,7 @@
 use azurepath_decide::time::Time;
 use bench::{Bench, entry, gang, queue};
 
-const VALIDITY: Duration = Duration::from_millis(1_000);
+const VALIDITY: Duration = Duration::from_millis(700);
 
 fn workers(count: usize) -> Vec<Entry> {
     let worker = |number| Entry {
