Survives rows that are read twice after a takeover, and ends with a failed election

The stand-in of the store ignored the end of a range, so a takeover read each block of progress several times, and counting its done tasks twice underflowed. The panic ended the election task; the process went on without one. Change: a task that is done is not counted again; the stand-in serves ranges; a process whose election has ended exits with an error and is started again. Ruled out: the store's rows (read by hand: leader's row unchanged, three processes without reads of it).

--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -203,7 +203,9 @@
         };
         let first = (id.number * BLOCK_TASKS) as usize;
         for index in progress.done.ones() {
-            if let Some(task) = step.tasks.get_mut(first + index) {
+            if let Some(task) = step.tasks.get_mut(first + index)
+                && task.place != Place::Done
+            {
                 task.place = Place::Done;
                 step.remaining -= 1;
             }
--- a/crates/decide/tests/store_rows.rs
+++ b/crates/decide/tests/store_rows.rs
@@ -362,3 +362,25 @@
     rows.write(&mut second, 98);
     assert_ne!(rows.jobs[&JOB], Record::Ended(State::Failed));
 }
+
+/// Pages that are read at the same time may both hold a row.
+#[test]
+fn doubled_block() {
+    let mut rows = Rows::default();
+    let mut first = scheduler(1, Stored::default());
+    let attempts = start_wide(&mut first, &mut rows);
+    first.report(
+        0,
+        &report(vec![end(1, attempts[0], Outcome::Done)], Vec::new()),
+    );
+    rows.write(&mut first, 98);
+    let mut stored = rows.stored();
+    stored.blocks.extend(stored.blocks.clone());
+    let mut second = scheduler(2, stored);
+    second.update_registry(vec![entry()]);
+    let rest = attempts.iter().skip(1).enumerate();
+    let ends = rest.map(|(number, attempt)| end(number as u64 + 2, *attempt, Outcome::Done));
+    second.report(0, &report(ends.collect(), Vec::new()));
+    rows.write(&mut second, 98);
+    assert_eq!(second.state(JOB), Some(State::Completed));
+}
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context as _;
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::name::Name;
 use azurepath_platform::advice::Advisor;
@@ -147,9 +148,16 @@
     tasks.spawn(relay::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = election::Election::new(context.clone(), leadership_sender);
-    let election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
+    let mut election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"));
-    shutdown.await;
+    tokio::select! {
+        () = shutdown => {}
+        // Without it this instance would never lead nor find a leader; a restart helps.
+        ended = &mut election => {
+            ended.context("the election failed")?;
+            anyhow::bail!("the election ended early; this is a fault of the program");
+        }
+    }
     let grace = context.settings().grace;
     let end = Instant::now() + grace.saturating_sub(SHUTDOWN_RESERVE);
     info!(log, "stopping"; "in_flight" => context.inflight.count());
@@ -164,7 +172,7 @@
     servers.stop().await?;
     info!(log, "connections closed");
     halt.cancel();
-    election.await?;
+    election.await.context("the election failed")?;
     while let Some(joined) = tasks.join_next().await {
         joined?;
     }
--- a/crates/standin/src/cluster/store.rs
+++ b/crates/standin/src/cluster/store.rs
@@ -139,7 +139,10 @@
         let mut live = self
             .rows
             .range(from..)
-            .take_while(|((table, _), _)| *table == query.table)
+            .take_while(|((table, key), _)| {
+                let before_end = query.target.is_empty() || *key < query.target;
+                *table == query.table && before_end
+            })
             .filter(|(_, row)| row.value.is_some());
         let rows: Vec<Value> = live
             .by_ref()
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -60,6 +60,8 @@
     pub(crate) table: String,
     /// The first key of a range.
     pub(crate) from: String,
+    /// The end of a range, which is excluded; empty if there is none.
+    pub(crate) target: String,
     /// How long a feed waits for a change, in milliseconds.
     #[serde(rename = "waitMs")]
     pub(crate) wait_ms: u64,
