--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -7,6 +7,7 @@
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{Error, Page, Row};
+use futures::TryFutureExt;
 use rand::Rng;
 use slog::{error, info, warn};
 use tokio::sync::{mpsc, watch};
@@ -318,11 +319,15 @@
 
     /// Reads the state that earlier leaders have stored, with retries.
     async fn load_stored(&self) -> Option<Stored> {
-        for _ in 0..MAX_READS {
+        for attempt in 1..=MAX_READS {
+            let begun = clock::now();
             match self.read_stored().await {
                 Ok(stored) => return Some(stored),
-                Err(error) => {
-                    warn!(self.context.log, "stored jobs can't be read"; "error" => %error);
+                Err((table, error)) => {
+                    warn!(self.context.log, "stored jobs can't be read";
+                        "table" => table, "attempt" => attempt,
+                        "micros" => clock::now().since(begun).as_micros() as u64,
+                        "error" => %error);
                     tokio::time::sleep(READ_INTERVAL / 4).await;
                 }
             }
@@ -330,12 +335,13 @@
         None
     }
 
-    async fn read_stored(&self) -> Result<Stored, Error> {
+    /// Reads the stored state. An error comes with the table that can't be read.
+    async fn read_stored(&self) -> Result<Stored, (&'static str, Error)> {
         let store = &self.context.store;
         let (jobs, blocks, roster) = futures::try_join!(
-            read_by_digit(store, JOBS),
-            read_by_digit(store, PROGRESS),
-            read_all(store, ROSTER),
+            read_by_digit(store, JOBS).map_err(|error| (JOBS, error)),
+            read_by_digit(store, PROGRESS).map_err(|error| (PROGRESS, error)),
+            read_all(store, ROSTER).map_err(|error| (ROSTER, error)),
         )?;
         Ok(Stored {
             jobs: self.decode(&jobs, writer::decode_job),
