Reproduces a takeover over a narrow link that never ends

Two instances whose link to the store carries 2 Mbit/s, behind a relay with that speed, and 160 stored jobs of 5 KB: 18 attempts to read the table `jobs` in 12 s, each ended after 1,001 ms, two claims, no `leading`; after 120 s the test gives up.

--- a/crates/server/tests/support/cluster.rs
+++ b/crates/server/tests/support/cluster.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result};
 use azurepath_standin::cluster::{Fleet, KEY, PATH_PREFIX};
@@ -32,7 +32,11 @@
     }
 
     pub fn settings(&self, name: &str) -> String {
-        let store = self.fleet.store.address();
+        self.settings_via(name, self.fleet.store.address())
+    }
+
+    /// Returns the settings of an instance that reaches the store at an address.
+    fn settings_via(&self, name: &str, store: SocketAddr) -> String {
         format!(
             "[server]\nname = {name}\nregion = r\nfailure_domain = a\n\
              http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
@@ -56,7 +60,18 @@
     /// Starts an instance with more lines in the section `[cluster]` of its settings.
     pub async fn instance_with(&self, name: &str, more: &str) -> Result<Process> {
         let path = self.write_settings(name, more)?;
-        let process = Process::start(&path).await?;
+        self.start_instance(&path).await
+    }
+
+    /// Starts an instance that reaches the store at an address.
+    pub async fn instance_via(&self, name: &str, store: SocketAddr, more: &str) -> Result<Process> {
+        let path = self.directory.join(format!("{name}.ini"));
+        std::fs::write(&path, self.settings_via(name, store) + more)?;
+        self.start_instance(&path).await
+    }
+
+    async fn start_instance(&self, path: &Path) -> Result<Process> {
+        let process = Process::start(path).await?;
         until(async || {
             process.logged("leading").is_some()
                 || process.logged("another instance leads").is_some()
--- a/crates/server/tests/support/proxy.rs
+++ b/crates/server/tests/support/proxy.rs
@@ -1,8 +1,9 @@
-//! A TCP relay that can delay, reset or silence connections.
+//! A TCP relay that can delay, reset or silence connections, or be as slow as a narrow link.
 
 #![allow(dead_code, unreachable_pub)]
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,6 +11,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+
+/// The most bytes that are relayed at a time. On a narrow link the connections take turns.
+const PACKET_BYTES: usize = 1_500;
 
 /// What the relay does to the traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,6 +32,39 @@
     Silence,
 }
 
+/// One direction of a link, which all connections share.
+struct Lane {
+    bytes_per_s: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Lane {
+    fn new(bytes_per_s: f64) -> Arc<Lane> {
+        Arc::new(Lane {
+            bytes_per_s,
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Waits until the bytes have passed the link.
+    async fn pass(&self, bytes: usize) {
+        let until = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        tokio::time::sleep_until(until).await;
+    }
+}
+
+/// The two directions of a link.
+#[derive(Clone)]
+struct Lanes {
+    forward: Arc<Lane>,
+    backward: Arc<Lane>,
+}
+
 /// A relay to one target.
 pub(crate) struct Proxy {
     /// The address that the relay listens on.
@@ -39,11 +77,24 @@
 impl Proxy {
     /// Starts a relay to an address.
     pub(crate) async fn start(target: SocketAddr) -> anyhow::Result<Proxy> {
+        Proxy::start_narrow(target, f64::INFINITY).await
+    }
+
+    /// Starts a relay that passes on so many bytes a second in each direction.
+    pub(crate) async fn start_narrow(
+        target: SocketAddr,
+        bytes_per_s: f64,
+    ) -> anyhow::Result<Proxy> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let generation = watch::Sender::new(0);
         let fault = watch::Sender::new(Fault::None);
-        let task = tokio::spawn(accept(listener, target, generation.clone(), fault.clone()));
+        let lanes = Lanes {
+            forward: Lane::new(bytes_per_s),
+            backward: Lane::new(bytes_per_s),
+        };
+        let accept = accept(listener, target, generation.clone(), fault.clone(), lanes);
+        let task = tokio::spawn(accept);
         Ok(Proxy {
             address,
             generation,
@@ -74,6 +125,7 @@
     target: SocketAddr,
     generation: watch::Sender<u64>,
     fault: watch::Sender<Fault>,
+    lanes: Lanes,
 ) {
     let mut relays = JoinSet::new();
     while let Ok((near, _)) = listener.accept().await {
@@ -82,6 +134,7 @@
             target,
             generation.subscribe(),
             fault.subscribe(),
+            lanes.clone(),
         ));
     }
 }
@@ -91,6 +144,7 @@
     target: SocketAddr,
     mut generation: watch::Receiver<u64>,
     fault: watch::Receiver<Fault>,
+    lanes: Lanes,
 ) {
     generation.mark_unchanged();
     let Ok(far) = TcpStream::connect(target).await else {
@@ -98,8 +152,8 @@
     };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let forward = copy(near_read, far_write, fault.clone(), false);
-    let backward = copy(far_read, near_write, fault, true);
+    let forward = copy(near_read, far_write, fault.clone(), &lanes.forward, false);
+    let backward = copy(far_read, near_write, fault, &lanes.backward, true);
     // Pinned here, because a socket is closed when the copy that owns its halves is dropped.
     tokio::pin!(forward, backward);
     tokio::select! {
@@ -115,9 +169,15 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut fault: watch::Receiver<Fault>,
+    lane: &Lane,
     is_backward: bool,
 ) {
-    let mut buffer = vec![0; 64 << 10];
+    let buffer_bytes = if lane.bytes_per_s.is_finite() {
+        PACKET_BYTES
+    } else {
+        64 << 10
+    };
+    let mut buffer = vec![0; buffer_bytes];
     loop {
         let read = tokio::select! {
             read = from.read(&mut buffer) => read,
@@ -135,6 +195,9 @@
             // The bytes that were read are lost.
             Fault::OneWay | Fault::Silence => std::future::pending().await,
         }
+        if lane.bytes_per_s.is_finite() {
+            lane.pass(count).await;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
