Lets a new leader read the stored jobs page by page while it keeps the leadership

What callers saw: LOST.

Cause: a takeover read the tables in 33 reads at the same time, each for 1 s. One late answer discarded all, and all were read again, over the link that the discarded answers had just filled. With more rows than the link carries in a second, no attempt could ever succeed. A claimant also sent no heartbeat while it read, so after 1.4 s another instance deposed it and began anew, while the first went on reading for up to 22 s. And calls went to claimants that could not answer yet, and came again every 50 ms over the same link. The class: work that is repeated whole under a fixed timeout, so that beyond some size it never ends.

Change: pages whose bytes keep the link busy for 100 ms together; a page without an answer is asked for again alone, with half the rows; what has arrived stays. Heartbeats go on meanwhile, a deposed or stopping instance ends its reads, and one to which no page arrives for 6 s releases the leadership. The leader's row tells whether it still reads; other instances send it no calls until then. No other instance can write meanwhile, since each write depends on the leader's row, so the pages belong together.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -11,6 +11,7 @@
 mod links;
 mod listen;
 mod peer;
+mod recovery;
 mod relay;
 mod reload;
 mod renewal;
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -4,21 +4,20 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::config::Config;
-use azurepath_decide::batch::record::Stored;
 use azurepath_decide::time::Time;
-use azurepath_platform::store::{Error, Page, Row};
-use futures::TryFutureExt;
+use azurepath_platform::store::Page;
 use rand::Rng;
-use slog::{error, info, warn};
+use slog::{error, info};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::leader::{AUTHORITY_DURATION, EndReason, Leader, Message};
 use super::peer::{self, Leadership};
+use super::recovery::Recovery;
 use super::relay::MAX_GRANT;
-use super::watch::{READ_TIMEOUT, read_all, read_by_digit};
-use super::writer::{self, JOBS, LEADER, LeaderRow, PROGRESS, ROSTER, TABLE, Writer};
+use super::watch::READ_TIMEOUT;
+use super::writer::{LEADER, LeaderRow, TABLE, Term, Writer};
 use super::{Context, clock};
 
 /// How often the leader's row is read.
@@ -65,9 +64,6 @@
 /// The upper bound of the random wait that is added, so that claims rarely collide.
 const MAX_JITTER: Duration = Duration::from_millis(60);
 
-/// How many times a new leader tries to read the stored jobs before it releases the leadership.
-const MAX_READS: u32 = 20;
-
 /// The leader's row as last read.
 #[derive(Clone, Debug)]
 struct View {
@@ -173,7 +169,8 @@
     /// Publishes to the other tasks of the process who leads.
     fn follow(&self) {
         let leadership = match &self.view.leader {
-            Some(row) if !row.released && !self.is_own(row) => Some(peer::Leader {
+            // Calls to a leader that still reads would only fill its link.
+            Some(row) if row.term == Term::Leading && !self.is_own(row) => Some(peer::Leader {
                 name: row.name.clone(),
                 address: row.address,
                 epoch: row.epoch,
@@ -204,12 +201,16 @@
         let Some(row) = &self.view.leader else {
             return true;
         };
-        if row.released || self.is_own(row) {
-            return true;
-        }
         let unchanged_for = clock::now().since(self.view.since);
-        unchanged_for >= LEADER_TIMEOUT
-            || (unchanged_for >= UNREACHABLE_LEADER_TIMEOUT && !self.context.route.is_connected())
+        let timeout = match row.term {
+            _ if self.is_own(row) => return true,
+            Term::Released => return true,
+            // Nobody is connected to a leader that still reads.
+            Term::Reading => LEADER_TIMEOUT,
+            Term::Leading if self.context.route.is_connected() => LEADER_TIMEOUT,
+            Term::Leading => UNREACHABLE_LEADER_TIMEOUT,
+        };
+        unchanged_for >= timeout
     }
 
     /// Claims the leadership and leads until it ends.
@@ -233,28 +234,51 @@
         };
         let epoch = writer.row().epoch;
         info!(self.context.log, "leadership claimed"; "epoch" => epoch, "before" => version);
-        let Some(stored) = self.load_stored().await else {
-            writer.release().await;
-            return;
+        self.leadership.send_replace(Leadership::Unknown);
+        let reason = self
+            .serve_term(writer, sent, authority_left, config, leaving)
+            .await;
+        if reason == EndReason::Yielded {
+            self.yield_count += 1;
+        }
+        self.leadership.send_replace(Leadership::Unknown);
+        info!(self.context.log, "leading no more"; "epoch" => epoch, "reason" => %reason);
+        self.view.since = clock::now();
+    }
+
+    /// Reads what is stored and leads. The leadership was claimed by a write sent at `sent`, when the
+    /// previous leader could still give orders for `authority_left`.
+    async fn serve_term(
+        &self,
+        mut writer: Writer,
+        sent: Time,
+        authority_left: Duration,
+        config: Arc<Config>,
+        leaving: &CancellationToken,
+    ) -> EndReason {
+        let recovery = Recovery::new(&self.context);
+        let (stored, announced) = match recovery.run(&mut writer, leaving).await {
+            Ok(recovered) => recovered,
+            Err(reason) => {
+                if reason != EndReason::Deposed {
+                    writer.release().await;
+                }
+                return reason;
+            }
         };
-        info!(self.context.log, "leading"; "epoch" => epoch, "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
+        info!(self.context.log, "leading"; "epoch" => writer.row().epoch,
+            "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
         let (leader, handle, receiver) = Leader::new(
             self.context.clone(),
             writer,
-            sent,
-            authority_left,
+            announced,
+            authority_left.saturating_sub(clock::now().since(sent)),
             config,
             stored,
         );
         self.context.counts.leads.add(1, &[]);
         self.leadership.send_replace(Leadership::Local(handle));
-        let reason = self.run_leader(leader, receiver, leaving).await;
-        if reason == EndReason::Yielded {
-            self.yield_count += 1;
-        }
-        self.leadership.send_replace(Leadership::Unknown);
-        info!(self.context.log, "leading no more"; "epoch" => epoch, "reason" => %reason);
-        self.view.since = clock::now();
+        self.run_leader(leader, receiver, leaving).await
     }
 
     /// Runs the leader as a task of its own, so that its failure does not end the election.
@@ -281,7 +305,7 @@
         match &self.view.leader {
             // It released its authority, or it was an earlier process of this instance, which is
             // dead. Instances that renew workers for it may still do so for a moment.
-            Some(row) if row.released || self.is_previous_process(row) => MAX_GRANT,
+            Some(row) if row.term == Term::Released || self.is_previous_process(row) => MAX_GRANT,
             // Its last write was stored before this version of the row was first seen.
             Some(_) => AUTHORITY_DURATION.saturating_sub(clock::now().since(self.view.since)),
             None => Duration::ZERO,
@@ -306,7 +330,7 @@
             address: self.context.peers_address,
             epoch: epoch + 1,
             write: 0,
-            released: false,
+            term: Term::Reading,
         };
         Writer::claim(
             &self.context.store,
@@ -316,50 +340,4 @@
         )
         .await
     }
-
-    /// Reads the state that earlier leaders have stored, with retries.
-    async fn load_stored(&self) -> Option<Stored> {
-        for attempt in 1..=MAX_READS {
-            let begun = clock::now();
-            match self.read_stored().await {
-                Ok(stored) => return Some(stored),
-                Err((table, error)) => {
-                    warn!(self.context.log, "stored jobs can't be read";
-                        "table" => table, "attempt" => attempt,
-                        "micros" => clock::now().since(begun).as_micros() as u64,
-                        "error" => %error);
-                    tokio::time::sleep(READ_INTERVAL / 4).await;
-                }
-            }
-        }
-        None
-    }
-
-    /// Reads the stored state. An error comes with the table that can't be read.
-    async fn read_stored(&self) -> Result<Stored, (&'static str, Error)> {
-        let store = &self.context.store;
-        let (jobs, blocks, roster) = futures::try_join!(
-            read_by_digit(store, JOBS).map_err(|error| (JOBS, error)),
-            read_by_digit(store, PROGRESS).map_err(|error| (PROGRESS, error)),
-            read_all(store, ROSTER).map_err(|error| (ROSTER, error)),
-        )?;
-        Ok(Stored {
-            jobs: self.decode(&jobs, writer::decode_job),
-            blocks: self.decode(&blocks, writer::decode_block),
-            roster: self.decode(&roster.rows, writer::decode_worker),
-        })
-    }
-
-    /// Decodes rows and skips those that can't be read.
-    fn decode<T>(&self, rows: &[Row], decode: impl Fn(&Row) -> Result<T, String>) -> Vec<T> {
-        let decode = |row| {
-            let decoded = decode(row);
-            let unreadable = |error: &String| {
-                warn!(self.context.log, "a stored row can't be read";
-                    "row" => &row.key, "row_version" => row.version, "error" => error);
-            };
-            decoded.inspect_err(unreadable).ok()
-        };
-        rows.iter().filter_map(decode).collect()
-    }
 }
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -34,7 +34,7 @@
 pub(super) const AUTHORITY_DURATION: Duration = Duration::from_secs(4);
 
 /// The maximum time between two writes, by which the other instances see that the leader is alive.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The interval at which the scheduler is advanced.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -105,6 +105,8 @@
     Released,
     /// The leadership was released for an instance nearer to the store.
     Yielded,
+    /// What is stored can't be read.
+    Stalled,
     /// The leader's task failed.
     Failed,
 }
--- /dev/null
+++ b/crates/server/src/cluster/recovery.rs
@@ -0,0 +1,245 @@
+//! Reads the state that earlier leaders have stored, while the leadership is kept by heartbeats.
+//!
+//! How long this takes depends on the stored rows and on the instance's link. So no page is large
+//! for the link, a page without an answer is asked for again alone, and nothing that has arrived is
+//! read twice. No other instance can write meanwhile, so the pages belong together.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use azurepath_decide::batch::record::Stored;
+use azurepath_decide::time::Time;
+use azurepath_platform::store::{Error, PAGE_ROWS, Row};
+use futures::{StreamExt, stream};
+use slog::{Logger, info, warn};
+use tokio_util::sync::CancellationToken;
+
+use super::leader::{EndReason, HEARTBEAT_INTERVAL};
+use super::writer::{self, JOBS, Outcome, PROGRESS, ROSTER, Writer};
+use super::{Context, clock};
+use crate::process::backoff;
+
+/// How long the pages that are asked for at the same time keep the link busy.
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// The length of a usual row in the answer to a read, in bytes.
+const ROW_BYTES: u64 = 1_500;
+
+/// The least number of pages that are asked for at the same time.
+const MIN_READS: u64 = 2;
+
+/// The rows of a page for which one more page is asked for at the same time.
+const ROWS_PER_READ: u64 = 10;
+
+/// How long the answer with a page may take. A page of a single row of the longest kind arrives
+/// within it on a link of 2 Mbit/s, beside others.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest pause after a failed read.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// How long no page may arrive before another instance should try.
+const STALL_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// What is asked for at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Window {
+    reads: usize,
+    rows: usize,
+}
+
+impl Window {
+    fn new(link_kbps: u64, ranges: usize) -> Window {
+        let millis = u64::try_from(WINDOW.as_millis()).unwrap_or(u64::MAX);
+        let rows = link_kbps.saturating_mul(millis) / 8 / ROW_BYTES;
+        let reads = (rows / ROWS_PER_READ).clamp(MIN_READS, ranges as u64);
+        let rows = (rows / reads).clamp(1, PAGE_ROWS as u64);
+        Window {
+            reads: reads as usize,
+            rows: rows as usize,
+        }
+    }
+}
+
+/// A part of a table: the keys that begin with a digit, or all.
+#[derive(Clone, Debug)]
+struct Range {
+    table: &'static str,
+    from: String,
+    end: Option<String>,
+}
+
+impl Range {
+    fn all(table: &'static str) -> Range {
+        Range {
+            table,
+            from: String::new(),
+            end: None,
+        }
+    }
+
+    /// Splits a table whose keys begin with hexadecimal digits.
+    fn by_digit(table: &'static str) -> impl Iterator<Item = Range> {
+        (0..16).map(move |digit| Range {
+            table,
+            from: format!("{digit:x}"),
+            end: (digit < 15).then(|| format!("{:x}", digit + 1)),
+        })
+    }
+}
+
+/// Reads what earlier leaders have stored.
+pub(super) struct Recovery<'a> {
+    context: &'a Context,
+    /// When a page last arrived.
+    arrived: AtomicU64,
+}
+
+impl Recovery<'_> {
+    /// Creates a recovery that begins now.
+    pub(super) fn new(context: &Context) -> Recovery<'_> {
+        Recovery {
+            context,
+            arrived: AtomicU64::new(clock::now().0),
+        }
+    }
+
+    /// Reads the stored state and announces that this instance takes calls. Returns the state and
+    /// when the announcement was sent, or why this instance does not lead.
+    pub(super) async fn run(
+        &self,
+        writer: &mut Writer,
+        leaving: &CancellationToken,
+    ) -> Result<(Stored, Time), EndReason> {
+        let stored = tokio::select! {
+            stored = self.read() => stored,
+            () = keep(writer) => return Err(EndReason::Deposed),
+            () = self.stalled() => return Err(EndReason::Stalled),
+            () = leaving.cancelled() => return Err(EndReason::Released),
+        };
+        writer.begin_leading();
+        tokio::select! {
+            written = writer.heartbeat() => match written {
+                Outcome::Stored(sent) => Ok((stored, sent)),
+                Outcome::Deposed | Outcome::Rejected => Err(EndReason::Deposed),
+            },
+            () = leaving.cancelled() => Err(EndReason::Released),
+        }
+    }
+
+    async fn read(&self) -> Stored {
+        let begun = clock::now();
+        let ranges: Vec<Range> = std::iter::once(Range::all(ROSTER))
+            .chain(Range::by_digit(JOBS))
+            .chain(Range::by_digit(PROGRESS))
+            .collect();
+        let window = Window::new(self.context.settings().link_kbps, ranges.len());
+        let reads = ranges
+            .into_iter()
+            .map(|range| self.range(range, window.rows));
+        let tables: Vec<(&str, Vec<Row>)> = stream::iter(reads)
+            .buffer_unordered(window.reads)
+            .collect()
+            .await;
+        let of = |name| {
+            let tables = tables.iter().filter(move |(table, _)| *table == name);
+            tables.flat_map(|(_, rows)| rows)
+        };
+        let log = &self.context.log;
+        let stored = Stored {
+            jobs: decode(log, of(JOBS), writer::decode_job),
+            blocks: decode(log, of(PROGRESS), writer::decode_block),
+            roster: decode(log, of(ROSTER), writer::decode_worker),
+        };
+        info!(log, "stored jobs read"; "jobs" => stored.jobs.len(), "blocks" => stored.blocks.len(),
+            "workers" => stored.roster.len(), "bytes" => value_bytes(&tables),
+            "micros" => clock::now().since(begun).as_micros() as u64);
+        stored
+    }
+
+    /// Reads all rows of a range, page by page, and a page again until it arrives.
+    async fn range(&self, range: Range, page_rows: usize) -> (&'static str, Vec<Row>) {
+        let Range {
+            table,
+            mut from,
+            end,
+        } = range;
+        let mut rows = Vec::new();
+        let mut limit = page_rows;
+        let mut failures = 0;
+        loop {
+            let store = &self.context.store;
+            let page = store.read_range(table, &from, end.as_deref(), limit, PAGE_TIMEOUT);
+            match page.await {
+                Ok(page) => {
+                    failures = 0;
+                    self.arrived.store(clock::now().0, Ordering::Relaxed);
+                    if let Some(last) = page.rows.last() {
+                        from = format!("{}\0", last.key);
+                    }
+                    let more = page.more && !page.rows.is_empty();
+                    rows.extend(page.rows);
+                    if !more {
+                        return (table, rows);
+                    }
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        warn!(self.context.log, "stored jobs can't be read";
+                            "table" => table, "rows" => rows.len(), "limit" => limit, "error" => %error);
+                    }
+                    failures += 1;
+                    if matches!(error, Error::Lost(_)) {
+                        limit = (limit / 2).max(1);
+                    }
+                    backoff::pause_within(failures, MAX_RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Waits until no page has arrived for too long.
+    async fn stalled(&self) {
+        loop {
+            let arrived = Time(self.arrived.load(Ordering::Relaxed));
+            let left = STALL_TIMEOUT.saturating_sub(clock::now().since(arrived));
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+}
+
+/// Keeps the leadership by heartbeats until another instance leads.
+async fn keep(writer: &mut Writer) {
+    loop {
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        match writer.heartbeat().await {
+            Outcome::Stored(_) => {}
+            Outcome::Deposed | Outcome::Rejected => return,
+        }
+    }
+}
+
+/// Decodes rows and skips those that can't be read.
+fn decode<'a, T>(
+    log: &Logger,
+    rows: impl Iterator<Item = &'a Row>,
+    decode: impl Fn(&Row) -> Result<T, String>,
+) -> Vec<T> {
+    let decode = |row| {
+        let decoded = decode(row);
+        let unreadable = |error: &String| {
+            warn!(log, "a stored row can't be read";
+                "row" => &row.key, "row_version" => row.version, "error" => error);
+        };
+        decoded.inspect_err(unreadable).ok()
+    };
+    rows.filter_map(decode).collect()
+}
+
+fn value_bytes(tables: &[(&str, Vec<Row>)]) -> usize {
+    let rows = tables.iter().flat_map(|(_, rows)| rows);
+    rows.map(|row| row.value.as_ref().map_or(0, Vec::len)).sum()
+}
--- a/crates/server/src/cluster/watch.rs
+++ b/crates/server/src/cluster/watch.rs
@@ -8,7 +8,7 @@
 use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{
-    CONFIGURATION_KEY, Error, OPERATOR_TABLE, Page, REGISTRY_TABLE, Row, Store,
+    CONFIGURATION_KEY, Error, OPERATOR_TABLE, PAGE_ROWS, Page, REGISTRY_TABLE, Row, Store,
 };
 use azurepath_platform::{configuration, registry};
 use slog::{Logger, info, warn};
@@ -43,39 +43,16 @@
 /// # Errors
 ///
 /// Returns the error of the page that could not be read.
-pub(super) async fn read_all(store: &Store, table: &str) -> Result<Page, Error> {
-    read_range(store, table, "", None).await
-}
-
-/// Reads a table whose keys begin with hexadecimal digits, the range of each digit at the same time.
-///
-/// # Errors
-///
-/// Returns the error of the page that could not be read.
-pub(super) async fn read_by_digit(store: &Store, table: &str) -> Result<Vec<Row>, Error> {
-    let digits: Vec<String> = (0..16).map(|digit| format!("{digit:x}")).collect();
-    let ranges = digits.iter().enumerate().map(|(index, from)| {
-        let end = digits.get(index + 1).map(String::as_str);
-        read_range(store, table, from, end)
-    });
-    let pages = futures::future::try_join_all(ranges).await?;
-    Ok(pages.into_iter().flat_map(|page| page.rows).collect())
-}
-
-async fn read_range(
-    store: &Store,
-    table: &str,
-    from: &str,
-    end: Option<&str>,
-) -> Result<Page, Error> {
+async fn read_all(store: &Store, table: &str) -> Result<Page, Error> {
     let mut all = Page {
         rows: Vec::new(),
         more: true,
         version: u64::MAX,
     };
-    let mut from = from.to_owned();
+    let mut from = String::new();
     while all.more {
-        let page = store.read_range(table, &from, end, READ_TIMEOUT).await?;
+        let page = store.read_range(table, &from, None, PAGE_ROWS, READ_TIMEOUT);
+        let page = page.await?;
         all.more = page.more && !page.rows.is_empty();
         // A feed continues from the version of the first page and repeats later changes.
         all.version = all.version.min(page.version);
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -69,8 +69,19 @@
     pub(super) epoch: u64,
     /// The number of writes in this epoch.
     pub(super) write: u64,
-    /// Whether the instance has released the leadership.
-    pub(super) released: bool,
+    /// What the instance does with the leadership.
+    pub(super) term: Term,
+}
+
+/// The part of its term that a leader is in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Term {
+    /// It reads what earlier leaders have stored and takes no calls yet.
+    Reading,
+    /// It takes calls.
+    Leading,
+    /// It has released the leadership.
+    Released,
 }
 
 impl LeaderRow {
@@ -178,10 +189,22 @@
         (self, outcome)
     }
 
+    /// Writes the leader's row alone and retries until it is stored or another instance leads. If the
+    /// call is dropped, the next write finds out whether the row was stored.
+    pub(super) async fn heartbeat(&mut self) -> Outcome {
+        self.row.write += 1;
+        self.persist(&Batch::default()).await
+    }
+
+    /// States from the next write on that this instance takes calls.
+    pub(super) fn begin_leading(&mut self) {
+        self.row.term = Term::Leading;
+    }
+
     /// Releases the leadership.
     pub(super) async fn release(mut self) {
         self.row.write += 1;
-        self.row.released = true;
+        self.row.term = Term::Released;
         // If this fails, the other instances notice that the row no longer changes.
         let empty = Batch::default();
         let release = self.persist(&empty);
