Lets a long answer of the store arrive over a narrow link

What callers saw: an instance whose link carries a configuration in more than 1.8 s never gets it, and goes by the older one; all instances ask for it over and over, their links are full, the leader is deposed, and takeovers don't end either.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,13 +2,16 @@
 //! been sent.
 //!
 //! A call that times out closes its connection, so an unresponsive connection fails only one call.
+//! A long response may take longer than the timeout while its bytes keep arriving, if the call
+//! allows it: else it would be asked for again and again over a link that is too narrow for it.
 
 use std::error::Error;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
@@ -66,8 +69,10 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
-    /// How long the call may take in total.
+    /// How long the call may take.
     pub timeout: Duration,
+    /// How much longer it may take while bytes of the response keep arriving.
+    pub transfer: Duration,
 }
 
 impl Call {
@@ -79,6 +84,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             timeout,
+            transfer: Duration::ZERO,
         }
     }
 
@@ -176,13 +182,12 @@
     ///
     /// Returns [`Failure`], which tells whether the request may have been sent.
     pub async fn call(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
-        let timeout = call.timeout;
         let Some(observer) = &self.observer else {
-            return self.call_within(address, call, timeout).await;
+            return self.call_within(address, call).await;
         };
         let path = call.path.clone();
         let sent = HEAD_BYTES + path.len() + head_bytes(&call.headers) + call.body.len();
-        let result = self.call_within(address, call, timeout).await;
+        let result = self.call_within(address, call).await;
         let received = |reply: &Reply| STATUS_BYTES + head_bytes(&reply.headers) + reply.body.len();
         observer(Traffic {
             path: path.split('?').next().unwrap_or_default(),
@@ -192,41 +197,47 @@
         result
     }
 
-    async fn call_within(
-        &self,
-        address: SocketAddr,
-        call: Call,
-        timeout: Duration,
-    ) -> Result<Reply, Failure> {
-        match tokio::time::timeout(timeout, self.exchange(address, call)).await {
-            Ok(result) => result,
-            Err(_) => Err(Failure::Lost(format!("no response within {timeout:?}"))),
-        }
+    async fn call_within(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
+        let limit = call.timeout + call.transfer;
+        within(limit, self.exchange(address, call)).await?
     }
 
     async fn exchange(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
+        let timeout = call.timeout;
         let uri = format!("http://{address}{}", call.path);
         let mut request = self
             .client
             .request(call.method, uri)
             .body(Body::from(call.body));
         request.headers_mut().extend(call.headers);
-        let response = request.send().await.map_err(|error| classify(&error))?;
-        let (parts, body) = response.into_parts();
-        let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let body = collected
-            .map_err(|error| Failure::Lost(format!("the response was cut off: {error}")))?
-            .to_bytes();
+        let response = within(timeout, request.send()).await?;
+        let (parts, body) = response.map_err(|error| classify(&error))?.into_parts();
+        let mut body = Limited::new(body, MAX_BODY_BYTES);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = within(timeout, body.frame()).await? {
+            let frame = frame
+                .map_err(|error| Failure::Lost(format!("the response was cut off: {error}")))?;
+            // Trailers are of no use here.
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
         let reply = Reply {
             status: parts.status,
             headers: parts.headers,
-            body,
+            body: bytes.freeze(),
         };
         verify(&reply)?;
         Ok(reply)
     }
 }
 
+/// Waits for a part of a response.
+async fn within<T>(limit: Duration, part: impl Future<Output = T>) -> Result<T, Failure> {
+    let elapsed = |_| Failure::Lost(format!("no response within {limit:?}"));
+    tokio::time::timeout(limit, part).await.map_err(elapsed)
+}
+
 fn head_bytes(headers: &HeaderMap) -> usize {
     let lines = headers.iter();
     lines
--- a/crates/server/tests/narrow_link.rs
+++ b/crates/server/tests/narrow_link.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use anyhow::Result;
+use azurepath_standin::cluster::{KEY, configuration};
 use proxy::Proxy;
 use support::cluster::{Cluster, id, state, submit_until};
 
@@ -16,19 +17,24 @@
 /// The same for the settings of an instance.
 const NARROW: &str = "link = 2\n";
 
+/// The length of a configuration in bytes.
+const CONFIGURATION_BYTES: usize = 262_144;
+
 /// Jobs that take three seconds and more on the link.
 const JOBS: u64 = 160;
 
-/// Accepts jobs with long payloads that wait for workers.
+/// Submits jobs with long payloads, which wait for workers, at the same time.
 async fn submit_all(instance: &Process) -> Vec<String> {
     let body = serde_json::json!({
         "spec": "x".repeat(3_900),
         "phases": [{"count": 2, "cpu": 500, "memMb": 256, "estMs": 1_000}],
     });
+    let body = body.to_string();
     let ids: Vec<String> = (0..JOBS).map(id).collect();
-    for id in &ids {
-        submit_until(&[instance], id, &body.to_string()).await;
-    }
+    let submissions = ids.iter().map(|id| async {
+        submit_until(&[instance], id, &body).await;
+    });
+    futures::future::join_all(submissions).await;
     ids
 }
 
@@ -61,3 +67,17 @@
     assert_eq!(claims, 1, "the other instance claims while this one reads");
     Ok(())
 }
+
+/// The longest configuration that the users announce, and a link that carries it in two seconds.
+#[tokio::test]
+async fn configuration_too_long_for_link() -> Result<()> {
+    let cluster = Cluster::start(0)?;
+    let mut configuration = configuration(2, &[KEY]);
+    let unused = "x".repeat(CONFIGURATION_BYTES);
+    configuration["limits"] = serde_json::json!({ "unused": unused });
+    cluster.fleet.store.put("op", "config", &configuration);
+    let store = cluster.fleet.store.address();
+    let link = Proxy::start_narrow(store, CONFIGURATION_BYTES as f64 * 4.0 / 3.0 / 2.0).await?;
+    cluster.instance_via("a", link.address, NARROW).await?;
+    Ok(())
+}
