Bounds a write by what the leader's link carries

What callers would see: after a burst of jobs with long payloads the leader's writes never end; no job is accepted (504), its row stays unchanged, and it is deposed.

Evidence: tests/narrow_link.rs::write_too_long_for_link, 160 jobs of 5 KB submitted at the same time to a leader of 2 Mbit/s: not all accepted after 120 s on the code before (a write of 98 such rows needs 2.1 s).

Change: the changes of a write keep the link busy for at most 100 ms, but for a single row that is longer; the time for its answer grows with its bytes. A write waits for the one before, so the link is still used. The line `write failed` tells the bytes.

--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -25,7 +25,7 @@
 use super::links::{Links, Started};
 use super::peer::Pending;
 use super::renewal;
-use super::writer::{Batch, Outcome, Writer};
+use super::writer::{Batch, Limits, Outcome, Writer};
 use super::{Context, decision, watch as feed};
 
 /// How long the leader may give orders after its last write. Together with the last lease, tasks
@@ -505,11 +505,15 @@
         if self.writer.is_none() {
             return;
         }
-        let row_bytes = self.context.settings().row_bytes;
+        let settings = self.context.settings();
+        let limits = Limits {
+            row_bytes: settings.row_bytes,
+            link_kbps: settings.link_kbps,
+        };
         let mut batch = Batch::default();
         let changed = self
             .scheduler
-            .next_batch(|change| batch.add(change, row_bytes));
+            .next_batch(|change| batch.add(change, limits));
         if !changed && self.write_begun.elapsed() < HEARTBEAT_INTERVAL {
             return;
         }
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -50,7 +50,12 @@
 /// row.
 const MAX_CHANGE_BYTES: usize = CALL_BYTES - 4_096;
 
-/// How long a write may take before its connection counts as lost.
+/// How long the changes of one write may keep the link busy. Longer writes would delay the next
+/// heartbeat, and a lost answer costs their bytes again.
+const WRITE_WINDOW: Duration = Duration::from_millis(100);
+
+/// How long a write may take beside the time that its bytes need on the link, before its connection
+/// counts as lost.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The longest pause after a failed write: one of the leader's heartbeats.
@@ -91,6 +96,29 @@
     }
 }
 
+/// What bounds a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Limits {
+    /// The length of the longest value that the store accepts, in bytes.
+    pub(super) row_bytes: u64,
+    /// The speed of the instance's link in kbit/s.
+    pub(super) link_kbps: u64,
+}
+
+impl Limits {
+    /// Returns how many bytes of changes belong into one write.
+    fn change_bytes(&self) -> usize {
+        let millis = u64::try_from(WRITE_WINDOW.as_millis()).unwrap_or(u64::MAX);
+        let bytes = self.link_kbps.saturating_mul(millis) / 8;
+        usize::try_from(bytes).map_or(MAX_CHANGE_BYTES, |bytes| bytes.min(MAX_CHANGE_BYTES))
+    }
+
+    /// Returns how long bytes need on the link.
+    fn transfer(&self, bytes: usize) -> Duration {
+        Duration::from_millis(bytes as u64 * 8 / self.link_kbps.max(1))
+    }
+}
+
 /// The changes of one write.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Batch {
@@ -98,22 +126,25 @@
     removals: Vec<(&'static str, String)>,
     /// The length of the changes in the body of the call.
     bytes: usize,
+    /// How long they need on the link.
+    transfer: Duration,
 }
 
 impl Batch {
-    /// Adds a change if it fits. `row_bytes` is the length of the longest value that the store
-    /// accepts.
-    pub(super) fn add(&mut self, change: &Change, row_bytes: u64) -> Fit {
+    /// Adds a change if it fits. The first one always does, unless the store will never accept it.
+    pub(super) fn add(&mut self, change: &Change, limits: Limits) -> Fit {
         let (table, key, value) = encode_change(change);
         let value_bytes = value.as_ref().map_or(0, Vec::len);
         let bytes = store::put_length(table, &key, value_bytes);
-        if store::value_length(value_bytes) as u64 > row_bytes || bytes > MAX_CHANGE_BYTES {
+        if store::value_length(value_bytes) as u64 > limits.row_bytes || bytes > MAX_CHANGE_BYTES {
             return Fit::TooLarge;
         }
-        if self.len() >= MAX_CHANGES || self.bytes + bytes > MAX_CHANGE_BYTES {
+        let is_too_long = self.len() > 0 && self.bytes + bytes > limits.change_bytes();
+        if self.len() >= MAX_CHANGES || is_too_long {
             return Fit::Full;
         }
         self.bytes += bytes;
+        self.transfer = limits.transfer(self.bytes);
         match value {
             Some(value) => self.puts.push((table, key, value)),
             None => self.removals.push((table, key)),
@@ -217,7 +248,8 @@
         loop {
             let sent = clock::now();
             let transaction = self.transaction(batch);
-            let error = match self.store.transact(&transaction, WRITE_TIMEOUT).await {
+            let timeout = WRITE_TIMEOUT + batch.transfer;
+            let error = match self.store.transact(&transaction, timeout).await {
                 Ok(version) => {
                     self.version = version;
                     return Outcome::Stored(sent);
@@ -252,7 +284,7 @@
             if failures == 0 {
                 warn!(self.log, "write failed";
                     "epoch" => self.row.epoch, "write" => self.row.write,
-                    "rows" => batch.len(), "error" => %error);
+                    "rows" => batch.len(), "bytes" => batch.bytes, "error" => %error);
             }
             failures += 1;
             // The first pause is drawn from twice the usual range, since the store answers in
--- a/crates/server/tests/narrow_link.rs
+++ b/crates/server/tests/narrow_link.rs
@@ -68,6 +68,16 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn write_too_long_for_link() -> Result<()> {
+    let cluster = Cluster::start(0)?;
+    let link = Proxy::start_narrow(cluster.fleet.store.address(), LINK_BYTES_PER_S).await?;
+    let leader = cluster.instance_via("a", link.address, NARROW).await?;
+    submit_all(&leader).await;
+    assert!(leader.logged("write failed").is_none());
+    Ok(())
+}
+
 /// The longest configuration that the users announce, and a link that carries it in two seconds.
 #[tokio::test]
 async fn configuration_too_long_for_link() -> Result<()> {
