Handles each event of a renewed worker once

Tasks ran at two places at once, and workers got more than they hold, wherever other instances renew workers and the leader's replies are lost or late.

Cause: an instance keeps the events of its workers until the leader has replied, and sends all of them again if no reply came. The leader's changes are numbered, the events were not, so it handled them again. A repeated `Lapsed` marks as lost what was started on the worker since then.

Not needed for it: a large configuration; any lost reply does.

Change: events under one serial are numbered, and the leader drops what it has handled. A new serial comes with each change of who renews a worker, so a restarted instance begins anew.

Ruled out: numbering by instance, which a restarted process of the same name would confuse. Not mended, only suspected: a lapse that arrives for the first time, but late, can still mark as lost what was started between the lapse and its arrival.

--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -13,7 +13,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
-use azurepath_wire::batch::{Call, News, Reply};
+use azurepath_wire::batch::{Call, Event, News, Reply};
 use opentelemetry::KeyValue;
 use slog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
@@ -125,7 +125,7 @@
     authority: Arc<Authority>,
     sender: mpsc::UnboundedSender<Message>,
     links: Links,
-    news: mpsc::UnboundedReceiver<renewal::Event>,
+    news: mpsc::UnboundedReceiver<Event>,
     started: mpsc::UnboundedReceiver<Started>,
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
     next_call: u64,
@@ -239,13 +239,13 @@
                         self.handle(message);
                     }
                 }
-                Some((serial, news)) = self.news.recv() => {
-                    self.handle_news(serial, news);
+                Some(event) = self.news.recv() => {
+                    self.handle_event(event);
                     for _ in 0..MAX_MESSAGES_PER_STEP {
-                        let Ok((serial, news)) = self.news.try_recv() else {
+                        let Ok(event) = self.news.try_recv() else {
                             break;
                         };
-                        self.handle_news(serial, news);
+                        self.handle_event(event);
                     }
                 }
                 Some(started) = self.started.recv() => {
@@ -317,11 +317,11 @@
         }
     }
 
-    fn handle_news(&mut self, serial: u64, news: News) {
-        let Some(worker) = self.links.worker_of(serial, &news) else {
+    fn handle_event(&mut self, event: Event) {
+        let Some(worker) = self.links.worker_of(&event) else {
             return;
         };
-        match news {
+        match event.news {
             News::Report(report) => {
                 if self.scheduler.worker(worker).contact != Contact::Claimed {
                     info!(self.context.log, "worker claimed";
@@ -436,14 +436,14 @@
                 capacity,
                 epoch,
                 seen,
-                news,
+                events,
             } => {
                 let relay = self.links.relay(
                     &Name::from(instance),
                     &Name::from(failure_domain),
                     capacity,
                     (epoch, seen),
-                    news,
+                    events,
                 );
                 send(reply, Reply::Relay(relay));
             }
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -9,7 +9,7 @@
 use azurepath_decide::batch::{Attempt, Refusal, StartOutcome};
 use azurepath_decide::name::{Map, Name};
 use azurepath_platform::worker::{Endpoint, Start};
-use azurepath_wire::batch::{News, Order, Orders, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Event, News, Order, Orders, Relay, RelayChange, Reply};
 use slog::info;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -45,6 +45,8 @@
     failure_domain: Name,
     /// The number under which it is renewed; a new one with each change of who renews it.
     serial: u64,
+    /// The number of the last event under this serial that was handled.
+    heard: u64,
     renewal: Renewal,
     /// The number up to which its ends are stored.
     acknowledged: u64,
@@ -55,6 +57,12 @@
 }
 
 impl Link {
+    /// Begins a renewal under a new number.
+    fn begin(&mut self, serial: u64) {
+        self.serial = serial;
+        self.heard = 0;
+    }
+
     /// Notes the worker's clock in a report. A report that was long under way shows less than the
     /// clock has by now, so the earlier reading counts if it leads to a later time.
     fn read_clock(&mut self, millis: u64) {
@@ -123,7 +131,7 @@
     authority: Arc<Authority>,
     begun: Instant,
     inherited_lease: Duration,
-    news: mpsc::UnboundedSender<renewal::Event>,
+    news: mpsc::UnboundedSender<Event>,
     started: mpsc::UnboundedSender<Started>,
     tasks: JoinSet<()>,
     workers: BTreeMap<usize, Link>,
@@ -149,7 +157,7 @@
         lease: Duration,
         inherited_lease: Duration,
         authority: Arc<Authority>,
-        news: mpsc::UnboundedSender<renewal::Event>,
+        news: mpsc::UnboundedSender<Event>,
         started: mpsc::UnboundedSender<Started>,
     ) -> Links {
         Links {
@@ -199,6 +207,7 @@
             },
             failure_domain: entry.failure_domain.clone(),
             serial: 0,
+            heard: 0,
             renewal: Renewal::None,
             acknowledged: 0,
             clock: None,
@@ -257,12 +266,16 @@
         }
     }
 
-    /// Returns the worker that news is about, or `None` if someone else renews it by now.
-    pub(super) fn worker_of(&mut self, serial: u64, news: &News) -> Option<usize> {
-        let worker = *self.by_serial.get(&serial)?;
-        if let News::Report(report) = news
-            && let Some(link) = self.workers.get_mut(&worker)
-        {
+    /// Returns the worker that an event is about, or `None` if someone else renews it by now or the
+    /// event was handled before.
+    pub(super) fn worker_of(&mut self, event: &Event) -> Option<usize> {
+        let worker = *self.by_serial.get(&event.serial)?;
+        let link = self.workers.get_mut(&worker)?;
+        if event.number <= link.heard {
+            return None;
+        }
+        link.heard = event.number;
+        if let News::Report(report) = &event.news {
             link.read_clock(report.clock_ms);
         }
         Some(worker)
@@ -350,7 +363,7 @@
         let Some(link) = self.workers.get_mut(&worker) else {
             return;
         };
-        link.serial = serial;
+        link.begin(serial);
         let change = RelayChange::Attach {
             serial,
             worker: link.endpoint.id.clone(),
@@ -371,7 +384,7 @@
         let Some(link) = self.workers.get_mut(&worker) else {
             return;
         };
-        link.serial = serial;
+        link.begin(serial);
         let (acknowledged, receiver) = watch::channel(link.acknowledged);
         let stop = CancellationToken::new();
         let renewer = Renewer {
@@ -387,6 +400,7 @@
             store_wait: renewal::STORE_WAIT,
             acknowledged: receiver,
             events: self.news.clone(),
+            sent: 0,
         };
         self.tasks.spawn(renewer.run(stop.clone()));
         link.renewal = Renewal::Own { stop, acknowledged };
@@ -400,7 +414,7 @@
         failure_domain: &Name,
         capacity: Capacity,
         (epoch, seen): (u64, u64),
-        news: Vec<renewal::Event>,
+        events: Vec<Event>,
     ) -> Relay {
         let wanted = self.wants_carriers();
         // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
@@ -409,7 +423,7 @@
                 .hear(instance, failure_domain, capacity, clock::now());
         }
         if epoch == self.epoch {
-            for event in news {
+            for event in events {
                 // The receiver is the leader itself.
                 let _ = self.news.send(event);
             }
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -11,7 +11,7 @@
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
-use azurepath_wire::batch::{Call, News, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -19,7 +19,7 @@
 
 use super::Context;
 use super::clock::{self, Authority};
-use super::renewal::{self, Event, Renewer};
+use super::renewal::{self, Renewer};
 
 /// The longest time that the leader lets others extend leases after one of their calls.
 pub(super) const MAX_GRANT: Duration = Duration::from_millis(2_000);
@@ -107,11 +107,11 @@
 
 impl Duty {
     /// Tells whether the leader has to hear of an event, and remembers that it has.
-    fn is_news(&mut self, (serial, news): &Event) -> bool {
-        let Some(held) = self.workers.get_mut(serial) else {
+    fn is_news(&mut self, event: &Event) -> bool {
+        let Some(held) = self.workers.get_mut(&event.serial) else {
             return false;
         };
-        let News::Report(report) = news else {
+        let News::Report(report) = &event.news else {
             held.told = None;
             return true;
         };
@@ -213,7 +213,7 @@
             },
             epoch: self.duty.epoch,
             seen: self.duty.seen,
-            news: news.to_vec(),
+            events: news.to_vec(),
         }
     }
 
@@ -282,6 +282,7 @@
             store_wait: STORE_WAIT,
             acknowledged: receiver,
             events: self.duty.sender.clone(),
+            sent: 0,
         };
         self.tasks.spawn(renewer.run(stop.clone()));
         let held = Held {
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -6,7 +6,7 @@
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Renewal, RenewalOutcome, Workers};
-use azurepath_wire::batch::News;
+use azurepath_wire::batch::{Event, News};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -39,9 +39,6 @@
 /// The time that is added to a lease for timers that fire late.
 const TIMER_MARGIN: Duration = Duration::from_millis(150);
 
-/// News of a worker, by the number under which it is renewed.
-pub(super) type Event = (u64, News);
-
 /// The task that claims and renews one worker.
 pub(super) struct Renewer {
     pub(super) serial: u64,
@@ -57,6 +54,8 @@
     /// The number up to which ends are stored.
     pub(super) acknowledged: watch::Receiver<u64>,
     pub(super) events: mpsc::UnboundedSender<Event>,
+    /// How many events have been sent.
+    pub(super) sent: u64,
 }
 
 /// Returns the time after which a lease has expired for certain, counted from when it was sent.
@@ -152,9 +151,15 @@
         }
     }
 
-    fn send(&self, news: News) {
+    fn send(&mut self, news: News) {
+        self.sent += 1;
+        let event = Event {
+            serial: self.serial,
+            number: self.sent,
+            news,
+        };
         // If the receiver has ended, this task is about to be stopped.
-        let _ = self.events.send((self.serial, news));
+        let _ = self.events.send(event);
     }
 }
 
--- a/crates/server/tests/peer_input.rs
+++ b/crates/server/tests/peer_input.rs
@@ -1,49 +1,17 @@
 //! Malformed input from other servers.
 
+#[path = "support/peer.rs"]
+mod peer;
 mod support;
 
-use azurepath_wire::codec::{self, Decoder};
+use azurepath_wire::codec;
 use azurepath_wire::frame::{Chunk, End, Frame, Hello, Task};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use peer::exchange;
 use support::{AUDIT, Process, TestEnv, get};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Sends bytes on one stream and returns the status and the frames that come back.
-async fn exchange(
-    server: &Process,
-    path: &str,
-    parts: Vec<Bytes>,
-) -> anyhow::Result<(StatusCode, Vec<Frame>)> {
-    let socket = TcpStream::connect(server.peers).await?;
-    let (client, connection) = h2::client::handshake(socket).await?;
-    let driver = tokio::spawn(connection);
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://peer{path}"))
-        .body(())?;
-    let mut client = client.ready().await?;
-    let (response, mut stream) = client.send_request(request, false)?;
-    for part in parts {
-        stream.send_data(part, false)?;
-    }
-    stream.send_data(Bytes::new(), true)?;
-    let response = response.await?;
-    let status = response.status();
-    let mut body = response.into_body();
-    let mut decoder = Decoder::new();
-    let mut frames = Vec::new();
-    while let Some(data) = body.data().await {
-        decoder.push(&data?);
-        while let Some(frame) = decoder.frame()? {
-            frames.push(frame);
-        }
-    }
-    driver.abort();
-    Ok((status, frames))
-}
-
 fn task(id: u128) -> Frame {
     Frame::Submit(Task {
         rack: String::new(),
@@ -142,7 +110,7 @@
         ),
     ];
     for (message, parts) in cases {
-        let (status, frames) = exchange(&server, "/azurepath", parts).await?;
+        let (status, frames) = exchange(server.peers, "/azurepath", parts).await?;
         assert_eq!(status, 200);
         let [Frame::Fault(fault)] = frames.as_slice() else {
             panic!("{message}: {frames:?}");
@@ -159,7 +127,7 @@
     let frame = codec::encode(&task(1))?;
     for end in [1, 13, frame.len() - 1] {
         let parts = vec![frame.slice(..end)];
-        let (_, frames) = exchange(&server, "/azurepath", parts).await?;
+        let (_, frames) = exchange(server.peers, "/azurepath", parts).await?;
         assert!(matches!(frames.as_slice(), [Frame::Fault(_)]), "{frames:?}");
     }
     assert_unaffected(&env, &server).await
@@ -169,7 +137,7 @@
 async fn unknown_path() -> anyhow::Result<()> {
     let env = TestEnv::start().await?;
     let server = start(&env).await?;
-    let (status, frames) = exchange(&server, "/other", vec![]).await?;
+    let (status, frames) = exchange(server.peers, "/other", vec![]).await?;
     assert_eq!(status, 404);
     assert!(frames.is_empty());
     assert_unaffected(&env, &server).await
@@ -205,8 +173,8 @@
     other_team.team = "ice".to_owned();
     let second = [Frame::Submit(other_team), end(9, "")];
     let (first, second) = tokio::join!(
-        exchange(&server, "/azurepath", encode(&first)?),
-        exchange(&server, "/azurepath", encode(&second)?),
+        exchange(server.peers, "/azurepath", encode(&first)?),
+        exchange(server.peers, "/azurepath", encode(&second)?),
     );
     let answers = [first?.1, second?.1];
     let with_secret = |frames: &Vec<Frame>| {
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -74,11 +74,23 @@
         epoch: u64,
         /// The number of the last change that it has received in this epoch.
         seen: u64,
-        /// The news of its workers, in their order.
-        news: Vec<(u64, News)>,
+        /// The events of its workers, in their order. All that the leader has not confirmed by a
+        /// reply come again.
+        events: Vec<Event>,
     },
 }
 
+/// An event of a worker that an instance renews.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// The number under which the worker is renewed.
+    pub serial: u64,
+    /// The number of the event among those of this serial, counted from 1.
+    pub number: u64,
+    /// What has happened.
+    pub news: News,
+}
+
 /// News of a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum News {
