Logs what a stopping instance waits for

The log of a stop had four lines with seconds between them. A stop that was killed at the end of its grace left no hint at what it had waited for.

Calls, connections and tasks are counted by kind with the guard that counted calls before, and twice a second a stopping instance logs the counts, the step it is in and for how long (at most 12 lines in a grace of 6 s). The stop has its own module.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -15,13 +15,13 @@
 mod relay;
 mod reload;
 mod renewal;
+mod stop;
 mod watch;
 mod writer;
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use anyhow::Context as _;
 use azurepath_decide::batch::config::Config;
@@ -32,13 +32,13 @@
 use azurepath_platform::{Observer, Pool, Traffic};
 use slog::{Logger, info};
 use tokio::sync::watch as tokio_watch;
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::stop::{Pending, Tasks};
 use crate::logs;
 use crate::metrics::{Cluster, Metrics};
-use crate::process::stop::{Inflight, Phase};
+use crate::process::stop::Phase;
 use crate::settings::cluster::{Settings, Source};
 
 /// The maximum number of idle connections to one address that are kept.
@@ -47,16 +47,6 @@
 /// The same for connections on which the orders of leaders are carried to a worker.
 const MAX_IDLE_CARRIED: usize = 1;
 
-/// The part of the grace period that is reserved for ending the process after the last answers.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(900);
-
-/// How long a stopping process accepts new connections: two readiness checks of the balancer, a
-/// second apart, and the time of an answer.
-const LINGER: Duration = Duration::from_millis(2_300);
-
-/// How long it takes to write an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(200);
-
 /// The state that all tasks of the process share.
 #[derive(Clone)]
 pub(crate) struct Context {
@@ -75,7 +65,8 @@
     /// The time by which all calls of clients are answered, once the process stops.
     answer_deadline: tokio_watch::Receiver<Option<Instant>>,
     route: peer::Route,
-    inflight: Inflight,
+    /// The work that the end of the process waits for.
+    pending: Pending,
     metrics: Arc<Metrics>,
     counts: Arc<Cluster>,
     log: Logger,
@@ -105,7 +96,7 @@
     let (deadline_sender, answer_deadline) = tokio_watch::channel(None);
     let (leadership_sender, leadership) = tokio_watch::channel(peer::Leadership::Unknown);
     let halt = CancellationToken::new();
-    let mut tasks = JoinSet::new();
+    let mut tasks = Tasks::default();
     let metrics = Arc::new(Metrics::new()?);
     let counts = Arc::new(metrics.cluster());
     let observer = observer(counts.clone());
@@ -113,12 +104,8 @@
     let carried_pool = Pool::new(MAX_IDLE_CARRIED).with_observer(observer);
     let route = peer::connect(leadership, &log, &metrics, &halt, &mut tasks);
     let (settings_sender, settings_receiver) = tokio_watch::channel(Arc::new(settings.clone()));
-    tasks.spawn(reload::run(
-        source,
-        settings_sender,
-        log.clone(),
-        halt.clone(),
-    ));
+    let reload = reload::run(source, settings_sender, log.clone(), halt.clone());
+    tasks.spawn("settings", reload);
     let context = Context {
         name: settings.server.name.clone(),
         peers_address: listeners.peers_address,
@@ -132,24 +119,22 @@
         phase,
         answer_deadline,
         route,
-        inflight: Inflight::default(),
+        pending: tasks.pending().clone(),
         counts,
         metrics,
         log: log.clone(),
         settings: settings_receiver,
     };
     let servers = listeners.serve(&context, &halt, &mut tasks)?;
-    tasks.spawn(watch::configuration(
-        context.clone(),
-        config_sender,
-        halt.clone(),
-    ));
-    tasks.spawn(advice::run(context.clone(), halt.clone()));
-    tasks.spawn(carrier::run(context.clone(), halt.clone()));
-    tasks.spawn(relay::run(context.clone(), halt.clone()));
+    let configuration = watch::configuration(context.clone(), config_sender, halt.clone());
+    tasks.spawn("configuration", configuration);
+    tasks.spawn("advice", advice::run(context.clone(), halt.clone()));
+    tasks.spawn("carrier", carrier::run(context.clone(), halt.clone()));
+    tasks.spawn("relay", relay::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = election::Election::new(context.clone(), leadership_sender);
-    let mut election = tokio::spawn(election.run(leaving.clone(), halt.clone()));
+    let election = election.run(leaving.clone(), halt.clone());
+    let mut election = tasks.spawn_apart("election", election);
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"));
     tokio::select! {
         () = shutdown => {}
@@ -159,26 +144,17 @@
             anyhow::bail!("the election ended early; this is a fault of the program");
         }
     }
-    let grace = context.settings().grace;
-    let end = Instant::now() + grace.saturating_sub(SHUTDOWN_RESERVE);
-    info!(log, "stopping"; "in_flight" => context.inflight.count());
-    phase_sender.send_replace(Phase::Leaving);
-    deadline_sender.send_replace(Some(end));
-    leaving.cancel();
-    // The balancer stops sending new connections after two failed checks.
-    tokio::time::sleep(LINGER).await;
-    // Calls are answered by `end` at the latest, so a longer wait would not help.
-    let _ = tokio::time::timeout_at(end + ANSWER_TIME, context.inflight.drained()).await;
-    info!(log, "drained"; "in_flight" => context.inflight.count());
-    servers.stop().await?;
-    info!(log, "connections closed");
-    halt.cancel();
-    election.await.context("the election failed")?;
-    while let Some(joined) = tasks.join_next().await {
-        joined?;
-    }
-    info!(log, "stopped");
-    Ok(())
+    let stop = stop::Stop {
+        context,
+        phase: phase_sender,
+        answer_deadline: deadline_sender,
+        leaving,
+        halt,
+        servers,
+        election,
+        tasks,
+    };
+    stop.run().await
 }
 
 /// Counts the bytes of the calls to the store, the workers and the advice service.
--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -66,7 +66,7 @@
 }
 
 async fn handle(Extension(context): Extension<Context>, request: Request) -> Response {
-    let _guard = context.inflight.enter();
+    let _guard = context.pending.calls.enter(kind(request.method()));
     let begun = Instant::now();
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
@@ -93,6 +93,16 @@
     respond(outcome, leaving)
 }
 
+/// Returns the kind under which a call counts as in flight.
+fn kind(method: &Method) -> &'static str {
+    match *method {
+        Method::GET => "GET",
+        Method::POST => "POST",
+        Method::DELETE => "DELETE",
+        _ => "other",
+    }
+}
+
 fn respond(outcome: Outcome, leaving: bool) -> Response {
     let mut response = Response::new(Body::from(outcome.body));
     *response.status_mut() = outcome.status;
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -209,6 +209,7 @@
         leaving: CancellationToken,
         term: Option<Duration>,
     ) -> EndReason {
+        let _leading = self.context.pending.leader.enter("leading");
         let halt = CancellationToken::new();
         let registry = feed::workers(self.context.clone(), self.sender.clone(), halt.clone());
         self.tasks.spawn(registry);
@@ -284,7 +285,9 @@
     async fn end(&mut self, reason: EndReason, halt: &CancellationToken) {
         self.authority.end();
         halt.cancel();
+        let pending = self.context.pending.leader.clone();
         if reason != EndReason::Deposed {
+            let _guard = pending.enter("write");
             let wait = self.writing.join_next();
             if let Ok(Some(written)) = tokio::time::timeout(MAX_WRITE_TIME, wait).await {
                 self.written(written);
@@ -297,10 +300,12 @@
                 }
             }
             if let Some(writer) = self.writer.take() {
+                let _guard = pending.enter("release");
                 writer.release().await;
             }
         }
         self.writing.shutdown().await;
+        let _guard = pending.enter("calls");
         self.links.stop().await;
         while self.tasks.join_next().await.is_some() {}
     }
--- a/crates/server/src/cluster/listen.rs
+++ b/crates/server/src/cluster/listen.rs
@@ -6,11 +6,11 @@
 use http::StatusCode;
 use slog::info;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use volo_http::server::route::{Router, get};
 use volo_http::utils::Extension;
 
+use super::stop::Tasks;
 use super::{Context, client, peer};
 use crate::connection::listener;
 use crate::process::http::HttpServer;
@@ -73,7 +73,7 @@
         self,
         context: &Context,
         halt: &CancellationToken,
-        tasks: &mut JoinSet<()>,
+        tasks: &mut Tasks,
     ) -> anyhow::Result<Servers> {
         info!(context.log, "listening";
             "http" => %self.clients.local_addr()?, "ready" => %self.balancer.local_addr()?,
@@ -82,9 +82,10 @@
             route: context.route.clone(),
             counts: context.counts.clone(),
             faults: context.metrics.peer_faults.clone(),
+            connections: context.pending.connections.clone(),
             log: context.log.clone(),
         };
-        tasks.spawn(listener::run(self.peers, service, halt.clone()));
+        tasks.spawn("peers", listener::run(self.peers, service, halt.clone()));
         let ready_routes = Router::new()
             .route(READY_PATH, get(ready))
             .layer(Extension(context.clone()));
@@ -136,7 +137,7 @@
         "phase": context.phase.borrow().to_string(),
         "configuration": config,
         "leader_connected": context.route.is_connected(),
-        "in_flight": context.inflight.count(),
+        "in_flight": context.pending.calls.count(),
         "scheduler": state,
     })
     .to_string()
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::leader;
+use super::stop::Tasks;
 use crate::connection::Error;
 use crate::connection::call::{self, Failure};
 use crate::connection::link::{self, Link};
@@ -22,6 +23,7 @@
 use crate::connection::ping::Timing;
 use crate::connection::stream::{Reader, Writer};
 use crate::metrics::{Cluster, Metrics};
+use crate::process::stop::Inflight;
 
 /// How often a connection between instances is pinged. A silent connection is detected within the
 /// interval and the timeout, well under the time that clients wait.
@@ -76,7 +78,7 @@
     log: &Logger,
     metrics: &Arc<Metrics>,
     halt: &CancellationToken,
-    tasks: &mut JoinSet<()>,
+    tasks: &mut Tasks,
 ) -> Route {
     let (sender, target) = watch::channel(Target::None);
     let connector = Connector {
@@ -85,7 +87,7 @@
         log: log.clone(),
         metrics: metrics.clone(),
     };
-    tasks.spawn(connector.run(halt.clone()));
+    tasks.spawn("route", connector.run(halt.clone()));
     Route {
         target,
         not_leading: Arc::default(),
@@ -237,6 +239,7 @@
     pub(super) route: Route,
     pub(super) counts: Arc<Cluster>,
     pub(super) faults: Counter<u64>,
+    pub(super) connections: Inflight,
     pub(super) log: Logger,
 }
 
@@ -253,6 +256,10 @@
         &self.log
     }
 
+    fn connections(&self) -> &Inflight {
+        &self.connections
+    }
+
     fn faults(&self) -> &Counter<u64> {
         &self.faults
     }
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -49,6 +49,9 @@
     /// Returns the logger.
     fn log(&self) -> &Logger;
 
+    /// Returns the counts of open connections.
+    fn connections(&self) -> &Inflight;
+
     /// Returns the counter of calls that could not be served.
     fn faults(&self) -> &Counter<u64>;
 
@@ -79,6 +82,8 @@
     pub control: mpsc::Sender<Control>,
     /// Counts the requests in flight.
     pub inflight: Inflight,
+    /// Counts the open connections.
+    pub connections: Inflight,
     /// The timing of pings.
     pub ping_timing: Timing,
     /// The longest accepted payload in bytes.
@@ -113,6 +118,7 @@
 }
 
 async fn serve(socket: TcpStream, service: impl Serve + Sync, halt: CancellationToken) {
+    let _guard = service.connections().enter("peers");
     // The socket also works without `TCP_NODELAY`, only slower.
     let _ = socket.set_nodelay(true);
     let handshake = Builder::new()
@@ -221,6 +227,10 @@
         &self.log
     }
 
+    fn connections(&self) -> &Inflight {
+        &self.connections
+    }
+
     fn faults(&self) -> &Counter<u64> {
         &self.metrics.peer_faults
     }
@@ -271,7 +281,7 @@
         // A task without a deadline has no waiting caller. The home of its job resumes it on
         // another server, so a stopping server does not wait for it.
         let no_deadline = request.deadline == Time::MAX;
-        let _guard = (!no_deadline).then(|| self.inflight.enter());
+        let _guard = (!no_deadline).then(|| self.inflight.enter("task"));
         let is_gang_member = request.gang.is_some() && !resume;
         let payload = reader.payload(task.id, 0, self.payload_limit).await?;
         let submission = Submission {
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -299,6 +299,7 @@
             jobs: process.jobs.clone(),
             control,
             inflight: process.inflight.clone(),
+            connections: Inflight::default(),
             ping_timing,
             payload_limit,
             last_summary: Arc::default(),
--- a/crates/server/src/process/stop.rs
+++ b/crates/server/src/process/stop.rs
@@ -1,5 +1,7 @@
 //! The graceful stop.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,51 +24,75 @@
     Closing,
 }
 
-/// Counts requests and other work in flight.
+/// Counts requests and other work in flight by kind.
 #[derive(Clone, Debug)]
 pub struct Inflight {
-    count: Arc<watch::Sender<usize>>,
+    counts: Arc<watch::Sender<Counts>>,
 }
 
+/// The counts that are not zero, by kind.
+type Counts = BTreeMap<&'static str, usize>;
+
 /// Counts as one piece of work in flight until it is dropped.
 #[derive(Debug)]
 pub struct Guard {
-    count: Arc<watch::Sender<usize>>,
+    counts: Arc<watch::Sender<Counts>>,
+    kind: &'static str,
 }
 
 impl Default for Inflight {
     fn default() -> Inflight {
         Inflight {
-            count: Arc::new(watch::Sender::new(0)),
+            counts: Arc::new(watch::Sender::new(Counts::new())),
         }
     }
 }
 
 impl Inflight {
-    /// Adds one to the count until the guard is dropped.
-    pub fn enter(&self) -> Guard {
-        self.count.send_modify(|count| *count += 1);
+    /// Adds one to the count of a kind until the guard is dropped.
+    pub fn enter(&self, kind: &'static str) -> Guard {
+        self.counts
+            .send_modify(|counts| *counts.entry(kind).or_default() += 1);
         Guard {
-            count: self.count.clone(),
+            counts: self.counts.clone(),
+            kind,
         }
     }
 
-    /// Returns the current count.
+    /// Returns the current count of all kinds.
     pub fn count(&self) -> usize {
-        *self.count.borrow()
+        self.counts.borrow().values().sum()
     }
 
     /// Waits without a time limit until nothing is in flight.
     pub async fn drained(&self) {
-        let mut count = self.count.subscribe();
+        let mut counts = self.counts.subscribe();
         // The sender lives as long as `self`, so the wait can't fail.
-        let _ = count.wait_for(|count| *count == 0).await;
+        let _ = counts.wait_for(Counts::is_empty).await;
+    }
+}
+
+impl fmt::Display for Inflight {
+    /// Writes the counts like `GET 1, POST 3`.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (kind, count)) in self.counts.borrow().iter().enumerate() {
+            let separator = if index == 0 { "" } else { ", " };
+            write!(formatter, "{separator}{kind} {count}")?;
+        }
+        Ok(())
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.count.send_modify(|count| *count -= 1);
+        self.counts.send_modify(|counts| {
+            if let Some(count) = counts.get_mut(self.kind) {
+                *count -= 1;
+                if *count == 0 {
+                    counts.remove(self.kind);
+                }
+            }
+        });
     }
 }
 
--- a/crates/server/src/request/http.rs
+++ b/crates/server/src/request/http.rs
@@ -44,7 +44,7 @@
     PathParams(queue): PathParams<String>,
     request: Request,
 ) -> Response {
-    let guard = process.inflight.enter();
+    let guard = process.inflight.enter("request");
     let received_at = Instant::now();
     process.metrics.inflight.add(1, &[]);
     let outcome = serve(&process, &queue, request).await;
--- a/crates/server/tests/graceful_stop.rs
+++ b/crates/server/tests/graceful_stop.rs
@@ -19,7 +19,7 @@
     let phase = watch::Sender::new(Phase::Serving);
     let (_membership, mut handed_over) = watch::channel(true);
     let inflight = Inflight::default();
-    let guard = inflight.enter();
+    let guard = inflight.enter("request");
     let started_at = Instant::now();
     let request = tokio::spawn(async move {
         tokio::time::sleep(LONG_DELAY).await;
