Says when calls fill an instance's link, and with what

On the small twins of the grown sites (links of 2 Mbit/s) everything waited, and neither logs nor metrics told which link was full: `azurepath_bytes_total` has to be read twice and compared with the `link` setting, and a leader that is killed takes its counters along. One line tells now when calls of a second took three quarters of the link in one direction, with the five largest kinds, and one when they take less than half; each direction at most one line a second. Calls of clients count as well.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -8,6 +8,7 @@
 mod decision;
 mod election;
 mod leader;
+mod link_usage;
 mod links;
 mod listen;
 mod peer;
@@ -131,6 +132,7 @@
     tasks.spawn("advice", advice::run(context.clone(), halt.clone()));
     tasks.spawn("carrier", carrier::run(context.clone(), halt.clone()));
     tasks.spawn("relay", relay::run(context.clone(), halt.clone()));
+    tasks.spawn("link usage", link_usage::run(context.clone(), halt.clone()));
     let leaving = CancellationToken::new();
     let election = election::Election::new(context.clone(), leadership_sender);
     let election = election.run(leaving.clone(), halt.clone());
--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -45,6 +45,12 @@
 /// The time after which clients may retry if there is no leader, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
+/// The kind under which the bytes of clients' calls are counted.
+const CLIENT_KIND: &str = "client";
+
+/// The length of the head of a call and of an answer without the headers that are counted.
+const HEAD_BYTES: u64 = 150;
+
 /// The answer to a client.
 struct Outcome {
     status: StatusCode,
@@ -72,6 +78,9 @@
     let path = parts.uri.path().to_owned();
     let outcome = serve(&context, &parts.method, &path, &parts.headers, body).await;
     let outcome = outcome.unwrap_or_else(|refusal| refusal);
+    let received = HEAD_BYTES + path.len() as u64 + content_length(&parts.headers);
+    let sent = HEAD_BYTES + outcome.body.len() as u64;
+    context.counts.count_bytes(CLIENT_KIND, sent, received);
     let labels = [
         KeyValue::new("method", parts.method.to_string()),
         KeyValue::new("status", i64::from(outcome.status.as_u16())),
@@ -103,6 +112,13 @@
     }
 }
 
+/// Returns the length of a body, or 0 if it is not known beforehand.
+fn content_length(headers: &HeaderMap) -> u64 {
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    length.unwrap_or(0)
+}
+
 fn respond(outcome: Outcome, leaving: bool) -> Response {
     let mut response = Response::new(Body::from(outcome.body));
     *response.status_mut() = outcome.status;
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the process and their text format for a scraper.
 
+pub mod link;
+
 use anyhow::Context;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
@@ -69,11 +71,14 @@
     pub leads: Counter<u64>,
     /// Bytes sent and received, by kind of call and direction.
     pub bytes: Counter<u64>,
+    /// The same bytes for the detection of a busy link.
+    pub link: link::Meter,
 }
 
 impl Cluster {
     /// Counts the bytes of a call.
     pub fn count_bytes(&self, kind: &str, sent: u64, received: u64) {
+        self.link.add(kind, sent, received);
         for (direction, bytes) in [("sent", sent), ("received", received)] {
             let labels = [
                 KeyValue::new("kind", kind.to_owned()),
@@ -110,6 +115,7 @@
             silent_workers: counter("azurepath.workers.silent"),
             leads: counter("azurepath.leads"),
             bytes: counter("azurepath.bytes"),
+            link: link::Meter::default(),
         }
     }
 
