Sends the head of a peer's answer with its first frame

Each call to the leader was answered in two packets: the head as soon as the call's stream was opened, the frame when the answer was known. The head waits now until the first frame is there.

The test fails before with "the head came alone".

--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -179,21 +179,14 @@
     mut response: SendResponse<Bytes>,
     service: impl Serve + Sync,
 ) {
-    let path_exists = request.uri().path() == call::PATH;
-    let status = if path_exists {
-        StatusCode::OK
-    } else {
-        StatusCode::NOT_FOUND
-    };
-    let mut head = Response::new(());
-    *head.status_mut() = status;
-    let Ok(stream) = response.send_response(head, !path_exists) else {
-        return;
-    };
-    if !path_exists {
+    if request.uri().path() != call::PATH {
+        let mut head = Response::new(());
+        *head.status_mut() = StatusCode::NOT_FOUND;
+        // If the peer is gone, it sees a lost connection instead.
+        let _ = response.send_response(head, true);
         return;
     }
-    let mut writer = Writer::new(stream);
+    let mut writer = Writer::answer(response);
     let mut reader = Reader::new(request.into_body());
     if let Err(error) = service.answer(&mut reader, &mut writer).await {
         service.faults().add(1, &[]);
--- a/crates/server/src/connection/stream.rs
+++ b/crates/server/src/connection/stream.rs
@@ -5,20 +5,51 @@
 use azurepath_wire::codec::{self, Decoder, MAX_CHUNK_BYTES};
 use azurepath_wire::frame::{Chunk, End, Frame};
 use bytes::{Bytes, BytesMut};
+use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
+use http::Response;
 
 use super::Error;
 
 /// The sending half of a stream.
 pub struct Writer {
-    stream: SendStream<Bytes>,
+    sink: Sink,
     sent: u64,
 }
 
+enum Sink {
+    /// Nothing has been answered yet.
+    Unanswered(SendResponse<Bytes>),
+    /// The head was sent.
+    Open(SendStream<Bytes>),
+}
+
 impl Writer {
     /// Wraps the sending half.
     pub fn new(stream: SendStream<Bytes>) -> Writer {
-        Writer { stream, sent: 0 }
+        Writer {
+            sink: Sink::Open(stream),
+            sent: 0,
+        }
+    }
+
+    /// Creates the sending half of an answer. Its head is sent together with the first frame, so
+    /// that an answer takes one packet.
+    pub fn answer(response: SendResponse<Bytes>) -> Writer {
+        Writer {
+            sink: Sink::Unanswered(response),
+            sent: 0,
+        }
+    }
+
+    fn open(&mut self) -> Result<&mut SendStream<Bytes>, Error> {
+        if let Sink::Unanswered(response) = &mut self.sink {
+            self.sink = Sink::Open(response.send_response(Response::new(()), false)?);
+        }
+        match &mut self.sink {
+            Sink::Open(stream) => Ok(stream),
+            Sink::Unanswered(_) => Err(Error::Ended),
+        }
     }
 
     /// Returns how many bytes were sent.
@@ -34,13 +65,14 @@
     pub async fn send(&mut self, frame: &Frame, last: bool) -> Result<(), Error> {
         let mut bytes = codec::encode(frame)?;
         self.sent += bytes.len() as u64;
+        let stream = self.open()?;
         while !bytes.is_empty() {
-            self.stream.reserve_capacity(bytes.len());
-            let capacity = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            stream.reserve_capacity(bytes.len());
+            let capacity = poll_fn(|cx| stream.poll_capacity(cx)).await;
             let granted = capacity.ok_or(Error::Ended)??;
             let part = bytes.split_to(granted.min(bytes.len()));
             let end = last && bytes.is_empty();
-            self.stream.send_data(part, end)?;
+            stream.send_data(part, end)?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/server/tests/answer_packets.rs
@@ -0,0 +1,85 @@
+//! How many packets an answer to another server takes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurepath_server::connection::Error;
+use azurepath_server::connection::listener::{self, Serve};
+use azurepath_server::connection::ping::Timing;
+use azurepath_server::connection::stream::{Reader, Writer};
+use azurepath_server::metrics::Metrics;
+use azurepath_wire::frame::Frame;
+use futures::poll;
+use http::Request;
+use opentelemetry::metrics::Counter;
+use slog::{Discard, Logger, o};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// Answers each call once the gate opens.
+#[derive(Clone)]
+struct Gated {
+    gate: Arc<Notify>,
+    called: Arc<Notify>,
+    faults: Counter<u64>,
+    log: Logger,
+}
+
+impl Serve for Gated {
+    fn for_connection(&self) -> Gated {
+        self.clone()
+    }
+
+    fn ping_timing(&self) -> Timing {
+        Timing {
+            interval: Duration::from_secs(60),
+            timeout: Duration::from_secs(60),
+        }
+    }
+
+    fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    fn faults(&self) -> &Counter<u64> {
+        &self.faults
+    }
+
+    async fn answer(&self, _: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
+        self.called.notify_one();
+        self.gate.notified().await;
+        writer.send(&Frame::Done, true).await
+    }
+}
+
+#[tokio::test]
+async fn no_packet_before_the_answer() -> anyhow::Result<()> {
+    let service = Gated {
+        gate: Arc::default(),
+        called: Arc::default(),
+        faults: Metrics::new()?.peer_faults,
+        log: Logger::root(Discard, o!()),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let halt = CancellationToken::new();
+    tokio::spawn(listener::run(listener, service.clone(), halt.clone()));
+    let socket = TcpStream::connect(address).await?;
+    let (client, mut connection) = h2::client::handshake(socket).await?;
+    let mut pings = connection.ping_pong().expect("it was not taken before");
+    tokio::spawn(connection);
+    let request = Request::post("http://peer/azurepath").body(())?;
+    let (mut response, _stream) = client.ready().await?.send_request(request, false)?;
+    service.called.notified().await;
+    // What was sent before the second ping was answered has arrived.
+    for _ in 0..2 {
+        pings.ping(h2::Ping::opaque()).await?;
+    }
+    assert!(poll!(&mut response).is_pending(), "the head came alone");
+    service.gate.notify_one();
+    let mut body = response.await?.into_body();
+    assert!(body.data().await.is_some());
+    halt.cancel();
+    Ok(())
+}
