--- a/crates/server/tests/answer_packets.rs
+++ b/crates/server/tests/answer_packets.rs
@@ -8,6 +8,7 @@
 use azurepath_server::connection::ping::Timing;
 use azurepath_server::connection::stream::{Reader, Writer};
 use azurepath_server::metrics::Metrics;
+use azurepath_server::process::stop::Inflight;
 use azurepath_wire::frame::Frame;
 use futures::poll;
 use http::Request;
@@ -22,6 +23,7 @@
 struct Gated {
     gate: Arc<Notify>,
     called: Arc<Notify>,
+    connections: Inflight,
     faults: Counter<u64>,
     log: Logger,
 }
@@ -42,6 +44,10 @@
         &self.log
     }
 
+    fn connections(&self) -> &Inflight {
+        &self.connections
+    }
+
     fn faults(&self) -> &Counter<u64> {
         &self.faults
     }
@@ -58,6 +64,7 @@
     let service = Gated {
         gate: Arc::default(),
         called: Arc::default(),
+        connections: Inflight::default(),
         faults: Metrics::new()?.peer_faults,
         log: Logger::root(Discard, o!()),
     };
