Bounds the submissions that are under way to the leader

What callers saw: after a takeover or a burst over narrow links next to nothing is answered any more, 504 for nearly all, though nothing is broken; accepted jobs get no answers while it lasts.

Cause: each instance sent all submissions of its clients to the leader at once, and again 50 ms after a connection had ended. Hundreds of bodies waited on the leader's link; each was late when it arrived, pings took longer than their 400 ms, connections ended, and everything came again. A state that feeds itself: work that is late when it is done, repeated.

Change: a window for each instance, one more with each fast answer, halved when answers are slow or lost, 4 at first with each new leader. The others wait in their instance, where they cost nothing, and are refused at once (not sent, so "not run" is true) when their turn would come after the 1.2 s that calls wait for a leader.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -18,6 +18,7 @@
 pub mod report;
 pub mod scheduler;
 pub mod spec;
+pub mod window;
 
 pub use event::{Action, Answer, Decision, Refusal, StartOutcome, State};
 pub use id::{Attempt, JobId, StepId, TaskId};
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod decision;
 mod election;
+mod gate;
 mod leader;
 mod link_usage;
 mod links;
@@ -66,6 +67,7 @@
     /// The time by which all calls of clients are answered, once the process stops.
     answer_deadline: tokio_watch::Receiver<Option<Instant>>,
     route: peer::Route,
+    gate: gate::Gate,
     /// The work that the end of the process waits for.
     pending: Pending,
     metrics: Arc<Metrics>,
@@ -107,7 +109,9 @@
     let (settings_sender, settings_receiver) = tokio_watch::channel(Arc::new(settings.clone()));
     let reload = reload::run(source, settings_sender, log.clone(), halt.clone());
     tasks.spawn("settings", reload);
+    let (gate, gate_inbox) = gate::channel();
     let context = Context {
+        gate: gate.clone(),
         name: settings.server.name.clone(),
         peers_address: listeners.peers_address,
         store: Store::new(pool.clone(), settings.store),
@@ -127,6 +131,8 @@
         settings: settings_receiver,
     };
     let servers = listeners.serve(&context, &halt, &mut tasks)?;
+    let passing = gate::run(gate, gate_inbox, context.route.clone(), halt.clone());
+    tasks.spawn("gate", passing);
     let configuration = watch::configuration(context.clone(), config_sender, halt.clone());
     tasks.spawn("configuration", configuration);
     tasks.spawn("advice", advice::run(context.clone(), halt.clone()));
--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -5,6 +5,7 @@
 use azurepath_decide::batch::JobId;
 use azurepath_decide::batch::config::{Config, Queue};
 use azurepath_decide::batch::spec::Spec;
+use azurepath_decide::batch::window::Transit;
 use azurepath_platform::{entry, job};
 use azurepath_wire::batch::{Call, Reply};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
@@ -259,12 +260,13 @@
     let mut sent = false;
     let mut route = context.route.clone();
     loop {
-        let now = Instant::now();
-        let wait = deadline.saturating_duration_since(now).min(TRY_TIMEOUT);
-        match context.route.call(call.clone(), wait).await {
-            Ok(Reply::NotLeading) | Err(Failure::Unsent) => {}
-            Ok(reply) => return Ok(reply),
-            Err(Failure::Lost) => sent = true,
+        let until = if sent { deadline } else { give_up };
+        match try_leader(context, call, until, deadline).await {
+            Ok(Ok(Reply::NotLeading)) | Ok(Err(Failure::Unsent)) => {}
+            Ok(Ok(reply)) => return Ok(reply),
+            Ok(Err(Failure::Lost)) => sent = true,
+            Err(_) if sent => return Err(Outcome::new(StatusCode::GATEWAY_TIMEOUT)),
+            Err(wait) => return Err(Outcome::unavailable(wait.as_secs().max(RETRY_AFTER_S))),
         }
         let now = Instant::now();
         if sent && now >= deadline {
@@ -280,6 +282,32 @@
     }
 }
 
+/// Calls the leader once. A submission to another instance waits for its turn until `until`; if that
+/// would come too late, this returns after what time it may come.
+async fn try_leader(
+    context: &Context,
+    call: &Call,
+    until: Instant,
+    deadline: Instant,
+) -> Result<Result<Reply, Failure>, Duration> {
+    let pass = if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
+        Some(context.gate.enter(until).await?)
+    } else {
+        None
+    };
+    let begun = Instant::now();
+    let wait = deadline.saturating_duration_since(begun).min(TRY_TIMEOUT);
+    let result = context.route.call(call.clone(), wait).await;
+    if let Some(pass) = pass {
+        pass.leave(match &result {
+            Ok(_) => Transit::Answered(begun.elapsed()),
+            Err(Failure::Unsent) => Transit::Abandoned,
+            Err(Failure::Lost) => Transit::Lost,
+        });
+    }
+    Ok(result)
+}
+
 fn outcome(command: &Command, reply: Reply) -> Outcome {
     match (command, reply) {
         (Command::Submit(..), Reply::Accepted | Reply::Cancelled) => Outcome::new(StatusCode::OK),
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -215,6 +215,11 @@
         }
     }
 
+    /// Tells whether another instance leads.
+    pub(super) fn is_remote(&self) -> bool {
+        matches!(&*self.target.borrow(), Target::Remote(_))
+    }
+
     /// Tells whether the leader is connected.
     pub(super) fn is_connected(&self) -> bool {
         match &*self.target.borrow() {
