Compresses connections between instances over narrow links

Calls and answers between the leader and the other instances name the same workers, jobs and tickets again and again: a question to the advice service names 25 workers, its answer 17 of them with tickets, the orders these again, a report the runs. An instance whose link has 20 Mbit/s or less now connects with DEFLATE (async-compression; each direction one stream, so that ids that were sent before take a few bits); on faster links it would only cost processor time. The preface tells the leader which it is, so plain connections go on. An instance of an earlier release does not know it: like the frames, it wants the same release on both sides.

Numbers instead of ids would save as much only where both sides agree on them anew after each takeover. The rows at the store, half of what the leader sends, are not part of this.

--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -105,8 +105,15 @@
     let observer = observer(counts.clone());
     let pool = Pool::new(MAX_IDLE_CONNECTIONS).with_observer(observer.clone());
     let carried_pool = Pool::new(MAX_IDLE_CARRIED).with_observer(observer);
-    let route = peer::connect(leadership, &log, &metrics, &halt, &mut tasks);
     let (settings_sender, settings_receiver) = tokio_watch::channel(Arc::new(settings.clone()));
+    let route = peer::connect(
+        leadership,
+        settings_receiver.clone(),
+        &log,
+        &metrics,
+        &halt,
+        &mut tasks,
+    );
     let reload = reload::run(source, settings_sender, log.clone(), halt.clone());
     tasks.spawn("settings", reload);
     let (gate, gate_inbox) = gate::channel();
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -24,6 +24,7 @@
 use crate::connection::stream::{Reader, Writer};
 use crate::metrics::{Cluster, Metrics};
 use crate::process::stop::Inflight;
+use crate::settings::cluster::Settings;
 
 /// How often a connection between instances is pinged. A silent connection is detected within the
 /// interval and the timeout, well under the time that clients wait.
@@ -32,6 +33,10 @@
     timeout: Duration::from_millis(400),
 };
 
+/// The speed of the fastest link over which connections between instances are compressed, in kbit/s.
+/// On a faster one it would only cost processor time.
+const MAX_COMPRESSED_KBPS: u64 = 20_000;
+
 /// How long an instance waits after another one has answered that it is no longer the leader.
 const NOT_LEADING_PAUSE: Duration = Duration::from_millis(20);
 
@@ -75,6 +80,7 @@
 /// Keeps a connection to the leader until `halt` is cancelled.
 pub(super) fn connect(
     leadership: watch::Receiver<Leadership>,
+    settings: watch::Receiver<Arc<Settings>>,
     log: &Logger,
     metrics: &Arc<Metrics>,
     halt: &CancellationToken,
@@ -83,6 +89,7 @@
     let (sender, target) = watch::channel(Target::None);
     let connector = Connector {
         leadership,
+        settings,
         target: sender,
         log: log.clone(),
         metrics: metrics.clone(),
@@ -96,6 +103,7 @@
 
 struct Connector {
     leadership: watch::Receiver<Leadership>,
+    settings: watch::Receiver<Arc<Settings>>,
     target: watch::Sender<Target>,
     log: Logger,
     metrics: Arc<Metrics>,
@@ -143,6 +151,7 @@
                 leaving: false,
             },
             ping_timing: PING_TIMING,
+            compress: self.settings.borrow().link_kbps <= MAX_COMPRESSED_KBPS,
             sender,
             ping_now: ping_now.clone(),
             metrics: self.metrics.clone(),
--- a/crates/server/src/connection/link.rs
+++ b/crates/server/src/connection/link.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::ping::{self, Ended, Timing};
+use super::transport::{self, Transport};
 use super::tuning;
 use crate::metrics::Metrics;
 
@@ -42,6 +43,8 @@
 pub(crate) struct Link {
     pub(crate) server: Server,
     pub(crate) ping_timing: Timing,
+    /// Whether the connection is compressed.
+    pub(crate) compress: bool,
     pub(crate) sender: watch::Sender<Option<Sender>>,
     pub(crate) ping_now: Arc<Notify>,
     pub(crate) metrics: Arc<Metrics>,
@@ -73,9 +76,10 @@
         }
     }
 
-    async fn connect(&self) -> anyhow::Result<(Sender, Connection<TcpStream, Bytes>)> {
+    async fn connect(&self) -> anyhow::Result<(Sender, Connection<Transport, Bytes>)> {
         let socket = TcpStream::connect(self.server.address).await?;
         socket.set_nodelay(true)?;
+        let transport = transport::connected(socket, self.compress).await?;
         let opened = Builder::new()
             .initial_window_size(tuning::STREAM_WINDOW_BYTES)
             .initial_connection_window_size(tuning::CONNECTION_WINDOW_BYTES)
@@ -83,13 +87,13 @@
             .max_frame_size(tuning::MAX_FRAME_BYTES)
             .max_header_list_size(tuning::MAX_HEADER_LIST_BYTES)
             .enable_push(false)
-            .handshake(socket)
+            .handshake(transport)
             .await?;
         Ok(opened)
     }
 
     /// Drives the connection until it ends; dropping it ends every stream on it.
-    async fn drive(&self, mut connection: Connection<TcpStream, Bytes>, halt: &CancellationToken) {
+    async fn drive(&self, mut connection: Connection<Transport, Bytes>, halt: &CancellationToken) {
         let Some(pings) = connection.ping_pong() else {
             return;
         };
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -25,6 +25,7 @@
 
 use super::ping::{self, Timing};
 use super::stream::{Reader, Writer};
+use super::transport::{self, Transport};
 use super::{Error, call, tuning};
 use crate::metrics::Metrics;
 use crate::process::clock::Clock;
@@ -121,13 +122,17 @@
     let _guard = service.connections().enter("peers");
     // The socket also works without `TCP_NODELAY`, only slower.
     let _ = socket.set_nodelay(true);
+    let Ok(Ok(transport)) = timeout(HANDSHAKE_TIMEOUT, transport::accepted(socket)).await else {
+        service.faults().add(1, &[]);
+        return;
+    };
     let handshake = Builder::new()
         .initial_window_size(tuning::STREAM_WINDOW_BYTES)
         .initial_connection_window_size(tuning::CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(tuning::MAX_STREAMS)
         .max_frame_size(tuning::MAX_FRAME_BYTES)
         .max_header_list_size(tuning::MAX_HEADER_LIST_BYTES)
-        .handshake::<_, Bytes>(socket);
+        .handshake::<_, Bytes>(transport);
     let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         service.faults().add(1, &[]);
         return;
@@ -157,7 +162,7 @@
 }
 
 async fn accept(
-    connection: &mut Connection<TcpStream, Bytes>,
+    connection: &mut Connection<Transport, Bytes>,
     service: &(impl Serve + Sync),
     streams: &mut JoinSet<()>,
 ) {
--- a/crates/server/src/connection/mod.rs
+++ b/crates/server/src/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod pool;
 pub mod publish;
 pub mod stream;
+mod transport;
 pub mod tuning;
 
 pub use error::Error;
--- a/crates/server/src/connection/pool.rs
+++ b/crates/server/src/connection/pool.rs
@@ -238,6 +238,7 @@
         let link = Link {
             server: server.clone(),
             ping_timing: self.pool.ping_timing,
+            compress: false,
             sender,
             ping_now: handle.ping_now.clone(),
             metrics: self.pool.metrics.clone(),
--- a/crates/server/tests/carried_traffic.rs
+++ b/crates/server/tests/carried_traffic.rs
@@ -57,6 +57,22 @@
     Ok(())
 }
 
+/// The links are so narrow that connections between instances are compressed.
+#[tokio::test]
+async fn narrow_links() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let leader = cluster.instance_with("a", "link = 0.1\n").await?;
+    let other = cluster.instance_with("b", "link = 2\n").await?;
+    until(async || renews(&other).await.unwrap_or(false)).await;
+    let instances = [leader, other];
+    let ids = submit_all(&instances, 40).await;
+    let all: Vec<&Process> = instances.iter().collect();
+    cluster.wait_until_completed(&all, &ids).await;
+    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    Ok(())
+}
+
 /// What runs on the workers of an instance that dies goes on.
 #[tokio::test]
 async fn killed_carrier() -> Result<()> {
