Closes the connections of a stopping server once they are idle

Callers saw connections that ended without an answer: a process was killed at the end of its grace while it served new calls.

Cause: the server of volo-http, told to stop, sleeps 2 s if any connection is open, closes the idle ones only then, and looks whether they are closed a second later: 3 s at least, after the calls in flight were answered and with new ones served all the while. With the 2.3 s for the balancer that is 5.3 s of 6 s before the process ends its tasks; a call that comes late, or that is never read whole, takes the rest.

Evidence: `stop waits` shows the step `connections` for 3.00 s in every stop, with calls in flight in it.

Change: connections are served by hyper, with the routes of volo-http as before. At the stop idle connections close at once, the others after their present answer, and what is left at the deadline is cut and logged. Calls and connections are one step of the stop.

--- a/crates/server/src/cluster/listen.rs
+++ b/crates/server/src/cluster/listen.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use slog::info;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use volo_http::server::route::{Router, get};
 use volo_http::utils::Extension;
@@ -24,14 +25,13 @@
 }
 
 impl Servers {
-    /// Stops the servers once all requests in flight have been answered. Each takes a second or more
-    /// to notice that it has no connections, so they stop at the same time.
+    /// Stops the servers. Calls in flight are answered until `deadline`.
     ///
     /// # Errors
     ///
     /// Returns an error if one of them has failed.
-    pub(super) async fn stop(self) -> anyhow::Result<()> {
-        let stops = self.servers.into_iter().map(HttpServer::stop);
+    pub(super) async fn stop(self, deadline: Instant) -> anyhow::Result<()> {
+        let stops = self.servers.into_iter().map(|server| server.stop(deadline));
         futures::future::try_join_all(stops).await?;
         Ok(())
     }
@@ -93,10 +93,14 @@
             .route("/metrics", get(metrics))
             .route("/dump", get(dump))
             .layer(Extension(context.clone()));
+        let start = |routes, listener, name| {
+            let connections = &context.pending.connections;
+            HttpServer::start(routes, listener, name, connections, &context.log)
+        };
         let servers = vec![
-            HttpServer::start(client::routes(context.clone()), self.clients),
-            HttpServer::start(ready_routes, self.balancer),
-            HttpServer::start(metrics_routes, self.monitoring),
+            start(client::routes(context.clone()), self.clients, "clients"),
+            start(ready_routes, self.balancer, "balancer"),
+            start(metrics_routes, self.monitoring, "monitoring"),
         ];
         Ok(Servers { servers })
     }
--- a/crates/server/src/cluster/stop.rs
+++ b/crates/server/src/cluster/stop.rs
@@ -98,10 +98,8 @@
 enum Step {
     /// The balancer notices that the process is unready.
     Balancer,
-    /// Calls of clients are answered.
+    /// Calls of clients are answered, and their connections closed.
     Calls,
-    /// The connections of clients are closed.
-    Connections,
     /// The tasks of the process end.
     Tasks,
 }
@@ -157,11 +155,8 @@
         tokio::time::sleep(LINGER).await;
         progress.enter(Step::Calls);
         // Calls are answered by `end` at the latest, so a longer wait would not help.
-        let _ = tokio::time::timeout_at(end + ANSWER_TIME, calls.drained()).await;
-        info!(log, "drained"; "in_flight" => calls.count(), "ms" => progress.millis());
-        progress.enter(Step::Connections);
-        self.servers.stop().await?;
-        info!(log, "connections closed"; "ms" => progress.millis());
+        self.servers.stop(end + ANSWER_TIME).await?;
+        info!(log, "connections closed"; "in_flight" => calls.count(), "ms" => progress.millis());
         progress.enter(Step::Tasks);
         self.halt.cancel();
         self.election.await.context("the election failed")?;
--- a/crates/server/src/process/http.rs
+++ b/crates/server/src/process/http.rs
@@ -1,83 +1,143 @@
 //! The HTTP server with a graceful stop.
 
-use std::panic::resume_unwind;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use anyhow::anyhow;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
-use volo::net::conn::Conn;
-use volo::net::incoming::{DefaultIncoming, Incoming, MakeIncoming};
-use volo_http::server::Server;
+use anyhow::Context as _;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use slog::{Logger, debug, error, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+use volo::Service as _;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::response::Response;
 use volo_http::server::route::Router;
 
+use super::stop::Inflight;
+
+/// The pause after an accept has failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The HTTP server as a task.
+///
+/// The server of `volo-http` closes idle connections only 3 s after it was told to stop, serves new
+/// calls on them until then, and does not end the connections that last longer.
 pub struct HttpServer {
-    task: JoinHandle<Result<(), String>>,
-    close: CancellationToken,
+    task: JoinHandle<()>,
+    stop: oneshot::Sender<Instant>,
 }
 
-/// A listener that the process can close.
-#[derive(Debug)]
-struct Listener {
-    incoming: DefaultIncoming,
-    close: CancellationToken,
+/// The part of a server that its connections share.
+#[derive(Clone)]
+struct Service {
+    router: Arc<Router>,
+    log: Logger,
 }
 
-impl MakeIncoming for Listener {
-    type Incoming = Listener;
+impl HttpServer {
+    /// Starts serving on a listener. Its open connections are counted as `name`.
+    pub fn start(
+        router: Router,
+        listener: TcpListener,
+        name: &'static str,
+        connections: &Inflight,
+        log: &Logger,
+    ) -> HttpServer {
+        let (stop, stopped) = oneshot::channel();
+        let service = Service {
+            router: Arc::new(router),
+            log: log.clone(),
+        };
+        let task = tokio::spawn(serve(service, listener, name, connections.clone(), stopped));
+        HttpServer { task, stop }
+    }
 
-    async fn make_incoming(self) -> std::io::Result<Listener> {
-        Ok(self)
+    /// Accepts no more connections, closes those that are idle, and waits until the others have got
+    /// the answer to their present call. At `deadline` the rest is cut.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server has failed.
+    pub async fn stop(self, deadline: Instant) -> anyhow::Result<()> {
+        // A server without a receiver has ended, which the join tells.
+        let _ = self.stop.send(deadline);
+        self.task.await.context("the HTTP server failed")
     }
 }
 
-/// The panic payload that ends the accept loop of the HTTP library.
-///
-/// The process has no other way to end the loop.
-struct Closed;
-
-impl Incoming for Listener {
-    async fn accept(&mut self) -> std::io::Result<Option<Conn>> {
+async fn serve(
+    service: Service,
+    listener: TcpListener,
+    name: &'static str,
+    open: Inflight,
+    mut stopped: oneshot::Receiver<Instant>,
+) {
+    let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
+    let deadline = loop {
         tokio::select! {
-            () = self.close.cancelled() => resume_unwind(Box::new(Closed)),
-            accepted = self.incoming.accept() => accepted,
+            stopped = &mut stopped => break stopped,
+            accepted = listener.accept() => match accepted {
+                Ok((socket, peer)) => {
+                    let guard = open.enter(name);
+                    let connection = service.clone().connection(socket, peer, graceful.watcher());
+                    connections.spawn(async move {
+                        let _guard = guard;
+                        connection.await;
+                    });
+                }
+                Err(error) => {
+                    debug!(service.log, "accept failed"; "error" => %error);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(joined) = connections.join_next(), if !connections.is_empty() => {
+                if let Err(error) = joined {
+                    error!(service.log, "connection failed"; "server" => name, "error" => %error);
+                }
+            }
         }
+    };
+    drop(listener);
+    // Without a sender nobody waits for the answers.
+    let deadline = deadline.unwrap_or_else(|_| Instant::now());
+    if tokio::time::timeout_at(deadline, graceful.shutdown())
+        .await
+        .is_err()
+    {
+        warn!(service.log, "connections cut"; "server" => name, "connections" => connections.len());
     }
+    connections.shutdown().await;
 }
 
-impl HttpServer {
-    /// Starts serving on a listener.
-    pub fn start(router: Router, listener: TcpListener) -> HttpServer {
-        let close = CancellationToken::new();
-        let listener = Listener {
-            incoming: DefaultIncoming::from(listener),
-            close: close.clone(),
-        };
-        let drained = close.clone();
-        let server = Server::new(router)
-            // On a signal the library would wait about 30 s and then give up. The hook delays its
-            // shutdown until all requests in flight are answered; new connections are accepted
-            // until then.
-            .register_shutdown_hook(move || Box::pin(async move { drained.cancelled().await }));
-        let task = tokio::spawn(async move {
-            server
-                .run(listener)
-                .await
-                .map_err(|error| error.to_string())
+impl Service {
+    /// Serves a connection until it is closed.
+    async fn connection(self, socket: TcpStream, peer: SocketAddr, watcher: Watcher) {
+        // The socket also works without `TCP_NODELAY`, only slower.
+        let _ = socket.set_nodelay(true);
+        let Service { router, log } = self;
+        let handle = service_fn(move |request: http::Request<Incoming>| {
+            let router = router.clone();
+            async move {
+                let mut context = ServerContext::new(peer.into());
+                let request = request.map(Body::from_incoming);
+                let response: Result<Response, Infallible> =
+                    router.call(&mut context, request).await;
+                response
+            }
         });
-        HttpServer { task, close }
-    }
-
-    /// Ends the server once all requests in flight are answered, and joins its task.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the server has failed.
-    pub async fn stop(self) -> anyhow::Result<()> {
-        self.close.cancel();
-        self.task
-            .await?
-            .map_err(|error| anyhow!("the HTTP server failed: {error}"))
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), handle);
+        if let Err(error) = watcher.watch(connection).await {
+            debug!(log, "connection ended"; "error" => %error);
+        }
     }
 }
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -1,6 +1,7 @@
 //! The start and the graceful stop of a server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use azurepath_decide::candidate::Site;
@@ -13,6 +14,7 @@
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::clock::Clock;
@@ -33,6 +35,9 @@
 /// The capacity of the queue of control frames.
 const CONTROL_QUEUE_FRAMES: usize = 256;
 
+/// How long the connections of callers may take to close once all requests are answered.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A running server.
 pub struct Server {
     process: Process,
@@ -106,7 +111,9 @@
         let inflight = &self.process.inflight;
         stop::drain(&self.phase, &mut self.handed_over, inflight, linger).await;
         info!(self.process.log, "drained");
-        self.http_server.stop().await?;
+        self.http_server
+            .stop(Instant::now() + CLOSE_TIMEOUT)
+            .await?;
         self.halt.cancel();
         join(&mut self.tasks).await?;
         join(&mut self.writers).await?;
@@ -339,7 +346,13 @@
             metrics: process.metrics.clone(),
         };
         writers.spawn(intents.run(self.intents.1, halt.clone()));
-        let http_server = super::http::HttpServer::start(http_entry::routes(process.clone()), http);
+        let http_server = super::http::HttpServer::start(
+            http_entry::routes(process.clone()),
+            http,
+            "clients",
+            &Inflight::default(),
+            &process.log,
+        );
         self.phase.send_replace(Phase::Serving);
         info!(process.log, "listening";
             "http" => %process.addresses.http, "peers" => %process.addresses.peers);
--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -3,13 +3,18 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Result;
 use azurepath_standin::cluster::{KEY, PATH_PREFIX};
-use support::cluster::{Cluster, address, id};
+use support::cluster::{Cluster, address, id, job_body, submit};
 use support::{Process, get, until};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// How long a stop may take, as in the settings of the instances.
+const GRACE: Duration = Duration::from_secs(6);
 
 /// Sends the head of a submission and the first byte of its body.
 async fn begin_call(at: SocketAddr, number: u64) -> Result<TcpStream> {
@@ -27,6 +32,16 @@
     get(metrics, "/dump").await.ok()?.json()["in_flight"].as_u64()
 }
 
+/// Waits until a stop that was asked for at `asked` has ended, and checks that it took less than
+/// the grace period.
+async fn stops_in_time(instance: &mut Process, asked: Instant) -> Result<()> {
+    let status = instance.wait().await?;
+    let took = asked.elapsed();
+    assert!(took < GRACE, "{took:?}: {:?}", instance.log());
+    assert!(status.success(), "{:?}", instance.log());
+    Ok(())
+}
+
 #[tokio::test]
 async fn unfinished_call_not_in_log() -> Result<()> {
     let cluster = Cluster::start(1)?;
@@ -42,3 +57,80 @@
     .await;
     Ok(())
 }
+
+#[tokio::test]
+async fn late_call_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let mut instance = cluster.instance("a").await?;
+    let mut idle = TcpStream::connect(instance.http).await?;
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    let answer = submit(instance.http, &id(1), &job_body(1, 10, false)).await?;
+    assert_eq!(answer.status, 503);
+    stops_in_time(&mut instance, asked).await?;
+    assert_eq!(idle.read(&mut [0]).await?, 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn unfinished_call_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let mut instance = cluster.instance("a").await?;
+    let _call = begin_call(instance.http, 1).await?;
+    until(async || calls_in_flight(&instance).await == Some(1)).await;
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    stops_in_time(&mut instance, asked).await
+}
+
+/// Clients that keep their connections and send on them until they are told to close.
+#[tokio::test]
+async fn answer_cut_on_open_connection() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let mut instances = [cluster.instance("a").await?, cluster.instance("b").await?];
+    let [leader, follower] = &mut instances;
+    let clients = (0..8).map(|client| keep_calling(follower.http, client));
+    let clients = futures::future::join_all(clients);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let asked = Instant::now();
+        follower.signal("TERM")?;
+        anyhow::Ok(asked)
+    };
+    let (answered, asked) = tokio::join!(clients, stop);
+    for answered in answered {
+        assert!(answered? > 1);
+    }
+    stops_in_time(follower, asked?).await?;
+    assert_eq!(cluster.fleet.duplicate_runs(), 0);
+    assert!(leader.logged("leading no more").is_none());
+    Ok(())
+}
+
+/// Sends calls on one connection until an answer says that it is closed. Returns how many were
+/// answered.
+async fn keep_calling(at: SocketAddr, client: u64) -> Result<u64> {
+    let mut stream = TcpStream::connect(at).await?;
+    let body = job_body(1, 10, false);
+    let mut answered = 0;
+    loop {
+        let request = format!(
+            "POST {PATH_PREFIX}{} HTTP/1.1\r\nhost: x\r\ncredential: {KEY}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            id(client * 10_000 + answered),
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"{}") {
+            let read = stream.read_buf(&mut answer).await?;
+            anyhow::ensure!(read > 0, "cut after {answered} answers");
+        }
+        answered += 1;
+        let answer = String::from_utf8(answer)?.to_ascii_lowercase();
+        if answer.contains("connection: close") {
+            return Ok(answered);
+        }
+    }
+}
