Ends a stop without waiting for a question to the advice service

Callers saw connections that ended without an answer: the process was killed at the end of its grace.

Cause: a task that asked the advice service ended only with the answer, up to the time that the question takes and 0.6 s more after the rest of the process had ended. The answer went nowhere: the poll that would have carried it is not sent any more.

Change: the stop drops the question, which the leader asks anew as after a death.

--- a/crates/server/src/cluster/advice.rs
+++ b/crates/server/src/cluster/advice.rs
@@ -36,7 +36,10 @@
         match reply {
             Ok(Reply::Question(Some(question))) => {
                 let begun = Instant::now();
-                let advice = advisor.ask(&question, question.takes + ANSWER_SLACK).await;
+                let advice = tokio::select! {
+                    () = halt.cancelled() => return,
+                    advice = advisor.ask(&question, question.takes + ANSWER_SLACK) => advice,
+                };
                 let seconds = begun.elapsed().as_secs_f64();
                 context.counts.advice.record(seconds, &[]);
                 let micros = begun.elapsed().as_micros() as u64;
--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use azurepath_standin::cluster::{KEY, PATH_PREFIX};
-use support::cluster::{Cluster, address, id, job_body, submit};
+use azurepath_standin::cluster::{KEY, PATH_PREFIX, configuration};
+use support::cluster::{Cluster, address, id, job_body, submit, submit_until};
 use support::{Process, get, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 /// How long a stop may take, as in the settings of the instances.
@@ -84,6 +84,24 @@
     stops_in_time(&mut instance, asked).await
 }
 
+#[tokio::test]
+async fn advice_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let advice = TcpListener::bind("127.0.0.1:0").await?;
+    let store = cluster.fleet.store.address();
+    let mut slow = configuration(2, &[KEY]);
+    slow["routes"][0]["hint"]["decideMs"] = 10_000.into();
+    cluster.fleet.store.put("op", "config", &slow);
+    let mut instance = cluster
+        .instance_through("a", store, advice.local_addr()?)
+        .await?;
+    submit_until(&[&instance], &id(1), &job_body(1, 10, false)).await;
+    let _question = advice.accept().await?;
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    stops_in_time(&mut instance, asked).await
+}
+
 /// Clients that keep their connections and send on them until they are told to close.
 #[tokio::test]
 async fn answer_cut_on_open_connection() -> Result<()> {
--- a/crates/server/tests/support/cluster.rs
+++ b/crates/server/tests/support/cluster.rs
@@ -80,6 +80,23 @@
         Ok(process)
     }
 
+    /// Starts an instance that reaches the store and the advice service at other addresses.
+    pub async fn instance_through(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        advice: SocketAddr,
+    ) -> Result<Process> {
+        let direct = self.fleet.store.address();
+        let settings = self
+            .settings(name)
+            .replace(&format!("store = {direct}"), &format!("store = {store}"))
+            .replace(&format!("advice = {direct}"), &format!("advice = {advice}"));
+        let path = self.directory.join(format!("{name}.ini"));
+        std::fs::write(&path, settings)?;
+        Process::start(&path).await
+    }
+
     /// Waits until every instance reports all jobs as completed.
     pub async fn wait_until_completed(&self, instances: &[&Process], ids: &[String]) {
         for id in ids {
