Ends a stop without waiting for the handshake of a peer

Callers could see a connection that ends without an answer: the process is still there at the end of its grace and is killed.

Cause: a connection of a peer that has not finished its handshake held the end of the listener for up to 2 s, since only connections with a handshake heard of the stop.

Change: the stop ends a handshake.

--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -122,18 +122,22 @@
     let _guard = service.connections().enter("peers");
     // The socket also works without `TCP_NODELAY`, only slower.
     let _ = socket.set_nodelay(true);
-    let Ok(Ok(transport)) = timeout(HANDSHAKE_TIMEOUT, transport::accepted(socket)).await else {
-        service.faults().add(1, &[]);
-        return;
+    let opening = async {
+        let transport = transport::accepted(socket).await.ok()?;
+        let handshake = Builder::new()
+            .initial_window_size(tuning::STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(tuning::CONNECTION_WINDOW_BYTES)
+            .max_concurrent_streams(tuning::MAX_STREAMS)
+            .max_frame_size(tuning::MAX_FRAME_BYTES)
+            .max_header_list_size(tuning::MAX_HEADER_LIST_BYTES)
+            .handshake::<_, Bytes>(transport);
+        handshake.await.ok()
+    };
+    let opened = tokio::select! {
+        () = halt.cancelled() => return,
+        opened = timeout(HANDSHAKE_TIMEOUT, opening) => opened,
     };
-    let handshake = Builder::new()
-        .initial_window_size(tuning::STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(tuning::CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(tuning::MAX_STREAMS)
-        .max_frame_size(tuning::MAX_FRAME_BYTES)
-        .max_header_list_size(tuning::MAX_HEADER_LIST_BYTES)
-        .handshake::<_, Bytes>(transport);
-    let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
+    let Ok(Some(mut connection)) = opened else {
         service.faults().add(1, &[]);
         return;
     };
--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -102,6 +102,19 @@
     stops_in_time(&mut instance, asked).await
 }
 
+#[tokio::test]
+async fn silent_peer_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let mut instance = cluster.instance("a").await?;
+    let _call = begin_call(instance.http, 1).await?;
+    until(async || calls_in_flight(&instance).await == Some(1)).await;
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    tokio::time::sleep(Duration::from_millis(4_800)).await;
+    let _peer = TcpStream::connect(instance.peers).await?;
+    stops_in_time(&mut instance, asked).await
+}
+
 /// Clients that keep their connections and send on them until they are told to close.
 #[tokio::test]
 async fn answer_cut_on_open_connection() -> Result<()> {
