Stops an incomplete gang before its members give up waiting

Cause: the scheduler did not know that members wait for each other for `gangMs` (3 to 4 s). Only a refused first order stopped a gang. A missing outcome counts as lost after 1.7 s if another instance carries the order, so a third try comes after the members have given up; and a member that was lost later (expired order, expired lease, removed worker, refused second order) left the others where they were.

Change: a gang is in assembly from its start orders until `gang_wait` - 1.5 s. If then a member has not confirmed its start, and none shows progress, which members have only once all are there, the whole gang is stopped. It is stopped at once when a member is lost (all callers of `mark_lost`: expired orders, expired leases, removed workers, refusals), when a second order shows that the run is not there, and when one ends in assembly. Members without an answer are stopped too, so that the worker refuses a late order; they stay booked until the order has expired, and no order is sent again for them. `stopped` counts as no failure.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -73,6 +73,14 @@
     Invalid,
 }
 
+impl Refusal {
+    /// Tells whether the run did not exist on the worker when the order was refused. An earlier
+    /// order may still start it.
+    pub fn proves_absence(self) -> bool {
+        matches!(self, Refusal::OldRun | Refusal::NoRoom | Refusal::Replaced)
+    }
+}
+
 /// The outcome of an order to start a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
@@ -175,6 +183,13 @@
         /// Its worker.
         worker: Name,
     },
+    /// A gang is stopped because a member does not run or has not started in time.
+    GangStopped {
+        /// The step.
+        step: StepId,
+        /// How many of its members were ordered to stop.
+        members: usize,
+    },
     /// A job has reached its final state.
     Finished {
         /// The job.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod admission;
+mod assembly;
 mod dump;
 mod end;
 mod gang;
@@ -35,6 +36,7 @@
 use super::{Attempt, JobId, State, StepId};
 
 use account::Account;
+use assembly::Assembly;
 use ranking::Ranking;
 
 pub use dump::Dump;
@@ -57,6 +59,8 @@
     pub origin_ms: u64,
     /// How long after a takeover tasks may still run on workers that have not reported yet.
     pub takeover_grace: Duration,
+    /// How long a started member of a gang waits for the others before it ends.
+    pub gang_wait: Duration,
 }
 
 impl Setup {
@@ -103,6 +107,8 @@
     max_rows: usize,
     /// Attempts that were ordered to stop, with their worker and the time of the next repetition.
     stopping: BTreeMap<Attempt, (usize, Time)>,
+    /// Gangs that were ordered to start and may still be incomplete.
+    assembling: BTreeMap<StepId, Assembly>,
     /// Number of instances that query the advice service.
     advice_instances: usize,
     /// Estimated fraction of the workers that are eligible for the steps of a queue, from the
@@ -151,6 +157,7 @@
             journal: Journal::default(),
             max_rows: usize::MAX,
             stopping: BTreeMap::new(),
+            assembling: BTreeMap::new(),
             advice_instances: 1,
             eligible_fraction: Map::default(),
             questions: BTreeMap::new(),
@@ -210,6 +217,7 @@
         self.now = self.now.max(now);
         self.drop_expired_jobs();
         self.repeat_stops();
+        self.stop_incomplete_gangs();
         self.update_unreported_capacity();
         self.place();
         actions.append(&mut self.actions);
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -93,6 +93,7 @@
         if end.outcome != Outcome::Done {
             self.discard_step_duration(&end.attempt);
         }
+        self.note_gang_end(end);
         let ended_now = self.jobs.get(&id).is_none_or(|job| job.state.is_final());
         let row = if ended_now {
             Row::Job(id)
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -78,6 +78,9 @@
             age,
         };
         self.log(decision);
+        if gang {
+            self.begin_assembly(id, tasks.len(), shared.is_some());
+        }
         for (index, worker, run, checkpoint, ticket) in orders {
             let task = TaskId { step: id, index };
             let attempt = Attempt { task, run };
@@ -130,13 +133,22 @@
         }
         match outcome {
             StartOutcome::Running => *phase = Phase::Running,
-            StartOutcome::Lost if orders < MAX_START_ORDERS && !job_ended => {
+            StartOutcome::Lost
+                if orders < MAX_START_ORDERS
+                    && !job_ended
+                    && !self.stopping.contains_key(&attempt) =>
+            {
                 *phase = Phase::Ordered(orders + 1);
                 self.resend_order(worker, attempt, checkpoint);
             }
             // An earlier order that stayed unanswered may have started the task.
             StartOutcome::Lost => *phase = Phase::Unconfirmed(expires_ms),
-            StartOutcome::Refused(_) if orders > 1 => *phase = Phase::Unconfirmed(expires_ms),
+            StartOutcome::Refused(refusal) if orders > 1 => {
+                *phase = Phase::Unconfirmed(expires_ms);
+                if refusal.proves_absence() {
+                    self.stop_gang(id);
+                }
+            }
             StartOutcome::Refused(refusal) => self.handle_refusal(worker, attempt, refusal),
         }
     }
@@ -191,25 +203,4 @@
         }
         self.stop_gang(id);
     }
-
-    /// Stops all members of a gang after one of them was refused; does nothing for other steps.
-    fn stop_gang(&mut self, id: StepId) {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let number = usize::from(id.step);
-        let gang = job.is_gang(number);
-        if !gang {
-            return;
-        }
-        let placed = job.placed(id.job);
-        let members = placed
-            .into_iter()
-            .filter(|(attempt, _)| attempt.task.step == id);
-        for (attempt, worker) in members {
-            if !self.stopping.contains_key(&attempt) {
-                self.stop(worker, attempt);
-            }
-        }
-    }
 }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -107,9 +107,7 @@
     /// silent worker as unclaimed.
     pub fn expire_leases(&mut self, index: usize) {
         let attempts: Vec<Attempt> = self.workers[index].attempts.keys().copied().collect();
-        for attempt in attempts {
-            self.mark_lost(index, attempt);
-        }
+        self.drop_attempts(index, &attempts);
         if self.workers[index].contact == Contact::Silent {
             self.workers[index].contact = Contact::Unclaimed;
         }
@@ -170,13 +168,13 @@
             }
         };
         let attempts = self.workers[index].attempts.keys();
-        let expired: Vec<Attempt> = attempts.filter(has_expired).copied().collect();
-        for attempt in expired {
-            let runs = report.running.iter().any(|run| run.attempt == attempt);
-            if !runs {
-                self.mark_lost(index, attempt);
-            }
-        }
+        let runs = |attempt: &&Attempt| report.running.iter().any(|run| run.attempt == **attempt);
+        let expired: Vec<Attempt> = attempts
+            .filter(has_expired)
+            .filter(|attempt| !runs(attempt))
+            .copied()
+            .collect();
+        self.drop_attempts(index, &expired);
     }
 
     /// Handles the report that an attempt runs on a worker.
@@ -201,6 +199,7 @@
                 worker, run, phase, ..
             } if *worker == index && *run == attempt.run => {
                 *phase = Phase::Running;
+                self.note_gang_progress(running);
             }
             Place::Waiting
                 if inherited && !job_ended && (task.run == first || attempt.run >= task.run) =>
--- a/crates/decide/tests/batch_faults.rs
+++ b/crates/decide/tests/batch_faults.rs
@@ -50,6 +50,16 @@
     check(0..20, faults);
 }
 
+#[test]
+fn half_of_orders_unanswered() {
+    let faults = Faults {
+        late: 0.3,
+        lost: 0.2,
+        ..Faults::default()
+    };
+    check(0..20, faults);
+}
+
 #[test]
 fn dead_leaders() {
     let faults = Faults {
--- a/crates/decide/tests/store_rows.rs
+++ b/crates/decide/tests/store_rows.rs
@@ -84,6 +84,7 @@
         epoch,
         origin_ms: 0,
         takeover_grace: Duration::ZERO,
+        gang_wait: Duration::from_secs(3),
     };
     Scheduler::new(setup, Time::from_millis(1_000), config, stored)
 }
--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -16,6 +16,9 @@
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
 
+/// How long a member of a gang waits for the others.
+pub const GANG_WAIT: Duration = Duration::from_secs(3);
+
 /// The id of the only job.
 pub const JOB: JobId = JobId(7);
 
@@ -115,6 +118,7 @@
             epoch: 1,
             origin_ms: 0,
             takeover_grace: Duration::ZERO,
+            gang_wait: GANG_WAIT,
         };
         let now = Time::from_millis(1_000);
         let mut bench = Bench {
@@ -135,6 +139,11 @@
         actions
     }
 
+    /// Returns the simulated time in milliseconds, which the worker's clock shows too.
+    pub fn clock_ms(&self) -> u64 {
+        self.millis
+    }
+
     pub fn store(&mut self) {
         while self.scheduler.next_batch(|_| Fit::Taken) {
             self.scheduler.batch_stored();
--- a/crates/decide/tests/support/batch/check.rs
+++ b/crates/decide/tests/support/batch/check.rs
@@ -15,6 +15,8 @@
     pub done: BTreeMap<TaskId, u64>,
     pub failures: BTreeMap<TaskId, u32>,
     pub violations: Vec<String>,
+    /// Whether no member of a gang may give up waiting for the others.
+    pub forbids_alone: bool,
 }
 
 impl Check {
@@ -65,6 +67,10 @@
                     self.done.insert(end.attempt.task, end.attempt.run);
                 }
                 Outcome::Failed => *self.failures.entry(end.attempt.task).or_default() += 1,
+                Outcome::Alone if self.forbids_alone => {
+                    self.violations
+                        .push(format!("{:?} ended alone", end.attempt));
+                }
                 Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => {}
             }
         }
--- a/crates/decide/tests/support/batch/worker.rs
+++ b/crates/decide/tests/support/batch/worker.rs
@@ -1,6 +1,7 @@
 //! A simulated worker that follows the platform's description.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use azurepath_decide::batch::report::{End, Outcome, Report, Running};
 use azurepath_decide::batch::{Attempt, Refusal, StartOutcome, TaskId};
@@ -13,6 +14,13 @@
 /// The longest lease that a worker grants.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// What a member of a gang does once all members have started.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub time: Duration,
+    pub outcome: Outcome,
+}
+
 /// A running task.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -20,6 +28,8 @@
     pub size: Size,
     pub ends: Time,
     pub outcome: Outcome,
+    /// Its work if it waits for other members of its gang.
+    pub waits: Option<Work>,
 }
 
 /// One incarnation of a worker.
@@ -127,6 +137,7 @@
         {
             task.ends = task.ends.min(Time(now.0 + STOP_DELAY_MS * 1_000));
             task.outcome = Outcome::Stopped;
+            task.waits = None;
         }
     }
 
--- a/crates/decide/tests/support/batch/world.rs
+++ b/crates/decide/tests/support/batch/world.rs
@@ -11,7 +11,7 @@
 use azurepath_decide::batch::report::{Outcome, Report};
 use azurepath_decide::batch::scheduler::{Scheduler, Setup};
 use azurepath_decide::batch::spec::{Purpose, Spec, Step};
-use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome};
+use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome, StepId};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::check::Check;
-use super::worker::{Task, Worker};
+use super::worker::{Task, Work, Worker};
 
 const WORKERS: usize = 6;
 const ATTEMPTS: u32 = 3;
@@ -28,6 +28,8 @@
 /// The time until the registry shows a new incarnation of a worker.
 const REGISTRY_DELAY: Duration = Duration::from_millis(1_500);
 const MAX_BATCH: usize = 50;
+/// How long a member of a gang waits for the others.
+const GANG_WAIT: Duration = Duration::from_secs(3);
 const TAKEOVER_GRACE: Duration = Duration::from_millis(10_500);
 
 /// The probability of each kind of fault.
@@ -47,6 +49,13 @@
     pub partitioned: f64,
 }
 
+impl Faults {
+    /// Tells whether leader and workers stay up and reach each other.
+    fn only_orders(&self) -> bool {
+        [self.death, self.restarted, self.unlisted, self.partitioned] == [0.0; 4]
+    }
+}
+
 #[derive(Debug)]
 enum Event {
     Tick,
@@ -148,7 +157,10 @@
         let start = Time::from_millis(1_000_000);
         let mut world = World {
             now: start,
-            check: Check::default(),
+            check: Check {
+                forbids_alone: faults.only_orders(),
+                ..Check::default()
+            },
             accepted: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults,
@@ -224,6 +236,7 @@
             if let Some(event) = self.events.remove(&number) {
                 self.handle(event);
             }
+            self.assemble_gangs();
             self.advance_leader();
         }
         let jobs = &self.jobs;
@@ -231,6 +244,34 @@
         self.check.ended(&self.accepted, is_final);
     }
 
+    /// Lets the members of gangs work of which all have started.
+    fn assemble_gangs(&mut self) {
+        let mut waiting: BTreeMap<(StepId, u64), u32> = BTreeMap::new();
+        for worker in &self.workers {
+            let members = worker
+                .running
+                .iter()
+                .filter(|(_, task)| task.waits.is_some());
+            for (id, task) in members {
+                *waiting.entry((id.step, task.run)).or_default() += 1;
+            }
+        }
+        let specs = &self.specs;
+        waiting.retain(|(id, _), members| {
+            *members == specs[&id.job].steps[usize::from(id.step)].count
+        });
+        for worker in &mut self.workers {
+            for (id, task) in &mut worker.running {
+                if waiting.contains_key(&(id.step, task.run))
+                    && let Some(work) = task.waits.take()
+                {
+                    task.ends = self.now.after(work.time);
+                    task.outcome = work.outcome;
+                }
+            }
+        }
+    }
+
     fn schedule(&mut self, after: Duration, event: Event) {
         self.last_id += 1;
         self.events.insert(self.last_id, event);
@@ -365,6 +406,7 @@
             epoch: self.epoch,
             origin_ms: 0,
             takeover_grace: TAKEOVER_GRACE,
+            gang_wait: GANG_WAIT,
         };
         let stored = Stored {
             jobs: self.jobs.clone().into_iter().collect(),
@@ -527,16 +569,30 @@
             return;
         }
         let fails = self.rng.random_bool(0.08);
-        let task = Task {
-            run: attempt.run,
-            size: self.specs[&attempt.task.step.job].steps[0].size,
-            ends: self.now.after(millis(self.rng.random_range(100..1_500))),
+        let work = Work {
+            time: millis(self.rng.random_range(100..1_500)),
             outcome: if fails {
                 Outcome::Failed
             } else {
                 Outcome::Done
             },
         };
+        let step = &self.specs[&attempt.task.step.job].steps[0];
+        let first = if step.gang {
+            Work {
+                time: GANG_WAIT,
+                outcome: Outcome::Alone,
+            }
+        } else {
+            work
+        };
+        let task = Task {
+            run: attempt.run,
+            size: step.size,
+            ends: self.now.after(first.time),
+            outcome: first.outcome,
+            waits: step.gang.then_some(work),
+        };
         let size = task.size;
         let before = self.workers.clone();
         let started = self.workers[node].start(self.now, epoch, attempt, until, task);
--- a/crates/decide/tests/support/load/mod.rs
+++ b/crates/decide/tests/support/load/mod.rs
@@ -193,6 +193,7 @@
             epoch: 1,
             origin_ms: 0,
             takeover_grace: Duration::ZERO,
+            gang_wait: Duration::from_secs(3),
         };
         let now = Time::from_millis(1_000);
         let capacity = Size {
--- a/crates/decide/tests/takeover_limits.rs
+++ b/crates/decide/tests/takeover_limits.rs
@@ -69,6 +69,7 @@
         epoch: 2,
         origin_ms: 0,
         takeover_grace: Duration::from_millis(GRACE_MS),
+        gang_wait: Duration::from_secs(3),
     };
     let stored = Stored {
         jobs: vec![(JOB, record)],
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -82,6 +82,9 @@
             info!(log, "task lost"; "task" => %attempt.task, "run" => attempt.run,
                 "worker" => %worker, "epoch" => epoch);
         }
+        Decision::GangStopped { step, members } => {
+            info!(log, "gang stopped"; "step" => %step, "members" => members, "epoch" => epoch);
+        }
         Decision::Finished { job, state, age } => {
             metrics.jobs.add(1, &[kind(state.to_string())]);
             metrics.job_age.record(age.as_secs_f64(), &[]);
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -159,6 +159,7 @@
         let setup = Setup {
             epoch,
             origin_ms: clock::wall_ms().saturating_sub(now.0 / 1_000),
+            gang_wait: context.settings().gang_wait,
             takeover_grace: if epoch == 1 {
                 Duration::ZERO
             } else {
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -41,6 +41,8 @@
     pub row_bytes: u64,
     /// The longest lease that a worker grants.
     pub lease: Duration,
+    /// How long a started member of a gang waits for the others before it ends.
+    pub gang_wait: Duration,
     /// The longest time that the instance may take to stop.
     pub grace: Duration,
     /// The CPU capacity of the instance in thousandths of a core.
@@ -98,11 +100,16 @@
                 .then(|| document.address(SECTION, "advice")),
             row_bytes: document.bytes(SECTION, "row_bytes", 65_536),
             lease: document.duration(SECTION, "lease", Duration::from_secs(6)),
+            gang_wait: document.duration(SECTION, "gang_wait", Duration::from_secs(3)),
             grace: document.duration(SECTION, "grace", Duration::from_secs(6)),
             millicores: document.millicores(SECTION, "cores", 1_000),
             link_kbps: document.megabits(SECTION, "link", 1_000_000),
         };
-        for (key, duration) in [("lease", settings.lease), ("grace", settings.grace)] {
+        for (key, duration) in [
+            ("lease", settings.lease),
+            ("gang_wait", settings.gang_wait),
+            ("grace", settings.grace),
+        ] {
             if duration < Duration::from_secs(1) {
                 document.conflict(SECTION, key, "give 1s or more");
             }
--- a/crates/server/tests/settings_file.rs
+++ b/crates/server/tests/settings_file.rs
@@ -2,8 +2,9 @@
 
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
-use azurepath_server::settings::Settings;
+use azurepath_server::settings::{Settings, cluster};
 
 const VALID: &str = "\
 [server]
@@ -62,6 +63,20 @@
     ");
 }
 
+#[test]
+fn cluster_settings() {
+    let text = "[server]\nname = e1\nregion = r\nfailure_domain = a\n\
+                http = 127.0.0.1:8080\npeers = 127.0.0.1:8081\n\
+                [cluster]\nready = 127.0.0.1:8082\nmetrics = 127.0.0.1:8083\n\
+                store = 127.0.0.1:9000\ngang_wait = 4000ms\n";
+    let parse = |text: &str| cluster::Settings::parse("e1.ini", text);
+    let settings = parse(text).expect("the settings are valid");
+    let gang_wait = settings.map(|settings| settings.gang_wait);
+    assert_eq!(gang_wait, Some(Duration::from_secs(4)));
+    let faults = parse(&text.replace("4000ms", "900ms")).expect_err("the wait is too short");
+    insta::assert_snapshot!(faults, @"e1.ini:11: [cluster] gang_wait: clashes with another setting; give 1s or more");
+}
+
 #[test]
 fn duplicate_key() {
     let text = VALID.replace("region = ch-north", "region = ch-north\nregion = ch-west");
