Believes that leases have expired only if no order extended them

A task that runs is started again, on the same worker or another.

Cause: an instance says that the leases of a worker have expired when its own have; a start order extends them as well, and the leader had given some. It needs no loss on the way: renewals without a grant succeed, the leader goes on starting tasks, and the first renewal that fails then tells of silence and expired leases at once.

Change: events tell their age, and the leader ignores expired leases if it sent an order to the worker, or handed one to another instance, so shortly before that the order may still extend them. The renewer says it again each second while the worker is silent, and nothing is started on silent workers, so it counts in the end. Measured: lapse_after_start and repeated_lapse pass.

--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -51,7 +51,7 @@
     largest_free: Size,
     /// Number of steps that could not be placed, by queue.
     failures: Map<Name, u32>,
-    /// The part of each account's limit that is reserved for its waiting gangs. Otherwise steps of
+    /// The part of each account's limit that is reserved for its first waiting gang. Otherwise steps of
     /// lower rank would use up the limit piece by piece, and a wide gang would never start.
     reserved_limits: Map<Name, Size>,
 }
--- a/crates/decide/src/time.rs
+++ b/crates/decide/src/time.rs
@@ -27,6 +27,12 @@
         Time(self.0.saturating_add(micros))
     }
 
+    /// Returns the time `span` earlier, saturating at the origin.
+    pub fn before(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+
     /// Returns the time elapsed since `earlier`, or zero if `earlier` is the later of the two.
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -13,7 +13,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
-use azurepath_wire::batch::{Call, Event, News, Reply};
+use azurepath_wire::batch::{Call, News, Reply};
 use opentelemetry::KeyValue;
 use slog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
@@ -125,7 +125,7 @@
     authority: Arc<Authority>,
     sender: mpsc::UnboundedSender<Message>,
     links: Links,
-    news: mpsc::UnboundedReceiver<Event>,
+    news: mpsc::UnboundedReceiver<renewal::Event>,
     started: mpsc::UnboundedReceiver<Started>,
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
     next_call: u64,
@@ -323,7 +323,7 @@
         }
     }
 
-    fn handle_event(&mut self, event: Event) {
+    fn handle_event(&mut self, event: renewal::Event) {
         let Some(worker) = self.links.worker_of(&event) else {
             return;
         };
@@ -343,9 +343,13 @@
                 self.scheduler.mark_silent(worker);
             }
             News::Lapsed => {
-                warn!(self.context.log, "worker leases expired";
-                    "worker" => %self.scheduler.worker(worker).entry.id,
-                    "attempts" => self.scheduler.worker(worker).attempts.len());
+                let attempts = self.scheduler.worker(worker).attempts.len();
+                if attempts > 0 || self.scheduler.worker(worker).contact == Contact::Silent {
+                    warn!(self.context.log, "worker leases expired";
+                        "worker" => %self.scheduler.worker(worker).entry.id,
+                        "attempts" => attempts,
+                        "age_ms" => clock::now().since(event.at).as_millis() as u64);
+                }
                 self.scheduler.expire_leases(worker);
                 if self.scheduler.is_abandoned(worker) {
                     self.scheduler.remove_worker(worker);
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -8,8 +8,9 @@
 use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::batch::{Attempt, Refusal, StartOutcome};
 use azurepath_decide::name::{Map, Name};
+use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Start};
-use azurepath_wire::batch::{Event, News, Order, Orders, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{self as wire, News, Order, Orders, Relay, RelayChange, Reply};
 use slog::info;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -19,8 +20,8 @@
 use super::Context;
 use super::carrier::{self, MAX_QUEUE_TIME, ORDER_TIMEOUT};
 use super::clock::{self, Authority};
-use super::relay::MAX_GRANT;
-use super::renewal::{self, MAX_CLOCK_DRIFT, Renewer};
+use super::relay::{CALL_TIMEOUT, MAX_GRANT};
+use super::renewal::{self, Event, MAX_CLOCK_DRIFT, Renewer};
 
 /// How long after it was sent a worker may carry out an order to start.
 const ORDER_VALIDITY: Duration = Duration::from_millis(1_500);
@@ -54,9 +55,19 @@
     clock: Option<(u64, Instant)>,
     /// Until when leases may last that others have renewed before.
     inherited_until: Instant,
+    /// When an order to start was last sent, or handed to another instance.
+    ordered: Option<Time>,
 }
 
 impl Link {
+    /// Tells whether all leases had expired if the renewer's own had at that time. An order to start
+    /// extends them as well.
+    fn surely_lapsed(&self, at: Time) -> bool {
+        let bound = renewal::expiry_bound(ORDER_VALIDITY);
+        self.ordered
+            .is_none_or(|ordered| ordered.after(bound) <= at)
+    }
+
     /// Begins a renewal under a new number.
     fn begin(&mut self, serial: u64) {
         self.serial = serial;
@@ -212,6 +223,7 @@
             acknowledged: 0,
             clock: None,
             inherited_until: self.begun + self.inherited_lease,
+            ordered: None,
         };
         self.workers.insert(worker, link);
         self.unattached.insert(worker);
@@ -266,8 +278,8 @@
         }
     }
 
-    /// Returns the worker that an event is about, or `None` if someone else renews it by now or the
-    /// event was handled before.
+    /// Returns the worker that an event is about, or `None` if someone else renews it by now, the event
+    /// was handled before, or it says less than it seems.
     pub(super) fn worker_of(&mut self, event: &Event) -> Option<usize> {
         let worker = *self.by_serial.get(&event.serial)?;
         let link = self.workers.get_mut(&worker)?;
@@ -275,8 +287,11 @@
             return None;
         }
         link.heard = event.number;
-        if let News::Report(report) = &event.news {
-            link.read_clock(report.clock_ms);
+        match &event.news {
+            News::Report(report) => link.read_clock(report.clock_ms),
+            // It is reported again while the worker stays silent.
+            News::Lapsed if !link.surely_lapsed(event.at) => return None,
+            _ => {}
         }
         Some(worker)
     }
@@ -414,7 +429,7 @@
         failure_domain: &Name,
         capacity: Capacity,
         (epoch, seen): (u64, u64),
-        events: Vec<Event>,
+        events: Vec<wire::Event>,
     ) -> Relay {
         let wanted = self.wants_carriers();
         // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
@@ -424,6 +439,13 @@
         }
         if epoch == self.epoch {
             for event in events {
+                let event = Event {
+                    serial: event.serial,
+                    number: event.number,
+                    // The call itself may have been under way until its caller gave it up.
+                    at: clock::now().before(event.age + CALL_TIMEOUT),
+                    news: event.news,
+                };
                 // The receiver is the leader itself.
                 let _ = self.news.send(event);
             }
@@ -508,7 +530,9 @@
     }
 
     fn carried_order(&mut self, worker: usize, start: Start, carrier: &Name) -> Option<Order> {
-        let endpoint = self.workers.get(&worker)?.endpoint.clone();
+        let link = self.workers.get_mut(&worker)?;
+        link.ordered = Some(clock::now());
+        let endpoint = link.endpoint.clone();
         self.last_order += 1;
         // An order without the worker's clock has expired already; the worker refuses it.
         let expires_ms = self.order_expiry(worker).unwrap_or(0);
@@ -594,9 +618,10 @@
 
     fn start(&mut self, worker: usize, mut start: Start) {
         let expiry = self.order_expiry(worker);
-        let Some(link) = self.workers.get(&worker) else {
+        let Some(link) = self.workers.get_mut(&worker) else {
             return;
         };
+        link.ordered = Some(clock::now());
         let endpoint = link.endpoint.clone();
         let workers = self.context.workers.clone();
         let sender = self.started.clone();
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -11,7 +11,7 @@
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
-use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Call, News, Relay, RelayChange, Reply};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -19,7 +19,7 @@
 
 use super::Context;
 use super::clock::{self, Authority};
-use super::renewal::{self, Renewer};
+use super::renewal::{self, Event, Renewer};
 
 /// The longest time that the leader lets others extend leases after one of their calls.
 pub(super) const MAX_GRANT: Duration = Duration::from_millis(2_000);
@@ -38,7 +38,7 @@
 
 /// How long a call to the leader may take. If a busy link needed longer, each repetition would make
 /// it busier.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// How long the next renewal of a worker waits until new ends are stored: the way to the leader and
 /// back, and a write.
@@ -213,7 +213,7 @@
             },
             epoch: self.duty.epoch,
             seen: self.duty.seen,
-            events: news.to_vec(),
+            events: news.iter().map(Into::into).collect(),
         }
     }
 
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -6,7 +6,7 @@
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::{Endpoint, Renewal, RenewalOutcome, Workers};
-use azurepath_wire::batch::{Event, News};
+use azurepath_wire::batch::{self as wire, News};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -27,6 +27,10 @@
 /// them.
 pub(super) const STORE_WAIT: Duration = Duration::from_millis(60);
 
+/// How often it is reported that the leases of a silent worker have expired. A report is void if
+/// tasks were ordered to start there just before.
+const LAPSE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The pause after the first failed renewal.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -39,6 +43,31 @@
 /// The time that is added to a lease for timers that fire late.
 const TIMER_MARGIN: Duration = Duration::from_millis(150);
 
+/// An event of a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Event {
+    /// The number under which the worker is renewed.
+    pub(super) serial: u64,
+    /// The number of the event among those of this serial, counted from 1.
+    pub(super) number: u64,
+    /// When it has happened, at the latest.
+    pub(super) at: Time,
+    /// What has happened.
+    pub(super) news: News,
+}
+
+impl From<&Event> for wire::Event {
+    /// Converts an event that is sent now.
+    fn from(event: &Event) -> wire::Event {
+        wire::Event {
+            serial: event.serial,
+            number: event.number,
+            age: clock::now().since(event.at),
+            news: event.news.clone(),
+        }
+    }
+}
+
 /// The task that claims and renews one worker.
 pub(super) struct Renewer {
     pub(super) serial: u64,
@@ -69,7 +98,7 @@
         let mut clock: Option<(u64, Instant)> = None;
         let mut lease_end = clock::now().after(self.inherited_lease);
         let mut failures = 0;
-        let mut lapse_reported = false;
+        let mut lapse_reported = None;
         let mut idle = false;
         while !halt.is_cancelled() {
             let extend = failures == 0 && self.authority.holds();
@@ -100,7 +129,7 @@
                 Ok(RenewalOutcome::Report(report)) => {
                     clock = Some((report.clock_ms, Instant::now()));
                     failures = 0;
-                    lapse_reported = false;
+                    lapse_reported = None;
                     idle = report.running.is_empty();
                     let has_new_ends = highest_end(&report) > acknowledged;
                     self.send(News::Report(report));
@@ -121,8 +150,10 @@
                 }
             }
             failures += 1;
-            if !lapse_reported && clock::now() >= lease_end {
-                lapse_reported = true;
+            let now = clock::now();
+            let is_reported = lapse_reported.is_some_and(|at| now.since(at) < LAPSE_INTERVAL);
+            if !is_reported && now >= lease_end {
+                lapse_reported = Some(now);
                 self.send(News::Lapsed);
             }
             self.pause(failures, lease_end, &halt).await;
@@ -156,6 +187,7 @@
         let event = Event {
             serial: self.serial,
             number: self.sent,
+            at: clock::now(),
             news,
         };
         // If the receiver has ended, this task is about to be stopped.
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -5,16 +5,20 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::{Result, bail};
+use azurepath_decide::batch::Attempt;
 use azurepath_decide::batch::carrier::Capacity;
-use azurepath_decide::batch::report::Report;
+use azurepath_decide::batch::report::{Report, Running};
+use azurepath_standin::cluster::worker;
 use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply};
 use azurepath_wire::codec;
 use azurepath_wire::frame::Frame;
+use http::Method;
 use peer::exchange;
-use support::cluster::{Cluster, address};
-use support::{Process, until};
+use support::cluster::{Cluster, address, id, job_body, submit_until};
+use support::{Process, call, until};
 
 /// Settings of a leader that needs others for its workers.
 const SMALL: &str = "cores = 0.001\n";
@@ -51,14 +55,12 @@
     log.iter().filter(|event| event["msg"] == message).count()
 }
 
-#[tokio::test]
-async fn repeated_lapse() -> Result<()> {
-    let cluster = Cluster::start(1)?;
-    let leader = cluster.instance_with("a", SMALL).await?;
-    let peers = address(&leader, "peers")?;
+/// Calls as an instance until the leader gives it a worker. Returns the leader's epoch and the
+/// number under which the worker is renewed.
+async fn take_worker(leader: SocketAddr) -> (u64, u64) {
     let mut attached = None;
     until(async || {
-        if let Ok(reply) = relay(peers, 0, 0, &[]).await {
+        if let Ok(reply) = relay(leader, 0, 0, &[]).await {
             let mut serials = reply.changes.iter().filter_map(|(_, change)| match change {
                 RelayChange::Attach { serial, .. } => Some(*serial),
                 _ => None,
@@ -68,41 +70,94 @@
         attached.is_some()
     })
     .await;
-    let (epoch, serial) = attached.unwrap_or_default();
-    let report = Report {
-        clock_ms: 1_000,
-        born_ms: cluster.fleet.workers[0].entry()["born"]
-            .as_u64()
-            .unwrap_or(0),
-        running: Vec::new(),
-        ended: Vec::new(),
+    attached.unwrap_or_default()
+}
+
+/// Numbers news of a worker.
+fn events(serial: u64, first: u64, news: impl IntoIterator<Item = News>) -> Vec<Event> {
+    let number = |(number, news)| Event {
+        serial,
+        number,
+        age: Duration::ZERO,
+        news,
     };
+    (first..).zip(news).map(number).collect()
+}
+
+fn silent() -> News {
+    News::Silent("no answer".to_owned())
+}
+
+/// Reads what a worker reports.
+async fn report(worker: &worker::Standin) -> Result<Report> {
+    let address = worker.entry()["addr"]
+        .as_str()
+        .unwrap_or_default()
+        .parse()?;
+    let body = r#"{"fence":1,"ackedUpto":0}"#;
+    let headers = [("target-instance", "w0")];
+    let answer = call(address, Method::POST, "/api/hold", body, &headers).await?;
+    let report: serde_json::Value = answer.json();
+    let attempt = |row: &serde_json::Value| -> Result<Running> {
+        Ok(Running {
+            attempt: Attempt {
+                task: row[0].as_str().unwrap_or_default().parse()?,
+                run: row[1].as_u64().unwrap_or(0),
+            },
+            checkpoint: None,
+            progress: 0.0,
+        })
+    };
+    let running = report["running"].as_array().into_iter().flatten();
+    Ok(Report {
+        clock_ms: report["clockMs"].as_u64().unwrap_or(0),
+        born_ms: report["born"].as_u64().unwrap_or(0),
+        running: running.map(attempt).collect::<Result<_>>()?,
+        ended: Vec::new(),
+    })
+}
+
+#[tokio::test]
+async fn repeated_lapse() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let leader = cluster.instance_with("a", SMALL).await?;
+    let peers = address(&leader, "peers")?;
+    let (epoch, serial) = take_worker(peers).await;
+    let report = report(&cluster.fleet.workers[0]).await?;
     let news = [
         News::Report(report.clone()),
-        News::Silent("no answer".to_owned()),
+        silent(),
         News::Lapsed,
         News::Report(report),
     ];
-    let events: Vec<Event> = (1..)
-        .zip(news)
-        .map(|(number, news)| Event {
-            serial,
-            number,
-            news,
-        })
-        .collect();
+    let first = events(serial, 1, news);
     // The reply to the first call is lost, so the instance makes it again.
-    relay(peers, epoch, 1, &events).await?;
+    relay(peers, epoch, 1, &first).await?;
     until(async || count(&leader, "worker claimed") == 2).await;
-    relay(peers, epoch, 1, &events).await?;
-    let last = Event {
-        serial,
-        number: 5,
-        news: News::Silent("no answer again".to_owned()),
-    };
-    relay(peers, epoch, 1, &[last]).await?;
+    relay(peers, epoch, 1, &first).await?;
+    relay(peers, epoch, 1, &events(serial, 5, [silent()])).await?;
     until(async || count(&leader, "worker silent") >= 2).await;
     assert_eq!(count(&leader, "worker leases expired"), 1);
     assert_eq!(count(&leader, "worker claimed"), 2);
     Ok(())
 }
+
+/// An order to start extends the leases, also those that the renewer knows to have expired.
+#[tokio::test]
+async fn lapse_after_start() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let leader = cluster.instance_with("a", SMALL).await?;
+    let peers = address(&leader, "peers")?;
+    let (epoch, serial) = take_worker(peers).await;
+    let worker = &cluster.fleet.workers[0];
+    let claimed = News::Report(report(worker).await?);
+    relay(peers, epoch, 1, &events(serial, 1, [claimed])).await?;
+    submit_until(&[&leader], &id(1), &job_body(1, 60_000, false)).await;
+    until(async || cluster.fleet.started_runs() == 1).await;
+    let running = News::Report(report(worker).await?);
+    let lapse = events(serial, 2, [silent(), News::Lapsed, running]);
+    relay(peers, epoch, 1, &lapse).await?;
+    until(async || count(&leader, "worker claimed") == 2).await;
+    assert_eq!(count(&leader, "task lost"), 0);
+    Ok(())
+}
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -87,6 +87,8 @@
     pub serial: u64,
     /// The number of the event among those of this serial, counted from 1.
     pub number: u64,
+    /// How long before the call it has happened.
+    pub age: Duration,
     /// What has happened.
     pub news: News,
 }
@@ -98,7 +100,7 @@
     Report(Report),
     /// It does not answer, with the error.
     Silent(String),
-    /// The lease of all tasks on it has expired for certain.
+    /// The lease of all tasks on it has expired for certain. This comes again while it is silent.
     Lapsed,
     /// Another worker listens at its address.
     Replaced,
