Waits for the last leader that gave orders, not for a claimant that read

What callers could see: TWICE, on workers that a successor can't reach and a paused leader still can.

Cause: a successor waits out the authority of the leader before it: 4 s after its last write, but 2 s if that one released the leadership or was an earlier process of the same instance. A claimant that stops, or restarts, while it reads the stored jobs wrote or left such a row without having given any order; the leader that did may have more time left. It is more likely since claimants end their reads when they stop.

Change: such a claimant writes `Aborted`: it can be followed at once, and its follower waits 4 s from when it first saw the row. The same for a row of a claimant that died. An instance that is told to stop while it waits before a claim no longer claims. A page of the stored jobs grows again after a shorter one has arrived.

--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -204,7 +204,7 @@
         let unchanged_for = clock::now().since(self.view.since);
         let timeout = match row.term {
             _ if self.is_own(row) => return true,
-            Term::Released => return true,
+            Term::Released | Term::Aborted => return true,
             // Nobody is connected to a leader that still reads.
             Term::Reading => LEADER_TIMEOUT,
             Term::Leading if self.context.route.is_connected() => LEADER_TIMEOUT,
@@ -225,7 +225,7 @@
         let wait = latency_wait + size_wait + MAX_JITTER.mul_f64(random);
         tokio::time::sleep(wait).await;
         let version = self.view.version;
-        if !self.read().await || self.view.version != version {
+        if leaving.is_cancelled() || !self.read().await || self.view.version != version {
             return;
         }
         let authority_left = self.authority_left();
@@ -305,7 +305,10 @@
         match &self.view.leader {
             // It released its authority, or it was an earlier process of this instance, which is
             // dead. Instances that renew workers for it may still do so for a moment.
-            Some(row) if row.term == Term::Released || self.is_previous_process(row) => MAX_GRANT,
+            Some(row) if row.term == Term::Released => MAX_GRANT,
+            Some(row) if row.term == Term::Leading && self.is_previous_process(row) => MAX_GRANT,
+            // A claimant that took no calls says nothing of the leader before it, whose last write is
+            // older than this version.
             // Its last write was stored before this version of the row was first seen.
             Some(_) => AUTHORITY_DURATION.saturating_sub(clock::now().since(self.view.since)),
             None => Duration::ZERO,
--- a/crates/server/src/cluster/recovery.rs
+++ b/crates/server/src/cluster/recovery.rs
@@ -173,6 +173,7 @@
             match page.await {
                 Ok(page) => {
                     failures = 0;
+                    limit = (limit * 2).min(page_rows);
                     self.arrived.store(clock::now().0, Ordering::Relaxed);
                     if let Some(last) = page.rows.last() {
                         from = format!("{}\0", last.key);
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -87,6 +87,8 @@
     Leading,
     /// It has released the leadership.
     Released,
+    /// It ended before it took calls. The leader before it may still give orders.
+    Aborted,
 }
 
 impl LeaderRow {
@@ -235,7 +237,10 @@
     /// Releases the leadership.
     pub(super) async fn release(mut self) {
         self.row.write += 1;
-        self.row.term = Term::Released;
+        self.row.term = match self.row.term {
+            Term::Leading | Term::Released => Term::Released,
+            Term::Reading | Term::Aborted => Term::Aborted,
+        };
         // If this fails, the other instances notice that the row no longer changes.
         let empty = Batch::default();
         let release = self.persist(&empty);
