Bounds the end of a stop by the grace

The process was killed at the end of its grace, which cuts what is in flight.

Cause: a stop joined its tasks without a time limit. An election that has claimed the leadership reads the stored jobs up to 20 times, 1.1 s each, and does not hear of the stop meanwhile.

`takeover_past_grace`, a stop during a takeover on a narrow link, took 22.5 s.

Change: 300 ms before the end of the grace the tasks that have not ended are logged (`tasks cut`), aborted and joined. Nothing is lost by that: all calls are answered by then, and what lasts is in the store. That the election itself hears of a stop is left to it; until then such a leadership is not released but times out.

--- a/crates/server/src/cluster/stop.rs
+++ b/crates/server/src/cluster/stop.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{JoinError, JoinHandle, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +17,9 @@
 /// The part of the grace period that is reserved for ending the process after the last answers.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(900);
 
+/// The part of the grace period that is left when tasks that have not ended are aborted.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+
 /// How long a stopping process accepts new connections: two readiness checks of the balancer, a
 /// second apart, and the time of an answer.
 const LINGER: Duration = Duration::from_millis(2_300);
@@ -79,17 +82,41 @@
         })
     }
 
-    /// Waits until all tasks have ended.
+    /// Waits until all tasks and one that is joined by itself have ended.
     ///
     /// # Errors
     ///
     /// Returns an error if a task has failed.
-    async fn join(&mut self) -> anyhow::Result<()> {
+    async fn join(&mut self, apart: &mut JoinHandle<()>) -> anyhow::Result<()> {
+        apart.await?;
         while let Some(joined) = self.tasks.join_next().await {
             joined?;
         }
         Ok(())
     }
+
+    /// Aborts the tasks that have not ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a task has failed.
+    async fn abort(&mut self, apart: &mut JoinHandle<()>) -> anyhow::Result<()> {
+        let was_joined = apart.is_finished();
+        apart.abort();
+        self.tasks.abort_all();
+        let mut ends = Vec::new();
+        if !was_joined {
+            ends.push(apart.await);
+        }
+        while let Some(end) = self.tasks.join_next().await {
+            ends.push(end);
+        }
+        let mut failures = ends.into_iter().filter_map(Result::err);
+        match failures.find(JoinError::is_panic) {
+            Some(failure) => Err(failure.into()),
+            None => Ok(()),
+        }
+    }
 }
 
 /// What a stopping process waits for.
@@ -159,8 +186,16 @@
         info!(log, "connections closed"; "in_flight" => calls.count(), "ms" => progress.millis());
         progress.enter(Step::Tasks);
         self.halt.cancel();
-        self.election.await.context("the election failed")?;
-        self.tasks.join().await?;
+        let exit = progress.begun + grace.saturating_sub(EXIT_RESERVE);
+        let joined = self.tasks.join(&mut self.election);
+        let ended = match tokio::time::timeout_at(exit, joined).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                warn!(log, "tasks cut"; "tasks" => %self.context.pending.tasks);
+                self.tasks.abort(&mut self.election).await
+            }
+        };
+        ended.context("a task of the process has failed")?;
         info!(log, "stopped"; "ms" => progress.millis());
         Ok(())
     }
--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -1,5 +1,7 @@
 //! The graceful stop of an instance on the users' platform.
 
+#[path = "support/proxy.rs"]
+mod proxy;
 mod support;
 
 use std::net::SocketAddr;
@@ -7,6 +9,7 @@
 
 use anyhow::Result;
 use azurepath_standin::cluster::{KEY, PATH_PREFIX, configuration};
+use proxy::{Fault, Proxy};
 use support::cluster::{Cluster, address, id, job_body, submit, submit_until};
 use support::{Process, get, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -115,6 +118,24 @@
     stops_in_time(&mut instance, asked).await
 }
 
+#[tokio::test]
+async fn takeover_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    for number in 0..100 {
+        let row = [0; 30_000];
+        cluster.fleet.store.put_bytes("jobs", &id(number), &row);
+    }
+    let store = Proxy::start(cluster.fleet.store.address()).await?;
+    store.set_fault(Fault::Delay(Duration::from_millis(200)));
+    let mut instance = cluster
+        .instance_through("a", store.address, store.address)
+        .await?;
+    until(async || instance.logged("leadership claimed").is_some()).await;
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    stops_in_time(&mut instance, asked).await
+}
+
 /// Clients that keep their connections and send on them until they are told to close.
 #[tokio::test]
 async fn answer_cut_on_open_connection() -> Result<()> {
