--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Result;
 use azurepath_standin::cluster::{KEY, PATH_PREFIX, configuration};
+use azurepath_standin::fault::Injection;
 use proxy::{Fault, Proxy};
 use support::cluster::{Cluster, address, id, job_body, submit, submit_until};
 use support::{Process, get, until};
@@ -118,6 +119,33 @@
     stops_in_time(&mut instance, asked).await
 }
 
+/// Calls wait for a write that is never answered when the leader is stopped.
+#[tokio::test]
+async fn silent_store_past_grace() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let mut instance = cluster.instance("a").await?;
+    let at = instance.http;
+    let _idle = TcpStream::connect(at).await?;
+    cluster.fleet.store.set_faults(Injection {
+        silent: true,
+        ..Injection::default()
+    });
+    let body = job_body(1, 10, false);
+    let ids: Vec<String> = (0..8).map(id).collect();
+    let calls = futures::future::join_all(ids.iter().map(|id| submit(at, id, &body)));
+    let stop = async {
+        until(async || calls_in_flight(&instance).await > Some(0)).await;
+        let asked = Instant::now();
+        instance.signal("TERM")?;
+        anyhow::Ok(asked)
+    };
+    let (answers, asked) = tokio::join!(calls, stop);
+    for answer in answers {
+        assert!([429, 503, 504].contains(&answer?.status.as_u16()));
+    }
+    stops_in_time(&mut instance, asked?).await
+}
+
 #[tokio::test]
 async fn takeover_past_grace() -> Result<()> {
     let cluster = Cluster::start(1)?;
