Reads the leader's row while it waits before a claim

What callers saw: 503 after planned stops. The next leader leads after 0.3 s, but small instances of its region notice it 0.6 to 1.0 s later, those of the other region 1.0 to 2.0 s.

Cause: an instance that finds the leadership free sleeps up to 2 s before its claim, and reads nothing meanwhile.

--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -223,11 +223,10 @@
             .saturating_mul(LATENCY_FACTOR)
             .min(MAX_LATENCY_WAIT);
         let wait = latency_wait + size_wait + MAX_JITTER.mul_f64(random);
-        tokio::time::sleep(wait).await;
-        let version = self.view.version;
-        if leaving.is_cancelled() || !self.read().await || self.view.version != version {
+        if !self.wait_unclaimed(wait, leaving).await {
             return;
         }
+        let version = self.view.version;
         let authority_left = self.authority_left();
         let Some((writer, sent)) = self.claim().await else {
             return;
@@ -246,6 +245,26 @@
         self.view.since = clock::now();
     }
 
+    /// Waits before a claim. Returns `false` as soon as another instance has claimed the leadership,
+    /// the row can't be read or this instance stops.
+    async fn wait_unclaimed(&mut self, wait: Duration, leaving: &CancellationToken) -> bool {
+        let version = self.view.version;
+        let end = clock::now().after(wait);
+        loop {
+            let left = end.since(clock::now());
+            tokio::select! {
+                () = leaving.cancelled() => return false,
+                () = tokio::time::sleep(left.min(FAST_READ_INTERVAL)) => {}
+            }
+            if !self.read().await || self.view.version != version {
+                return false;
+            }
+            if left <= FAST_READ_INTERVAL {
+                return true;
+            }
+        }
+    }
+
     /// Reads what is stored and leads. The leadership was claimed by a write sent at `sent`, when the
     /// previous leader could still give orders for `authority_left`.
     async fn serve_term(
