Compresses the rows of jobs

While a write is under way, accepted jobs wait for the next one. The rows of jobs are stored with DEFLATE now where that makes them shorter; other rows hold ids and bits. Older rows are read as before, an older release can't read the new ones. Whether a row is too long is still decided by its uncompressed length.

The test fails before: 3,054 bytes of row for a payload of 3,004.

--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -7,6 +7,8 @@
 //! A write stays within the store's limits whatever the number of workers, jobs and tasks: what does
 //! not fit waits for the next one.
 
+use std::borrow::Cow;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +22,8 @@
     self, CALL_BYTES, Error, Row, Store, TRANSACTION_ENTRIES, Transaction,
 };
 use bincode::config;
+use flate2::read::DeflateDecoder;
+use flate2::{Compress, Compression, FlushCompress, Status};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, warn};
@@ -50,6 +54,13 @@
 /// row.
 const MAX_CHANGE_BYTES: usize = CALL_BYTES - 4_096;
 
+/// The first byte of a job's row that is compressed with DEFLATE. Other rows of jobs begin with the
+/// number of a variant of [`Record`].
+const DEFLATED: u8 = 0xff;
+
+/// The length of the longest job that is read from a compressed row, in bytes.
+const MAX_JOB_BYTES: u64 = 4 << 20;
+
 /// How long the changes of one write may keep the link busy. Longer writes would delay the next
 /// heartbeat, and a lost answer costs their bytes again.
 const WRITE_WINDOW: Duration = Duration::from_millis(100);
@@ -122,7 +133,7 @@
 }
 
 /// The changes of one write.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(super) struct Batch {
     puts: Vec<(&'static str, String, Vec<u8>)>,
     removals: Vec<(&'static str, String)>,
@@ -130,17 +141,30 @@
     bytes: usize,
     /// How long they need on the link.
     transfer: Duration,
+    /// Compresses rows. One for all of them, since it is larger than most rows.
+    compressor: Option<Compress>,
 }
 
 impl Batch {
     /// Adds a change if it fits. The first one always does, unless the store will never accept it.
     pub(super) fn add(&mut self, change: &Change, limits: Limits) -> Fit {
         let (table, key, value) = encode_change(change);
-        let value_bytes = value.as_ref().map_or(0, Vec::len);
-        let bytes = store::put_length(table, &key, value_bytes);
-        if store::value_length(value_bytes) as u64 > limits.row_bytes || bytes > MAX_CHANGE_BYTES {
+        let length = |value: &Option<Vec<u8>>| value.as_ref().map_or(0, Vec::len);
+        let whole = length(&value);
+        // Whether a row can be stored does not depend on how well it can be compressed.
+        if store::value_length(whole) as u64 > limits.row_bytes
+            || store::put_length(table, &key, whole) > MAX_CHANGE_BYTES
+        {
             return Fit::TooLarge;
         }
+        let value = match change {
+            Change::Job(..) => {
+                let compressor = self.compressor.get_or_insert_with(new_compressor);
+                value.map(|value| compress(compressor, value))
+            }
+            Change::Worker(..) | Change::Block(..) => value,
+        };
+        let bytes = store::put_length(table, &key, length(&value));
         let is_too_long = self.len() > 0 && self.bytes + bytes > limits.change_bytes();
         if self.len() >= MAX_CHANGES || is_too_long {
             return Fit::Full;
@@ -336,6 +360,33 @@
     bincode::serde::encode_to_vec(value, config::standard()).unwrap_or_default()
 }
 
+fn new_compressor() -> Compress {
+    // Rows have no header of zlib.
+    Compress::new(Compression::fast(), false)
+}
+
+/// Compresses the value of a job's row if that makes it shorter.
+fn compress(compressor: &mut Compress, value: Vec<u8>) -> Vec<u8> {
+    compressor.reset();
+    let mut compressed = Vec::with_capacity(value.len());
+    compressed.push(DEFLATED);
+    match compressor.compress_vec(&value, &mut compressed, FlushCompress::Finish) {
+        Ok(Status::StreamEnd) => compressed,
+        // It would become longer.
+        Ok(Status::Ok | Status::BufError) | Err(_) => value,
+    }
+}
+
+fn decompress(value: &[u8]) -> io::Result<Cow<'_, [u8]>> {
+    let Some((&DEFLATED, compressed)) = value.split_first() else {
+        return Ok(Cow::Borrowed(value));
+    };
+    let mut bytes = Vec::new();
+    let decoder = DeflateDecoder::new(compressed);
+    decoder.take(MAX_JOB_BYTES).read_to_end(&mut bytes)?;
+    Ok(Cow::Owned(bytes))
+}
+
 /// Reads a stored job.
 ///
 /// # Errors
@@ -346,7 +397,9 @@
         .key
         .parse::<JobId>()
         .map_err(|error| error.to_string())?;
-    Ok((id, read(row)?))
+    let value = row.value.as_deref().unwrap_or_default();
+    let value = decompress(value).map_err(|error| error.to_string())?;
+    Ok((id, decode(&value)?))
 }
 
 /// Reads the stored progress of a block of tasks.
@@ -369,7 +422,10 @@
 }
 
 fn read<T: DeserializeOwned>(row: &Row) -> Result<T, String> {
-    let bytes = row.value.as_deref().unwrap_or_default();
+    decode(row.value.as_deref().unwrap_or_default())
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
     let (value, _) = bincode::serde::decode_from_slice(bytes, config::standard())
         .map_err(|error| error.to_string())?;
     Ok(value)
--- a/crates/server/tests/store_limits.rs
+++ b/crates/server/tests/store_limits.rs
@@ -92,3 +92,22 @@
     cluster.wait_until_completed(&[&instance], &[id(2)]).await;
     Ok(())
 }
+
+/// A payload is most of a job's row, and each accepted job is written through the leader's link.
+#[tokio::test]
+async fn long_payload_fills_the_leaders_link() -> Result<()> {
+    let cluster = Cluster::start(2)?;
+    let mut instance = cluster.instance("a").await?;
+    let mut body: serde_json::Value = serde_json::from_str(&job_body(1, 1_500, false))?;
+    let payload = format!("1500{}", " ".repeat(3_000));
+    body["spec"] = payload.clone().into();
+    submit_until(&[&instance], &id(1), &body.to_string()).await;
+    let row = cluster.fleet.store.value("jobs", &id(1));
+    let length = row.expect("an accepted job is stored").len();
+    assert!(length * 2 < payload.len(), "{length} bytes");
+    instance.kill()?;
+    let successor = cluster.instance("b").await?;
+    cluster.wait_until_completed(&[&successor], &[id(1)]).await;
+    assert_eq!(cluster.fleet.started_runs(), 1);
+    Ok(())
+}
