Lets a gang of which no member has begun get its further orders

The outcome of a carried order is missed after 1.7 s, and `gang_wait` - 1.5 s is 1.5 to 2.5 s.

With 3 s of `gang_wait`, a member that is shown 2 s late is still stopped half a second before it gives up.

Tests: incomplete_gangs.rs::all_orders_delayed fails on the code before; late_first_member guards the other side.

--- a/crates/decide/src/batch/scheduler/assembly.rs
+++ b/crates/decide/src/batch/scheduler/assembly.rs
@@ -18,11 +18,16 @@
 /// a repetition of the stop orders.
 const STOP_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// How long it may take until a worker's report or the answer to an order shows that a task runs.
+const REPORT_DELAY: Duration = Duration::from_millis(1_000);
+
 /// A gang that was ordered to start and may still be incomplete.
 #[derive(Debug)]
 pub(super) struct Assembly {
-    /// When it is stopped unless it is complete.
-    stop_at: Time,
+    /// No member has begun to run before this time.
+    begun_after: Time,
+    /// Whether a member is known to have begun.
+    has_begun: bool,
     /// Whether its members resume from a checkpoint.
     resumed: bool,
     /// The progress of its members when they began to run, by task.
@@ -30,6 +35,15 @@
 }
 
 impl Assembly {
+    /// Updates the earliest time at which a member can have begun, unless one is known to have.
+    fn update(&mut self, now: Time) {
+        if !self.has_begun {
+            let delay = u64::try_from(REPORT_DELAY.as_micros()).unwrap_or(u64::MAX);
+            let earliest = Time(now.0.saturating_sub(delay));
+            self.begun_after = self.begun_after.max(earliest);
+        }
+    }
+
     /// Tells whether a member has progressed since it began to run.
     fn has_progressed(&mut self, index: u32, progress: f64) -> bool {
         let first = if self.resumed { progress } else { 0.0 };
@@ -43,19 +57,27 @@
         if members < 2 {
             return;
         }
-        let wait = self.setup.gang_wait;
-        let wait = wait.saturating_sub(STOP_MARGIN).max(wait / 2);
         let assembly = Assembly {
-            stop_at: self.now.after(wait),
+            begun_after: self.now,
+            has_begun: false,
             resumed,
             first_progress: BTreeMap::new(),
         };
         self.assembling.insert(id, assembly);
     }
 
+    /// Notes that a task runs.
+    pub(super) fn note_gang_start(&mut self, id: StepId) {
+        if let Some(assembly) = self.assembling.get_mut(&id) {
+            assembly.update(self.now);
+            assembly.has_begun = true;
+        }
+    }
+
     /// Notes the report of a running task. Members of a gang work only once all have started.
     pub(super) fn note_gang_progress(&mut self, running: &Running) {
         let task = running.attempt.task;
+        self.note_gang_start(task.step);
         if let Some(assembly) = self.assembling.get_mut(&task.step)
             && assembly.has_progressed(task.index, running.progress)
         {
@@ -74,9 +96,12 @@
     /// Stops the gangs whose members would soon give up waiting for the others.
     pub(super) fn stop_incomplete_gangs(&mut self) {
         let now = self.now;
-        let due = self
-            .assembling
-            .extract_if(.., |_, assembly| assembly.stop_at <= now);
+        let wait = self.setup.gang_wait;
+        let wait = wait.saturating_sub(STOP_MARGIN).max(wait / 2);
+        let due = self.assembling.extract_if(.., |_, assembly| {
+            assembly.update(now);
+            now >= assembly.begun_after.after(wait)
+        });
         let due: Vec<StepId> = due.map(|(id, _)| id).collect();
         for id in due {
             if !self.is_gang_complete(id) {
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -112,6 +112,7 @@
         job.ended = Some(self.now);
         let age = self.now.since(job.accepted);
         self.ready.remove(&id);
+        self.assembling.retain(|step, _| step.job != id);
         self.ended.entry(self.now).or_default().push(id);
         self.journal.fold_blocks(id);
         let job = id;
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -132,7 +132,10 @@
             return;
         }
         match outcome {
-            StartOutcome::Running => *phase = Phase::Running,
+            StartOutcome::Running => {
+                *phase = Phase::Running;
+                self.note_gang_start(id);
+            }
             StartOutcome::Lost
                 if orders < MAX_START_ORDERS
                     && !job_ended
--- a/crates/decide/tests/incomplete_gangs.rs
+++ b/crates/decide/tests/incomplete_gangs.rs
@@ -228,6 +228,32 @@
     gang.assert_stopped(&[0, 2]);
 }
 
+#[test]
+fn all_orders_delayed() {
+    let mut gang = Gang::ordered();
+    gang.advance_to(LOST_AFTER_MS);
+    (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Lost));
+    gang.advance_to(STOP_BY_MS);
+    // The second orders are carried out.
+    assert_eq!(gang.restarts.len(), WORKERS);
+    (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Running));
+    gang.advance_to(10_000);
+    assert!(gang.stops.is_empty());
+}
+
+#[test]
+fn late_first_member() {
+    let mut gang = Gang::ordered();
+    gang.advance_to(LOST_AFTER_MS);
+    (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Lost));
+    gang.advance_to(STOP_BY_MS);
+    gang.restarts.clear();
+    gang.handle(0, StartOutcome::Running);
+    // It may have begun a second ago.
+    gang.advance_to(STOP_BY_MS - 1_000 + STOP_BY_MS);
+    gang.assert_stopped(&[0, 1, 2]);
+}
+
 #[test]
 fn complete_gang() {
     let mut gang = Gang::ordered();
