Places nothing while the leader may give no orders

Cause: an order without authority is not sent and counts as refused for being late, so the tasks wait again, are dirty, and are placed in the next pass.

Change: while the authority has ended, the scheduler places nothing. It still handles reports, ends and stops.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -131,6 +131,8 @@
     placed_at: Time,
     /// Whether anything has changed that may let a step start.
     dirty: bool,
+    /// Whether nothing is placed.
+    suspended: bool,
     actions: Vec<Action>,
 }
 
@@ -169,6 +171,7 @@
             ended: BTreeMap::new(),
             placed_at: Time::default(),
             dirty: true,
+            suspended: false,
             actions: Vec::new(),
         };
         scheduler.restore(stored);
@@ -212,6 +215,13 @@
         self.jobs.values().filter(waits).count() as u64
     }
 
+    /// Suspends or resumes the placement of tasks.
+    ///
+    /// While its orders are not sent, a scheduler would start the same tasks again and again.
+    pub fn suspend(&mut self, suspended: bool) {
+        self.suspended = suspended;
+    }
+
     /// Advances the clock, places steps that can start and appends the resulting actions.
     pub fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -219,7 +229,9 @@
         self.repeat_stops();
         self.stop_incomplete_gangs();
         self.update_unreported_capacity();
-        self.place();
+        if !self.suspended {
+            self.place();
+        }
         actions.append(&mut self.actions);
     }
 
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -478,6 +478,7 @@
 
     /// Advances the scheduler, carries out its actions and starts the next write.
     fn step(&mut self) {
+        self.scheduler.suspend(!self.authority.holds());
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
         let mut starts: BTreeMap<StepId, Vec<(usize, Start)>> = BTreeMap::new();
--- a/crates/server/tests/platform_path.rs
+++ b/crates/server/tests/platform_path.rs
@@ -242,6 +242,34 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn no_orders_without_authority() -> Result<()> {
+    let cluster = Cluster::start(4)?;
+    let instance = cluster.instance("a").await?;
+    let phase = serde_json::json!({"count": 1, "cpu": 500, "memMb": 256, "estMs": 5_500});
+    let mut next = phase.clone();
+    next["after"] = serde_json::json!([0]);
+    let job = serde_json::json!({"spec": "5500", "phases": [phase, next]});
+    submit_until(&[&instance], &id(1), &job.to_string()).await;
+    until(async || cluster.fleet.started_runs() == 1).await;
+    let down = Injection {
+        down: true,
+        ..Injection::default()
+    };
+    cluster.fleet.store.set_faults(down);
+    // The first task ends after the authority has, and within its lease.
+    tokio::time::sleep(AUTHORITY + std::time::Duration::from_secs(3)).await;
+    cluster.fleet.store.set_faults(Injection::default());
+    cluster.wait_until_completed(&[&instance], &[id(1)]).await;
+    let events = instance.log();
+    let starts = events
+        .iter()
+        .filter(|event| event["msg"] == "tasks started");
+    assert_eq!(starts.count(), 2);
+    assert_eq!(cluster.fleet.started_runs(), 2);
+    Ok(())
+}
+
 #[tokio::test]
 async fn withdrawn_key() -> Result<()> {
     let cluster = Cluster::start(2)?;
