Stops the gangs that a new leader finds incomplete

Cause: a successor adopts the members that run and waits for them to end by themselves. The others were ordered by a predecessor of a lower epoch, so no worker that the successor has claimed starts them any more.

Change: once no worker may have tasks that it has not reported, an adopted gang that is not complete is stopped.

--- a/crates/decide/src/batch/scheduler/assembly.rs
+++ b/crates/decide/src/batch/scheduler/assembly.rs
@@ -28,6 +28,8 @@
     begun_after: Time,
     /// Whether a member is known to have begun.
     has_begun: bool,
+    /// Whether an earlier scheduler has ordered it to start.
+    inherited: bool,
     /// Whether its members resume from a checkpoint.
     resumed: bool,
     /// The progress of its members when they began to run, by task.
@@ -60,12 +62,25 @@
         let assembly = Assembly {
             begun_after: self.now,
             has_begun: false,
+            inherited: false,
             resumed,
             first_progress: BTreeMap::new(),
         };
         self.assembling.insert(id, assembly);
     }
 
+    /// Notes that a member of a gang runs that an earlier scheduler has ordered to start.
+    pub(super) fn inherit_assembly(&mut self, id: StepId) {
+        let now = self.now;
+        self.assembling.entry(id).or_insert_with(|| Assembly {
+            begun_after: now,
+            has_begun: true,
+            inherited: true,
+            resumed: true,
+            first_progress: BTreeMap::new(),
+        });
+    }
+
     /// Notes that a task runs.
     pub(super) fn note_gang_start(&mut self, id: StepId) {
         if let Some(assembly) = self.assembling.get_mut(&id) {
@@ -93,14 +108,21 @@
         }
     }
 
-    /// Stops the gangs whose members would soon give up waiting for the others.
+    /// Stops the gangs whose members would soon give up waiting for the others, and incomplete
+    /// gangs of earlier schedulers once all workers have reported.
     pub(super) fn stop_incomplete_gangs(&mut self) {
         let now = self.now;
         let wait = self.setup.gang_wait;
         let wait = wait.saturating_sub(STOP_MARGIN).max(wait / 2);
+        let inherits = self.assembling.values().any(|assembly| assembly.inherited);
+        let all_reported = inherits && !self.may_have_unreported_tasks();
         let due = self.assembling.extract_if(.., |_, assembly| {
             assembly.update(now);
-            now >= assembly.begun_after.after(wait)
+            if assembly.inherited {
+                all_reported
+            } else {
+                now >= assembly.begun_after.after(wait)
+            }
         });
         let due: Vec<StepId> = due.map(|(id, _)| id).collect();
         for id in due {
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -224,11 +224,15 @@
         self.workers[index].book(attempt, &booked, purpose);
         if let Some(job) = self.jobs.get_mut(&attempt.task.step.job) {
             job.state = State::Running;
+            let is_gang = job.is_gang(usize::from(attempt.task.step.step));
             let step = &mut job.steps[usize::from(attempt.task.step.step)];
             step.run = step.run.max(attempt.run);
             let account = job.account.clone();
             self.charge(account.as_ref(), &size);
             self.note_reported(account.as_ref(), &size);
+            if is_gang {
+                self.inherit_assembly(attempt.task.step);
+            }
         }
     }
 
