Tells an overtaken call of an instance from its restart

What callers could see: LOST. Some workers are renewed by nobody, though the leader believes that an instance does; their tasks expire, and nothing new is started there until the instance or the leader changes.

Cause: a call that tells of fewer changes than the leader has had confirmed was taken for the first call of a restarted process. A call whose connection was lost can arrive after a later one and looks the same. The leader then numbered its changes from 1 again, and the living instance confirmed them by its old number, unseen. The class is that of the repeated events: calls that come at least once and in any order, told apart by their content.

Evidence: found by review. A test on: three workers, one late call, `workers taken back` once, and the next ten calls in a second got no changes.

Change: calls carry a number and a random number of the process. Earlier calls of the same process are answered without changes; another process is a restart. The numbers of changes never begin anew under one leader. Measured: tests/relayed_events.rs::overtaken_call, which has a restart as well, passes; carried_traffic too.

--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -444,6 +444,7 @@
                 instance,
                 failure_domain,
                 capacity,
+                sequence,
                 epoch,
                 seen,
                 events,
@@ -452,6 +453,7 @@
                     &Name::from(instance),
                     &Name::from(failure_domain),
                     capacity,
+                    sequence,
                     (epoch, seen),
                     events,
                 );
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -152,6 +152,8 @@
     unattached: BTreeSet<usize>,
     carriers: Carriers,
     outboxes: BTreeMap<Name, Outbox>,
+    /// The last call of each instance that renews workers.
+    last_calls: BTreeMap<Name, wire::Sequence>,
     polls: BTreeMap<Name, Poll>,
     /// Orders for instances that have not polled again yet.
     queued: BTreeMap<Name, Vec<Orders>>,
@@ -187,6 +189,7 @@
             unattached: BTreeSet::new(),
             carriers: Carriers::default(),
             outboxes: BTreeMap::new(),
+            last_calls: BTreeMap::new(),
             polls: BTreeMap::new(),
             queued: BTreeMap::new(),
             carried: BTreeMap::new(),
@@ -428,10 +431,26 @@
         instance: &Name,
         failure_domain: &Name,
         capacity: Capacity,
+        sequence: wire::Sequence,
         (epoch, seen): (u64, u64),
         events: Vec<wire::Event>,
     ) -> Relay {
         let wanted = self.wants_carriers();
+        let last = self.last_calls.get(instance).copied();
+        if last
+            .is_some_and(|last| last.process == sequence.process && sequence.number <= last.number)
+        {
+            // A later call has arrived before, and told all that this one tells.
+            return self.relay_reply(wanted, Vec::new());
+        }
+        self.last_calls.insert(instance.clone(), sequence);
+        if last.is_some_and(|last| last.process != sequence.process) {
+            // A process that has restarted knows nothing of what it was given.
+            self.take_back(instance);
+            if let Some(outbox) = self.outboxes.get_mut(instance) {
+                outbox.changes.clear();
+            }
+        }
         // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
         if wanted && *instance != self.context.name {
             self.carriers
@@ -452,17 +471,6 @@
         }
         let outbox = self.outboxes.entry(instance.clone()).or_default();
         let seen = if epoch == self.epoch { seen } else { 0 };
-        if seen < outbox.last
-            && outbox
-                .changes
-                .front()
-                .is_none_or(|(number, _)| *number > seen + 1)
-        {
-            // A process that has restarted knows nothing of what it was given.
-            self.outboxes.remove(instance);
-            self.take_back(instance);
-        }
-        let outbox = self.outboxes.entry(instance.clone()).or_default();
         while outbox
             .changes
             .front()
@@ -470,12 +478,17 @@
         {
             outbox.changes.pop_front();
         }
+        let changes = outbox.changes.iter().cloned().collect();
+        self.relay_reply(wanted, changes)
+    }
+
+    fn relay_reply(&self, wanted: bool, changes: Vec<(u64, RelayChange)>) -> Relay {
         Relay {
             epoch: self.epoch,
             grant: self.authority.remaining().min(MAX_GRANT),
             lease: self.lease,
             wanted,
-            changes: outbox.changes.iter().cloned().collect(),
+            changes,
         }
     }
 
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -11,7 +11,8 @@
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
-use azurepath_wire::batch::{Call, News, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Call, News, Relay, RelayChange, Reply, Sequence};
+use rand::Rng;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -147,6 +148,10 @@
     let instance = Instance {
         duty: Duty::new(0),
         tasks: JoinSet::new(),
+        last_call: Sequence {
+            process: rand::rng().random(),
+            number: 0,
+        },
         context,
     };
     instance.run(&halt).await;
@@ -156,6 +161,7 @@
     context: Context,
     duty: Duty,
     tasks: JoinSet<()>,
+    last_call: Sequence,
 }
 
 impl Instance {
@@ -202,7 +208,8 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
-    fn call(&self, news: &[Event]) -> Call {
+    fn call(&mut self, news: &[Event]) -> Call {
+        self.last_call.number += 1;
         let settings = self.context.settings();
         Call::Relay {
             instance: self.context.name.to_string(),
@@ -211,6 +218,7 @@
                 millicores: settings.millicores,
                 link_kbps: settings.link_kbps,
             },
+            sequence: self.last_call,
             epoch: self.duty.epoch,
             seen: self.duty.seen,
             events: news.iter().map(Into::into).collect(),
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -5,14 +5,15 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use anyhow::{Result, bail};
+use anyhow::{Context, Result, bail};
 use azurepath_decide::batch::Attempt;
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::batch::report::{Report, Running};
 use azurepath_standin::cluster::worker;
-use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply};
+use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply, Sequence};
 use azurepath_wire::codec;
 use azurepath_wire::frame::Frame;
 use http::Method;
@@ -26,9 +27,25 @@
 /// The path of calls between instances.
 const PATH: &str = "/azurepath";
 
-/// Makes the call of an instance that renews workers.
+/// Makes the next call of an instance that renews workers.
 async fn relay(leader: SocketAddr, epoch: u64, seen: u64, events: &[Event]) -> Result<Relay> {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let sequence = Sequence {
+        process: 1,
+        number: 1 + CALLS.fetch_add(1, Ordering::Relaxed),
+    };
+    relay_as(sequence, leader, epoch, seen, events).await
+}
+
+async fn relay_as(
+    sequence: Sequence,
+    leader: SocketAddr,
+    epoch: u64,
+    seen: u64,
+    events: &[Event],
+) -> Result<Relay> {
     let call = Call::Relay {
+        sequence,
         instance: "x".to_owned(),
         failure_domain: "a".to_owned(),
         capacity: Capacity {
@@ -161,3 +178,44 @@
     assert_eq!(count(&leader, "task lost"), 0);
     Ok(())
 }
+
+/// Returns the workers that an instance is told to renew.
+fn attached(relay: &Relay) -> usize {
+    let is_attach = |change: &&(u64, RelayChange)| matches!(change.1, RelayChange::Attach { .. });
+    relay.changes.iter().filter(is_attach).count()
+}
+
+#[tokio::test]
+async fn overtaken_call() -> Result<()> {
+    let cluster = Cluster::start(3)?;
+    let leader = cluster.instance_with("a", SMALL).await?;
+    let peers = address(&leader, "peers")?;
+    let mut given = None;
+    until(async || {
+        let reply = relay(peers, 0, 0, &[]).await.ok();
+        given = reply.filter(|reply| attached(reply) == 3);
+        given.is_some()
+    })
+    .await;
+    let given = given.context("three workers were given")?;
+    let seen = given.changes.last().map_or(0, |(number, _)| *number);
+    relay(peers, given.epoch, seen, &[]).await?;
+    let first = Sequence {
+        process: 1,
+        number: 1,
+    };
+    relay_as(first, peers, given.epoch, 0, &[]).await?;
+    assert_eq!(count(&leader, "workers taken back"), 0);
+
+    // A process that has restarted is given workers anew.
+    let restarted = |number| Sequence { process: 2, number };
+    relay_as(restarted(1), peers, 0, 0, &[]).await?;
+    let mut number = 1;
+    until(async || {
+        number += 1;
+        let reply = relay_as(restarted(number), peers, given.epoch, seen, &[]).await;
+        reply.is_ok_and(|reply| attached(&reply) == 3)
+    })
+    .await;
+    Ok(())
+}
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -70,6 +70,8 @@
         failure_domain: String,
         /// What it can do.
         capacity: Capacity,
+        /// Which of the instance's calls this is.
+        sequence: Sequence,
         /// The epoch of the leader that gave it its workers.
         epoch: u64,
         /// The number of the last change that it has received in this epoch.
@@ -80,6 +82,16 @@
     },
 }
 
+/// The place of a call among those of its instance. A call may arrive after a later one if the
+/// connection was lost in between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sequence {
+    /// A random number that identifies the process of the instance.
+    pub process: u64,
+    /// The number of the call, counted from 1.
+    pub number: u64,
+}
+
 /// An event of a worker that an instance renews.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Event {
