Names the submission limit and the takeover by the usual terms

Gate, pass, transit and window become limiter, permit, outcome and limit; a reading leader is a recovering one. The comments say what happens instead of telling the story. No change of behaviour.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod advice;
 pub mod carrier;
+pub mod concurrency;
 pub mod config;
 pub mod event;
 pub mod fleet;
@@ -18,7 +19,6 @@
 pub mod report;
 pub mod scheduler;
 pub mod spec;
-pub mod window;
 
 pub use event::{Action, Answer, Decision, Refusal, StartOutcome, State};
 pub use id::{Attempt, JobId, StepId, TaskId};
--- a/crates/decide/tests/submission_window.rs
+++ b/crates/decide/tests/submission_limit.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use azurepath_decide::batch::window::{Transit, Window};
+use azurepath_decide::batch::concurrency::{Limit, Outcome};
 use azurepath_decide::time::Time;
 
 const INSTANCES: usize = 16;
@@ -41,7 +41,7 @@
 }
 
 /// Plays clients that come again a second after each answer, refusal or timeout.
-fn play(windows: &mut [Option<Window>]) -> Tally {
+fn play(limits: &mut [Option<Limit>]) -> Tally {
     let mut tally = Tally::default();
     let mut link: VecDeque<Packet> = VecDeque::new();
     // For each instance, when the submissions that wait in it came.
@@ -55,9 +55,9 @@
         let time = Time::from_millis(now);
         for instance in arrivals.remove(&now).unwrap_or_default() {
             let queue = &mut waiting[instance];
-            let wait = windows[instance]
+            let wait = limits[instance]
                 .as_ref()
-                .map_or(Duration::ZERO, |window| window.expected_wait(queue.len()));
+                .map_or(Duration::ZERO, |limit| limit.expected_wait(queue.len()));
             if wait > Duration::from_millis(WAIT_MS) {
                 tally.refused += 1;
                 arrivals.entry(now + 1_000).or_default().push(instance);
@@ -73,9 +73,9 @@
                     arrivals.entry(now + 1_000).or_default().push(instance);
                     continue;
                 }
-                if windows[instance]
+                if limits[instance]
                     .as_mut()
-                    .is_some_and(|window| !window.enter())
+                    .is_some_and(|limit| !limit.acquire())
                 {
                     break;
                 }
@@ -96,9 +96,9 @@
             let in_time = now <= packet.deadline;
             tally.answered += usize::from(in_time);
             tally.late += usize::from(!in_time);
-            if let Some(window) = &mut windows[packet.instance] {
+            if let Some(limit) = &mut limits[packet.instance] {
                 let took = Duration::from_millis(now - packet.sent);
-                window.leave(Transit::Answered(took), time);
+                limit.release(Outcome::Answered(took), time);
             }
             let again = arrivals.entry(now + 1_000).or_default();
             again.push(packet.instance);
@@ -114,8 +114,8 @@
 #[test]
 fn returning_clients() {
     let capacity = DAY_MS as usize * LINK_BYTES_PER_MS / SUBMISSION_BYTES;
-    let mut windows: Vec<Option<Window>> = vec![Some(Window::default()); INSTANCES];
-    let tally = play(&mut windows);
+    let mut limits: Vec<Option<Limit>> = vec![Some(Limit::default()); INSTANCES];
+    let tally = play(&mut limits);
     assert_eq!(tally.late, 0, "{tally:?}");
     assert!(tally.answered * 10 >= capacity * 9, "{tally:?}");
     let unbounded = play(&mut vec![None; INSTANCES]);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,8 +2,8 @@
 //! been sent.
 //!
 //! A call that times out closes its connection, so an unresponsive connection fails only one call.
-//! A long response may take longer than the timeout while its bytes keep arriving, if the call
-//! allows it: else it would be asked for again and again over a link that is too narrow for it.
+//! If the call allows it, a response may take longer than the timeout while its bytes keep arriving.
+//! Otherwise a response longer than the link carries within the timeout would never complete.
 
 use std::error::Error;
 use std::future::Future;
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -7,8 +7,8 @@
 mod clock;
 mod decision;
 mod election;
-mod gate;
 mod leader;
+mod limiter;
 mod link_usage;
 mod links;
 mod listen;
@@ -67,7 +67,7 @@
     /// The time by which all calls of clients are answered, once the process stops.
     answer_deadline: tokio_watch::Receiver<Option<Instant>>,
     route: peer::Route,
-    gate: gate::Gate,
+    limiter: limiter::Limiter,
     /// The work that the end of the process waits for.
     pending: Pending,
     metrics: Arc<Metrics>,
@@ -116,9 +116,9 @@
     );
     let reload = reload::run(source, settings_sender, log.clone(), halt.clone());
     tasks.spawn("settings", reload);
-    let (gate, gate_inbox) = gate::channel();
+    let (limiter, permits) = limiter::channel();
     let context = Context {
-        gate: gate.clone(),
+        limiter: limiter.clone(),
         name: settings.server.name.clone(),
         peers_address: listeners.peers_address,
         store: Store::new(pool.clone(), settings.store),
@@ -138,8 +138,8 @@
         settings: settings_receiver,
     };
     let servers = listeners.serve(&context, &halt, &mut tasks)?;
-    let passing = gate::run(gate, gate_inbox, context.route.clone(), halt.clone());
-    tasks.spawn("gate", passing);
+    let limiting = limiter::run(limiter, permits, context.route.clone(), halt.clone());
+    tasks.spawn("limiter", limiting);
     let configuration = watch::configuration(context.clone(), config_sender, halt.clone());
     tasks.spawn("configuration", configuration);
     tasks.spawn("advice", advice::run(context.clone(), halt.clone()));
--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::JobId;
+use azurepath_decide::batch::concurrency;
 use azurepath_decide::batch::config::{Config, Queue};
 use azurepath_decide::batch::spec::Spec;
-use azurepath_decide::batch::window::Transit;
 use azurepath_platform::{entry, job};
 use azurepath_wire::batch::{Call, Reply};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
@@ -290,19 +290,19 @@
     until: Instant,
     deadline: Instant,
 ) -> Result<Result<Reply, Failure>, Duration> {
-    let pass = if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
-        Some(context.gate.enter(until).await?)
+    let permit = if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
+        Some(context.limiter.acquire(until).await?)
     } else {
         None
     };
     let begun = Instant::now();
     let wait = deadline.saturating_duration_since(begun).min(TRY_TIMEOUT);
     let result = context.route.call(call.clone(), wait).await;
-    if let Some(pass) = pass {
-        pass.leave(match &result {
-            Ok(_) => Transit::Answered(begun.elapsed()),
-            Err(Failure::Unsent) => Transit::Abandoned,
-            Err(Failure::Lost) => Transit::Lost,
+    if let Some(permit) = permit {
+        permit.release(match &result {
+            Ok(_) => concurrency::Outcome::Answered(begun.elapsed()),
+            Err(Failure::Unsent) => concurrency::Outcome::Abandoned,
+            Err(Failure::Lost) => concurrency::Outcome::Lost,
         });
     }
     Ok(result)
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -169,7 +169,7 @@
     /// Publishes to the other tasks of the process who leads.
     fn follow(&self) {
         let leadership = match &self.view.leader {
-            // Calls to a leader that still reads would only fill its link.
+            // A recovering leader can't answer calls.
             Some(row) if row.term == Term::Leading && !self.is_own(row) => Some(peer::Leader {
                 name: row.name.clone(),
                 address: row.address,
@@ -205,8 +205,8 @@
         let timeout = match row.term {
             _ if self.is_own(row) => return true,
             Term::Released | Term::Aborted => return true,
-            // Nobody is connected to a leader that still reads.
-            Term::Reading => LEADER_TIMEOUT,
+            // Instances don't connect to a recovering leader.
+            Term::Recovering => LEADER_TIMEOUT,
             Term::Leading if self.context.route.is_connected() => LEADER_TIMEOUT,
             Term::Leading => UNREACHABLE_LEADER_TIMEOUT,
         };
@@ -352,7 +352,7 @@
             address: self.context.peers_address,
             epoch: epoch + 1,
             write: 0,
-            term: Term::Reading,
+            term: Term::Recovering,
         };
         Writer::claim(
             &self.context.store,
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -47,7 +47,7 @@
     /// The number under which it is renewed; a new one with each change of who renews it.
     serial: u64,
     /// The number of the last event under this serial that was handled.
-    heard: u64,
+    last_event: u64,
     renewal: Renewal,
     /// The number up to which its ends are stored.
     acknowledged: u64,
@@ -71,7 +71,7 @@
     /// Begins a renewal under a new number.
     fn begin(&mut self, serial: u64) {
         self.serial = serial;
-        self.heard = 0;
+        self.last_event = 0;
     }
 
     /// Notes the worker's clock in a report. A report that was long under way shows less than the
@@ -221,7 +221,7 @@
             },
             failure_domain: entry.failure_domain.clone(),
             serial: 0,
-            heard: 0,
+            last_event: 0,
             renewal: Renewal::None,
             acknowledged: 0,
             clock: None,
@@ -286,10 +286,10 @@
     pub(super) fn worker_of(&mut self, event: &Event) -> Option<usize> {
         let worker = *self.by_serial.get(&event.serial)?;
         let link = self.workers.get_mut(&worker)?;
-        if event.number <= link.heard {
+        if event.number <= link.last_event {
             return None;
         }
-        link.heard = event.number;
+        link.last_event = event.number;
         match &event.news {
             News::Report(report) => link.read_clock(report.clock_ms),
             // It is reported again while the worker stays silent.
--- a/crates/server/src/cluster/recovery.rs
+++ b/crates/server/src/cluster/recovery.rs
@@ -41,20 +41,20 @@
 /// How long no page may arrive before another instance should try.
 const STALL_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// What is asked for at the same time.
+/// How many pages are read at the same time, and their rows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Window {
+struct Paging {
     reads: usize,
     rows: usize,
 }
 
-impl Window {
-    fn new(link_kbps: u64, ranges: usize) -> Window {
+impl Paging {
+    fn new(link_kbps: u64, ranges: usize) -> Paging {
         let millis = u64::try_from(WINDOW.as_millis()).unwrap_or(u64::MAX);
         let rows = link_kbps.saturating_mul(millis) / 8 / ROW_BYTES;
         let reads = (rows / ROWS_PER_READ).clamp(MIN_READS, ranges as u64);
         let rows = (rows / reads).clamp(1, PAGE_ROWS as u64);
-        Window {
+        Paging {
             reads: reads as usize,
             rows: rows as usize,
         }
@@ -113,7 +113,7 @@
     ) -> Result<(Stored, Time), EndReason> {
         let stored = tokio::select! {
             stored = self.read() => stored,
-            () = keep(writer) => return Err(EndReason::Deposed),
+            () = send_heartbeats(writer) => return Err(EndReason::Deposed),
             () = self.stalled() => return Err(EndReason::Stalled),
             () = leaving.cancelled() => return Err(EndReason::Released),
         };
@@ -133,12 +133,12 @@
             .chain(Range::by_digit(JOBS))
             .chain(Range::by_digit(PROGRESS))
             .collect();
-        let window = Window::new(self.context.settings().link_kbps, ranges.len());
+        let paging = Paging::new(self.context.settings().link_kbps, ranges.len());
         let reads = ranges
             .into_iter()
-            .map(|range| self.range(range, window.rows));
+            .map(|range| self.range(range, paging.rows));
         let tables: Vec<(&str, Vec<Row>)> = stream::iter(reads)
-            .buffer_unordered(window.reads)
+            .buffer_unordered(paging.reads)
             .collect()
             .await;
         let of = |name| {
@@ -212,8 +212,8 @@
     }
 }
 
-/// Keeps the leadership by heartbeats until another instance leads.
-async fn keep(writer: &mut Writer) {
+/// Sends heartbeats until another instance leads.
+async fn send_heartbeats(writer: &mut Writer) {
     loop {
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         match writer.heartbeat().await {
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -93,7 +93,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Term {
     /// It reads what earlier leaders have stored and takes no calls yet.
-    Reading,
+    Recovering,
     /// It takes calls.
     Leading,
     /// It has released the leadership.
@@ -263,7 +263,7 @@
         self.row.write += 1;
         self.row.term = match self.row.term {
             Term::Leading | Term::Released => Term::Released,
-            Term::Reading | Term::Aborted => Term::Aborted,
+            Term::Recovering | Term::Aborted => Term::Aborted,
         };
         // If this fails, the other instances notice that the row no longer changes.
         let empty = Batch::default();
