--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -281,8 +281,8 @@
         }
     }
 
-    /// Returns the worker that an event is about, or `None` if someone else renews it by now, the event
-    /// was handled before, or it says less than it seems.
+    /// Returns the worker that an event is about. Returns `None` if someone else renews it by now, if
+    /// the event was handled before, or if it reports expired leases that an order may have extended.
     pub(super) fn worker_of(&mut self, event: &Event) -> Option<usize> {
         let worker = *self.by_serial.get(&event.serial)?;
         let link = self.workers.get_mut(&worker)?;
@@ -440,7 +440,7 @@
         if last
             .is_some_and(|last| last.process == sequence.process && sequence.number <= last.number)
         {
-            // A later call has arrived before, and told all that this one tells.
+            // The later call that came first told all that this one tells.
             return self.relay_reply(wanted, Vec::new());
         }
         self.last_calls.insert(instance.clone(), sequence);
--- a/crates/server/src/cluster/recovery.rs
+++ b/crates/server/src/cluster/recovery.rs
@@ -28,11 +28,10 @@
 /// The least number of pages that are asked for at the same time.
 const MIN_READS: u64 = 2;
 
-/// The rows of a page for which one more page is asked for at the same time.
+/// The rows of a page from which on more pages are read at the same time.
 const ROWS_PER_READ: u64 = 10;
 
-/// How long the answer with a page may take. A page of a single row of the longest kind arrives
-/// within it on a link of 2 Mbit/s, beside others.
+/// How long the answer with a page may take.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The longest pause after a failed read.
