Gives the listener of peers its setup in one value

Each service had to hand out the timing of pings, the logger, the counts of connections and of faults by methods of its own: the same twelve lines in the two services and in two tests. The listener gets them directly. A try to call the leader has a type of its own instead of a result in a result. No change of behaviour.

--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -262,11 +262,13 @@
     loop {
         let until = if sent { deadline } else { give_up };
         match try_leader(context, call, until, deadline).await {
-            Ok(Ok(Reply::NotLeading)) | Ok(Err(Failure::Unsent)) => {}
-            Ok(Ok(reply)) => return Ok(reply),
-            Ok(Err(Failure::Lost)) => sent = true,
-            Err(_) if sent => return Err(Outcome::new(StatusCode::GATEWAY_TIMEOUT)),
-            Err(wait) => return Err(Outcome::unavailable(wait.as_secs().max(RETRY_AFTER_S))),
+            Try::Replied(Reply::NotLeading) | Try::Failed(Failure::Unsent) => {}
+            Try::Replied(reply) => return Ok(reply),
+            Try::Failed(Failure::Lost) => sent = true,
+            Try::Limited(_) if sent => return Err(Outcome::new(StatusCode::GATEWAY_TIMEOUT)),
+            Try::Limited(wait) => {
+                return Err(Outcome::unavailable(wait.as_secs().max(RETRY_AFTER_S)));
+            }
         }
         let now = Instant::now();
         if sent && now >= deadline {
@@ -282,19 +284,23 @@
     }
 }
 
-/// Calls the leader once. A submission to another instance waits for its turn until `until`; if that
-/// would come too late, this returns after what time it may come.
-async fn try_leader(
-    context: &Context,
-    call: &Call,
-    until: Instant,
-    deadline: Instant,
-) -> Result<Result<Reply, Failure>, Duration> {
-    let permit = if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
-        Some(context.limiter.acquire(until).await?)
-    } else {
-        None
-    };
+/// What came of one try to call the leader.
+enum Try {
+    Replied(Reply),
+    Failed(Failure),
+    /// The submission was not sent, since others wait before it, probably for this time.
+    Limited(Duration),
+}
+
+/// Calls the leader once. A submission to another instance waits for a permit until `until`.
+async fn try_leader(context: &Context, call: &Call, until: Instant, deadline: Instant) -> Try {
+    let mut permit = None;
+    if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
+        match context.limiter.acquire(until).await {
+            Ok(granted) => permit = Some(granted),
+            Err(wait) => return Try::Limited(wait),
+        }
+    }
     let begun = Instant::now();
     let wait = deadline.saturating_duration_since(begun).min(TRY_TIMEOUT);
     let result = context.route.call(call.clone(), wait).await;
@@ -305,7 +311,10 @@
             Err(Failure::Lost) => concurrency::Outcome::Lost,
         });
     }
-    Ok(result)
+    match result {
+        Ok(reply) => Try::Replied(reply),
+        Err(failure) => Try::Failed(failure),
+    }
 }
 
 fn outcome(command: &Command, reply: Reply) -> Outcome {
--- a/crates/server/src/cluster/listen.rs
+++ b/crates/server/src/cluster/listen.rs
@@ -81,11 +81,15 @@
         let service = peer::Service {
             route: context.route.clone(),
             counts: context.counts.clone(),
-            faults: context.metrics.peer_faults.clone(),
+        };
+        let setup = listener::Setup {
+            ping_timing: peer::PING_TIMING,
             connections: context.pending.connections.clone(),
+            faults: context.metrics.peer_faults.clone(),
             log: context.log.clone(),
         };
-        tasks.spawn("peers", listener::run(self.peers, service, halt.clone()));
+        let peers = listener::run(self.peers, service, setup, halt.clone());
+        tasks.spawn("peers", peers);
         let ready_routes = Router::new()
             .route(READY_PATH, get(ready))
             .layer(Extension(context.clone()));
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -8,7 +8,6 @@
 use azurepath_decide::name::Name;
 use azurepath_wire::batch::{Call, Reply};
 use azurepath_wire::frame::Frame;
-use opentelemetry::metrics::Counter;
 use slog::{Logger, info};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
@@ -23,12 +22,11 @@
 use crate::connection::ping::Timing;
 use crate::connection::stream::{Reader, Writer};
 use crate::metrics::{Cluster, Metrics};
-use crate::process::stop::Inflight;
 use crate::settings::cluster::Settings;
 
 /// How often a connection between instances is pinged. A silent connection is detected within the
 /// interval and the timeout, well under the time that clients wait.
-const PING_TIMING: Timing = Timing {
+pub(super) const PING_TIMING: Timing = Timing {
     interval: Duration::from_millis(400),
     timeout: Duration::from_millis(400),
 };
@@ -252,9 +250,6 @@
 pub(super) struct Service {
     pub(super) route: Route,
     pub(super) counts: Arc<Cluster>,
-    pub(super) faults: Counter<u64>,
-    pub(super) connections: Inflight,
-    pub(super) log: Logger,
 }
 
 impl Serve for Service {
@@ -262,22 +257,6 @@
         self.clone()
     }
 
-    fn ping_timing(&self) -> Timing {
-        PING_TIMING
-    }
-
-    fn log(&self) -> &Logger {
-        &self.log
-    }
-
-    fn connections(&self) -> &Inflight {
-        &self.connections
-    }
-
-    fn faults(&self) -> &Counter<u64> {
-        &self.faults
-    }
-
     async fn answer(&self, reader: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
         let call = match reader.frame().await? {
             Frame::Call(call) => *call,
--- a/crates/server/src/connection/listener.rs
+++ b/crates/server/src/connection/listener.rs
@@ -27,7 +27,6 @@
 use super::stream::{Reader, Writer};
 use super::transport::{self, Transport};
 use super::{Error, call, tuning};
-use crate::metrics::Metrics;
 use crate::process::clock::Clock;
 use crate::process::engine::{self, Submission};
 use crate::process::stop::Inflight;
@@ -44,18 +43,6 @@
     /// Returns a service for one new connection.
     fn for_connection(&self) -> Self;
 
-    /// Returns the timing of pings.
-    fn ping_timing(&self) -> Timing;
-
-    /// Returns the logger.
-    fn log(&self) -> &Logger;
-
-    /// Returns the counts of open connections.
-    fn connections(&self) -> &Inflight;
-
-    /// Returns the counter of calls that could not be served.
-    fn faults(&self) -> &Counter<u64>;
-
     /// Reads one call and answers it.
     ///
     /// # Errors
@@ -68,6 +55,19 @@
     ) -> impl Future<Output = Result<(), Error>> + Send;
 }
 
+/// How the connections of a listener are watched.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The timing of pings.
+    pub ping_timing: Timing,
+    /// Counts the open connections.
+    pub connections: Inflight,
+    /// Counts the calls that could not be served.
+    pub faults: Counter<u64>,
+    /// The logger.
+    pub log: Logger,
+}
+
 /// Serves the calls of the other servers of the fleet.
 #[derive(Clone)]
 pub struct Service {
@@ -83,32 +83,30 @@
     pub control: mpsc::Sender<Control>,
     /// Counts the requests in flight.
     pub inflight: Inflight,
-    /// Counts the open connections.
-    pub connections: Inflight,
-    /// The timing of pings.
-    pub ping_timing: Timing,
     /// The longest accepted payload in bytes.
     pub payload_limit: u64,
     /// The last summary that was received over the connection.
     pub last_summary: Arc<Mutex<Option<Summary>>>,
-    /// The logger.
-    pub log: Logger,
-    /// The metrics.
-    pub metrics: Arc<Metrics>,
 }
 
 /// Accepts connections of peers until `halt`, then waits until the open ones are closed.
-pub async fn run(listener: TcpListener, service: impl Serve + Sync, halt: CancellationToken) {
+pub async fn run(
+    listener: TcpListener,
+    service: impl Serve + Sync,
+    setup: Setup,
+    halt: CancellationToken,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             () = halt.cancelled() => break,
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    connections.spawn(serve(socket, service.clone(), halt.clone()));
+                    let service = service.for_connection();
+                    connections.spawn(serve(socket, service, setup.clone(), halt.clone()));
                 }
                 Err(error) => {
-                    debug!(service.log(), "accept failed"; "error" => %error);
+                    debug!(setup.log, "accept failed"; "error" => %error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -118,8 +116,13 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve(socket: TcpStream, service: impl Serve + Sync, halt: CancellationToken) {
-    let _guard = service.connections().enter("peers");
+async fn serve(
+    socket: TcpStream,
+    service: impl Serve + Sync,
+    setup: Setup,
+    halt: CancellationToken,
+) {
+    let _guard = setup.connections.enter("peers");
     // The socket also works without `TCP_NODELAY`, only slower.
     let _ = socket.set_nodelay(true);
     let opening = async {
@@ -138,18 +141,17 @@
         opened = timeout(HANDSHAKE_TIMEOUT, opening) => opened,
     };
     let Ok(Some(mut connection)) = opened else {
-        service.faults().add(1, &[]);
+        setup.faults.add(1, &[]);
         return;
     };
     let Some(pings) = connection.ping_pong() else {
         return;
     };
-    let service = service.for_connection();
     let mut streams = JoinSet::new();
-    let watch = ping::watch(pings, service.ping_timing(), Arc::new(Notify::new()));
+    let watch = ping::watch(pings, setup.ping_timing, Arc::new(Notify::new()));
     tokio::pin!(watch);
     let halted = tokio::select! {
-        () = accept(&mut connection, &service, &mut streams) => false,
+        () = accept(&mut connection, &service, &setup, &mut streams) => false,
         _ = &mut watch => false,
         () = halt.cancelled() => true,
     };
@@ -157,7 +159,7 @@
         // Finished answers are still sent, unless the peer no longer answers pings.
         connection.graceful_shutdown();
         tokio::select! {
-            () = accept(&mut connection, &service, &mut streams) => {}
+            () = accept(&mut connection, &service, &setup, &mut streams) => {}
             _ = &mut watch => {}
         }
     }
@@ -168,6 +170,7 @@
 async fn accept(
     connection: &mut Connection<Transport, Bytes>,
     service: &(impl Serve + Sync),
+    setup: &Setup,
     streams: &mut JoinSet<()>,
 ) {
     loop {
@@ -176,7 +179,7 @@
                 let Some(Ok((request, response))) = accepted else {
                     return;
                 };
-                streams.spawn(stream(request, response, service.clone()));
+                streams.spawn(stream(request, response, service.clone(), setup.clone()));
             }
             Some(_) = streams.join_next(), if !streams.is_empty() => {}
         }
@@ -187,6 +190,7 @@
     request: Request<RecvStream>,
     mut response: SendResponse<Bytes>,
     service: impl Serve + Sync,
+    setup: Setup,
 ) {
     if request.uri().path() != call::PATH {
         let mut head = Response::new(());
@@ -198,11 +202,11 @@
     let mut writer = Writer::answer(response);
     let mut reader = Reader::new(request.into_body());
     if let Err(error) = service.answer(&mut reader, &mut writer).await {
-        service.faults().add(1, &[]);
+        setup.faults.add(1, &[]);
         // `Error::Ended` is not logged: when a task of the peer ends, it drops all its calls, which
         // may be thousands.
         if !matches!(error, Error::Ended) {
-            debug!(service.log(), "stream of a peer failed"; "error" => %error);
+            debug!(setup.log, "stream of a peer failed"; "error" => %error);
         }
         let fault = Frame::Fault(Fault {
             kind: "unserved".to_owned(),
@@ -221,22 +225,6 @@
         }
     }
 
-    fn ping_timing(&self) -> Timing {
-        self.ping_timing
-    }
-
-    fn log(&self) -> &Logger {
-        &self.log
-    }
-
-    fn connections(&self) -> &Inflight {
-        &self.connections
-    }
-
-    fn faults(&self) -> &Counter<u64> {
-        &self.metrics.peer_faults
-    }
-
     async fn answer(&self, reader: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
         let reply = match reader.frame().await? {
             Frame::Submit(task) => return self.run(task, false, reader, writer).await,
--- a/crates/server/src/process/server.rs
+++ b/crates/server/src/process/server.rs
@@ -306,14 +306,16 @@
             jobs: process.jobs.clone(),
             control,
             inflight: process.inflight.clone(),
-            connections: Inflight::default(),
-            ping_timing,
             payload_limit,
             last_summary: Arc::default(),
+        };
+        let setup = listener::Setup {
+            ping_timing,
+            connections: Inflight::default(),
+            faults: process.metrics.peer_faults.clone(),
             log: process.log.clone(),
-            metrics: process.metrics.clone(),
         };
-        tasks.spawn(listener::run(peers, service, halt.clone()));
+        tasks.spawn(listener::run(peers, service, setup, halt.clone()));
         let reader = instances::Reader {
             list: process.platform.instances.clone(),
             sender: self.instances,
--- a/crates/server/tests/answer_packets.rs
+++ b/crates/server/tests/answer_packets.rs
@@ -1,19 +1,16 @@
 //! How many packets an answer to another server takes.
 
+#[path = "support/setup.rs"]
+mod setup;
+
 use std::sync::Arc;
-use std::time::Duration;
 
 use azurepath_server::connection::Error;
 use azurepath_server::connection::listener::{self, Serve};
-use azurepath_server::connection::ping::Timing;
 use azurepath_server::connection::stream::{Reader, Writer};
-use azurepath_server::metrics::Metrics;
-use azurepath_server::process::stop::Inflight;
 use azurepath_wire::frame::Frame;
 use futures::poll;
 use http::Request;
-use opentelemetry::metrics::Counter;
-use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -23,9 +20,6 @@
 struct Gated {
     gate: Arc<Notify>,
     called: Arc<Notify>,
-    connections: Inflight,
-    faults: Counter<u64>,
-    log: Logger,
 }
 
 impl Serve for Gated {
@@ -33,25 +27,6 @@
         self.clone()
     }
 
-    fn ping_timing(&self) -> Timing {
-        Timing {
-            interval: Duration::from_secs(60),
-            timeout: Duration::from_secs(60),
-        }
-    }
-
-    fn log(&self) -> &Logger {
-        &self.log
-    }
-
-    fn connections(&self) -> &Inflight {
-        &self.connections
-    }
-
-    fn faults(&self) -> &Counter<u64> {
-        &self.faults
-    }
-
     async fn answer(&self, _: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
         self.called.notify_one();
         self.gate.notified().await;
@@ -64,14 +39,16 @@
     let service = Gated {
         gate: Arc::default(),
         called: Arc::default(),
-        connections: Inflight::default(),
-        faults: Metrics::new()?.peer_faults,
-        log: Logger::root(Discard, o!()),
     };
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let halt = CancellationToken::new();
-    tokio::spawn(listener::run(listener, service.clone(), halt.clone()));
+    tokio::spawn(listener::run(
+        listener,
+        service.clone(),
+        setup::without_pings()?,
+        halt.clone(),
+    ));
     let socket = TcpStream::connect(address).await?;
     let (client, mut connection) = h2::client::handshake(socket).await?;
     let mut pings = connection.ping_pong().expect("it was not taken before");
--- a/crates/server/tests/compressed_connection.rs
+++ b/crates/server/tests/compressed_connection.rs
@@ -1,22 +1,19 @@
 //! Connections between servers over narrow links.
 
+#[path = "support/setup.rs"]
+mod setup;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use async_compression::tokio::bufread::DeflateDecoder;
 use async_compression::tokio::write::DeflateEncoder;
 use azurepath_server::connection::Error;
 use azurepath_server::connection::listener::{self, Serve};
-use azurepath_server::connection::ping::Timing;
 use azurepath_server::connection::stream::{Reader, Writer};
-use azurepath_server::metrics::Metrics;
-use azurepath_server::process::stop::Inflight;
 use azurepath_wire::codec;
 use azurepath_wire::frame::{Document, Frame};
 use http::Request;
-use opentelemetry::metrics::Counter;
-use slog::{Discard, Logger, o};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, BufReader, join};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::io::{InspectReader, InspectWriter};
@@ -26,36 +23,13 @@
 
 /// Returns each frame to its sender.
 #[derive(Clone)]
-struct Echo {
-    connections: Inflight,
-    faults: Counter<u64>,
-    log: Logger,
-}
+struct Echo;
 
 impl Serve for Echo {
     fn for_connection(&self) -> Echo {
         self.clone()
     }
 
-    fn ping_timing(&self) -> Timing {
-        Timing {
-            interval: Duration::from_secs(60),
-            timeout: Duration::from_secs(60),
-        }
-    }
-
-    fn log(&self) -> &Logger {
-        &self.log
-    }
-
-    fn connections(&self) -> &Inflight {
-        &self.connections
-    }
-
-    fn faults(&self) -> &Counter<u64> {
-        &self.faults
-    }
-
     async fn answer(&self, reader: &mut Reader, writer: &mut Writer) -> Result<(), Error> {
         let frame = reader.frame().await?;
         writer.send(&frame, true).await
@@ -90,15 +64,15 @@
     Arc<AtomicUsize>,
     CancellationToken,
 )> {
-    let service = Echo {
-        connections: Inflight::default(),
-        faults: Metrics::new()?.peer_faults,
-        log: Logger::root(Discard, o!()),
-    };
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let halt = CancellationToken::new();
-    tokio::spawn(listener::run(listener, service, halt.clone()));
+    tokio::spawn(listener::run(
+        listener,
+        Echo,
+        setup::without_pings()?,
+        halt.clone(),
+    ));
     let (reader, writer) = TcpStream::connect(address).await?.into_split();
     let bytes = Arc::new(AtomicUsize::new(0));
     let count = |bytes: &Arc<AtomicUsize>| {
