Splits the ways to the workers and the leader by what they do

What happens to a worker is an event everywhere, and no longer news in some places. No change of behaviour.

--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -1,5 +1,7 @@
 //! The task that drives the scheduler while this instance leads.
 
+mod call;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,8 +11,7 @@
 use azurepath_decide::batch::fleet::{Contact, Entry};
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
-use azurepath_decide::batch::{Action, Answer, JobId, StartOutcome, StepId};
-use azurepath_decide::name::Name;
+use azurepath_decide::batch::{Action, StartOutcome, StepId};
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
 use azurepath_wire::batch::{Call, News, Reply};
@@ -21,6 +22,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::call::Poll;
 use super::clock::{self, Authority};
 use super::links::{Links, Started};
 use super::peer::Pending;
@@ -50,16 +52,10 @@
 /// that may run on an unreachable worker are started elsewhere only after it has expired.
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
-/// How long the leader holds a poll for a question.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
-
 /// How long a write may take before new jobs are refused at once. Their clients would get no
 /// answer in time.
 const MAX_WRITE_TIME: Duration = Duration::from_millis(800);
 
-/// The time after which clients may retry if their jobs can't be stored, in milliseconds.
-const STORE_RETRY_AFTER_MS: u64 = 1_000;
-
 /// A message to the leader.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -111,13 +107,6 @@
     Failed,
 }
 
-/// An instance's poll for a question that waits for its reply.
-struct Poll {
-    instance: Name,
-    reply: oneshot::Sender<Reply>,
-    until: Instant,
-}
-
 /// The task that drives the scheduler.
 pub(super) struct Leader {
     context: Context,
@@ -125,7 +114,7 @@
     authority: Arc<Authority>,
     sender: mpsc::UnboundedSender<Message>,
     links: Links,
-    news: mpsc::UnboundedReceiver<renewal::Event>,
+    events: mpsc::UnboundedReceiver<renewal::Event>,
     started: mpsc::UnboundedReceiver<Started>,
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
     next_call: u64,
@@ -170,7 +159,7 @@
             sender: sender.clone(),
         };
         let authority = Arc::new(Authority::new(sent, AUTHORITY_DURATION));
-        let (news_sender, news) = mpsc::unbounded_channel();
+        let (event_sender, events) = mpsc::unbounded_channel();
         let (started_sender, started) = mpsc::unbounded_channel();
         let links = Links::new(
             context.clone(),
@@ -178,7 +167,7 @@
             lease,
             inherited_lease,
             authority.clone(),
-            news_sender,
+            event_sender,
             started_sender,
         );
         let leader = Leader {
@@ -186,7 +175,7 @@
             authority,
             sender,
             links,
-            news,
+            events,
             started,
             calls: BTreeMap::new(),
             next_call: 0,
@@ -241,10 +230,10 @@
                         self.handle(message);
                     }
                 }
-                Some(event) = self.news.recv() => {
+                Some(event) = self.events.recv() => {
                     self.handle_event(event);
                     for _ in 0..MAX_MESSAGES_PER_STEP {
-                        let Ok(event) = self.news.try_recv() else {
+                        let Ok(event) = self.events.try_recv() else {
                             break;
                         };
                         self.handle_event(event);
@@ -373,111 +362,6 @@
             .handle_start(worker, attempt, outcome, expires_ms);
     }
 
-    fn call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
-        match call {
-            Call::Submit {
-                job,
-                queue,
-                account,
-                spec,
-            } => {
-                if self.scheduler.state(job).is_none() {
-                    if !self.authority.holds() {
-                        send(reply, Reply::NotLeading);
-                        return;
-                    }
-                    if self.is_store_stalled() {
-                        let retry_after_ms = STORE_RETRY_AFTER_MS;
-                        send(reply, Reply::Refused { retry_after_ms });
-                        return;
-                    }
-                }
-                let call = self.register_call(reply);
-                let account = account.map(Name::from);
-                self.scheduler
-                    .submit(call, job, &Name::from(queue), account, spec);
-            }
-            Call::Cancel { job } => {
-                if self.is_unknown_for_sure(job) {
-                    send(reply, Reply::Unknown);
-                } else if self.scheduler.state(job).is_none() {
-                    send(reply, Reply::NotLeading);
-                } else {
-                    let call = self.register_call(reply);
-                    self.scheduler.cancel(call, job);
-                }
-            }
-            Call::State { job } => {
-                let answer = match self.scheduler.state(job) {
-                    Some(state) => Reply::State(state),
-                    None if self.is_unknown_for_sure(job) => Reply::Unknown,
-                    None => Reply::NotLeading,
-                };
-                send(reply, answer);
-            }
-            Call::Pending { queue } => {
-                send(reply, Reply::Pending(self.scheduler.pending(&queue)));
-            }
-            Call::Poll { instance, answered } => {
-                if let Some((step, advice)) = answered {
-                    self.scheduler.handle_advice(step, advice.as_ref());
-                }
-                let instance = Name::from(instance);
-                self.dispatcher.mark_idle(&instance, clock::now());
-                self.scheduler
-                    .set_advice_instances(self.dispatcher.instances());
-                self.polls.push_back(Poll {
-                    instance,
-                    reply,
-                    until: Instant::now() + POLL_WAIT,
-                });
-            }
-            Call::Carry {
-                instance,
-                link_kbps,
-            } => self.links.poll(&Name::from(instance), link_kbps, reply),
-            Call::Carried { epoch, outcomes } => {
-                self.links.carried(epoch, outcomes);
-                send(reply, Reply::Noted);
-            }
-            Call::Relay {
-                instance,
-                failure_domain,
-                capacity,
-                sequence,
-                epoch,
-                seen,
-                events,
-            } => {
-                let relay = self.links.relay(
-                    &Name::from(instance),
-                    &Name::from(failure_domain),
-                    capacity,
-                    sequence,
-                    (epoch, seen),
-                    events,
-                );
-                send(reply, Reply::Relay(relay));
-            }
-        }
-    }
-
-    fn register_call(&mut self, reply: oneshot::Sender<Reply>) -> u64 {
-        self.next_call += 1;
-        self.calls.insert(self.next_call, reply);
-        self.next_call
-    }
-
-    /// Tells whether there is no such job. Without its authority, this instance does not know what a
-    /// successor has accepted.
-    fn is_unknown_for_sure(&self, job: JobId) -> bool {
-        self.scheduler.state(job).is_none() && self.authority.holds()
-    }
-
-    fn is_store_stalled(&self) -> bool {
-        !self.writing.is_empty() && self.write_begun.elapsed() > MAX_WRITE_TIME
-    }
-
     /// Advances the scheduler, carries out its actions and starts the next write.
     fn step(&mut self) {
         self.scheduler.suspend(!self.authority.holds());
@@ -584,50 +468,4 @@
             Action::Resign => self.resigned = true,
         }
     }
-
-    fn answer(&mut self, call: u64, answer: &Answer) {
-        let Some(reply) = self.calls.remove(&call) else {
-            return;
-        };
-        let answer = match answer {
-            Answer::Accepted => Reply::Accepted,
-            Answer::Refused(pause) => Reply::Refused {
-                retry_after_ms: u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
-            },
-            Answer::Cancelled => Reply::Cancelled,
-            Answer::Unknown => Reply::Unknown,
-            Answer::TooLarge => Reply::TooLarge,
-        };
-        send(reply, answer);
-    }
-
-    /// Hands waiting questions to the polling instances.
-    fn answer_polls(&mut self) {
-        let now = clock::now();
-        let mut idle = VecDeque::new();
-        while self.dispatcher.waiting() > 0
-            && let Some(poll) = self.polls.pop_front()
-        {
-            match self.dispatcher.take(&poll.instance, now) {
-                Some(question) => send(poll.reply, Reply::Question(Some(question))),
-                None => idle.push_back(poll),
-            }
-        }
-        idle.append(&mut self.polls);
-        self.polls = idle;
-    }
-
-    fn expire_polls(&mut self) {
-        let now = Instant::now();
-        while self.polls.front().is_some_and(|poll| poll.until <= now) {
-            if let Some(poll) = self.polls.pop_front() {
-                send(poll.reply, Reply::Question(None));
-            }
-        }
-    }
-}
-
-/// Sends a reply, unless the caller has gone.
-fn send(reply: oneshot::Sender<Reply>, answer: Reply) {
-    let _ = reply.send(answer);
 }
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -1,4 +1,4 @@
-//! Renews workers on behalf of the leader and passes their news on.
+//! Renews workers on behalf of the leader and tells it what happens to them.
 //!
 //! The leader grants each instance a short time in which it may extend leases, never longer than the
 //! leader's own authority. An instance that was paused or has lost the leader extends none.
@@ -25,7 +25,7 @@
 /// The longest time that the leader lets others extend leases after one of their calls.
 pub(super) const MAX_GRANT: Duration = Duration::from_millis(2_000);
 
-/// The time between two calls of an instance that renews workers and has no news.
+/// The time between two calls of an instance that renews workers without events.
 const CALL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The time between two calls of an instance that renews no worker.
@@ -34,7 +34,7 @@
 /// The same if the leader renews all workers itself.
 const UNWANTED_INTERVAL: Duration = Duration::from_secs(5);
 
-/// The shortest time between two calls, in which news is collected.
+/// The shortest time between two calls, in which events are collected.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How long a call to the leader may take. If a busy link needed longer, each repetition would make
@@ -49,8 +49,8 @@
 /// only after their worker is lost.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The most news in one call.
-const MAX_NEWS: usize = 100;
+/// The most events in one call.
+const MAX_EVENTS: usize = 100;
 
 /// A worker that this instance renews.
 struct Held {
@@ -75,8 +75,8 @@
     seen: u64,
     authority: Arc<Authority>,
     workers: BTreeMap<u64, Held>,
-    /// The news of the workers. It belongs to one epoch, since each leader numbers the workers anew.
-    news: mpsc::UnboundedReceiver<Event>,
+    /// The events of the workers. They belong to one epoch, since each leader numbers the workers anew.
+    events: mpsc::UnboundedReceiver<Event>,
     sender: mpsc::UnboundedSender<Event>,
     lease: Duration,
     wanted: bool,
@@ -84,9 +84,9 @@
 
 impl Duty {
     fn new(epoch: u64) -> Duty {
-        let (sender, news) = mpsc::unbounded_channel();
+        let (sender, events) = mpsc::unbounded_channel();
         Duty {
-            news,
+            events,
             sender,
             epoch,
             seen: 0,
@@ -166,7 +166,7 @@
 
 impl Instance {
     async fn run(mut self, halt: &CancellationToken) {
-        let mut news = Vec::new();
+        let mut events = Vec::new();
         let mut route = self.context.route.clone();
         let mut called = Instant::now();
         loop {
@@ -176,31 +176,31 @@
                 () = route.changed() => {}
                 () = tokio::time::sleep_until(due) => {}
                 Some(_) = self.tasks.join_next() => continue,
-                event = self.duty.news.recv(), if news.len() < MAX_NEWS => {
+                event = self.duty.events.recv(), if events.len() < MAX_EVENTS => {
                     let event = event.filter(|event| self.duty.is_news(event));
                     if event.is_none() {
                         continue;
                     }
-                    news.extend(event);
+                    events.extend(event);
                     tokio::time::sleep_until(called + MIN_INTERVAL).await;
                 }
             }
-            while news.len() < MAX_NEWS
-                && let Ok(event) = self.duty.news.try_recv()
+            while events.len() < MAX_EVENTS
+                && let Ok(event) = self.duty.events.try_recv()
             {
                 if self.duty.is_news(&event) {
-                    news.push(event);
+                    events.push(event);
                 }
             }
             called = Instant::now();
             let sent = clock::now();
-            let call = self.call(&news);
+            let call = self.call(&events);
             let reply = tokio::select! {
                 () = halt.cancelled() => break,
                 reply = self.context.route.call(call, CALL_TIMEOUT) => reply,
             };
             if let Ok(Reply::Relay(relay)) = reply {
-                news.clear();
+                events.clear();
                 self.apply(relay, sent);
             }
         }
@@ -208,7 +208,7 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
-    fn call(&mut self, news: &[Event]) -> Call {
+    fn call(&mut self, events: &[Event]) -> Call {
         self.last_call.number += 1;
         let settings = self.context.settings();
         Call::Relay {
@@ -221,7 +221,7 @@
             sequence: self.last_call,
             epoch: self.duty.epoch,
             seen: self.duty.seen,
-            events: news.iter().map(Into::into).collect(),
+            events: events.iter().map(Into::into).collect(),
         }
     }
 
