Says when a submission is limited and when a write holds jobs back

A 503 for too many waiting submissions looked like one for want of a leader, and a 429 for a stalled write had no line at all and was missing from the refused jobs. Both have a line with the job's id and what decided it, and a counter.

--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -295,10 +295,17 @@
 /// Calls the leader once. A submission to another instance waits for a permit until `until`.
 async fn try_leader(context: &Context, call: &Call, until: Instant, deadline: Instant) -> Try {
     let mut permit = None;
-    if matches!(call, Call::Submit { .. }) && context.route.is_remote() {
+    if let Call::Submit { job, .. } = call
+        && context.route.is_remote()
+    {
         match context.limiter.acquire(until).await {
             Ok(granted) => permit = Some(granted),
-            Err(wait) => return Try::Limited(wait),
+            Err(wait) => {
+                context.counts.limited_submissions.add(1, &[]);
+                info!(context.log, "submission limited"; "job" => %job,
+                    "wait_ms" => wait.as_millis() as u64);
+                return Try::Limited(wait);
+            }
         }
     }
     let begun = Instant::now();
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -6,6 +6,8 @@
 use azurepath_decide::batch::{Answer, JobId};
 use azurepath_decide::name::Name;
 use azurepath_wire::batch::{Call, Reply};
+use opentelemetry::KeyValue;
+use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -99,9 +101,15 @@
         if !self.authority.holds() {
             return Some(Reply::NotLeading);
         }
+        if !self.is_store_stalled() {
+            return None;
+        }
+        let kind = KeyValue::new("kind", "refused");
+        self.context.counts.jobs.add(1, &[kind]);
+        info!(self.context.log, "job refused for a stalled write"; "job" => %job,
+            "epoch" => self.epoch, "write_ms" => self.write_begun.elapsed().as_millis() as u64);
         let retry_after_ms = STORE_RETRY_AFTER_MS;
-        self.is_store_stalled()
-            .then_some(Reply::Refused { retry_after_ms })
+        Some(Reply::Refused { retry_after_ms })
     }
 
     fn cancel(&mut self, job: JobId, reply: oneshot::Sender<Reply>) {
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -67,6 +67,8 @@
     pub refused_orders: Counter<u64>,
     /// Renewals of workers' leases that failed after a successful one.
     pub silent_workers: Counter<u64>,
+    /// Submissions that were not sent to the leader, since others wait before them.
+    pub limited_submissions: Counter<u64>,
     /// How often this instance became the leader.
     pub leads: Counter<u64>,
     /// Bytes sent and received, by kind of call and direction.
@@ -113,6 +115,7 @@
             lost_orders: counter("azurepath.orders.lost"),
             refused_orders: counter("azurepath.orders.refused"),
             silent_workers: counter("azurepath.workers.silent"),
+            limited_submissions: counter("azurepath.submissions.limited"),
             leads: counter("azurepath.leads"),
             bytes: counter("azurepath.bytes"),
             link: link::Meter::default(),
