Splits the simulated world of the batch scheduler's tests by job

tests/support/batch/world.rs had 677 lines and held the events and the clock, the faults, the workload, the workers with their gangs, the leader, its connections and the store. The delays, spans and probabilities that were bare numbers are named constants, an order to start is a struct instead of a tuple of six, and handling an event calls one function.

--- /dev/null
+++ b/crates/decide/tests/support/batch/world/calendar.rs
@@ -0,0 +1,80 @@
+//! What is going to happen, in the order of time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use azurepath_decide::batch::record::Change;
+use azurepath_decide::batch::report::Report;
+use azurepath_decide::batch::{Attempt, JobId, StartOutcome};
+use azurepath_decide::time::Time;
+
+/// What happens to the cluster. A `worker` is the scheduler's number of a worker, a `node` the
+/// simulation's.
+#[derive(Debug)]
+pub(super) enum Event {
+    Tick,
+    /// A client submits a job.
+    Submit(JobId),
+    /// An order to start reaches its worker.
+    Start(Order),
+    /// An order to stop reaches its worker: epoch, node, the birth of the incarnation that it was
+    /// sent to, and attempt.
+    Stop(u64, usize, Time, Attempt),
+    /// The leader renews a lease: epoch and worker.
+    Renew(u64, usize),
+    /// The leader learns the outcome of an order to start: epoch, worker, attempt, outcome, and the
+    /// order's expiry by the worker's clock in milliseconds.
+    Started(u64, usize, Attempt, StartOutcome, u64),
+    /// A report reaches the leader: epoch, worker, the time of the renewal, and the report.
+    Report(u64, usize, Time, Report),
+    /// The leader gets no answer to a renewal: epoch and worker.
+    Silent(u64, usize),
+    /// A batch of changes reaches the store.
+    Stored(Vec<Change>),
+    /// The leader learns that its last batch is stored: epoch.
+    Written(u64),
+    /// The next leader claims.
+    Takeover,
+}
+
+/// An order to start a task.
+#[derive(Clone, Debug)]
+pub(super) struct Order {
+    pub(super) epoch: u64,
+    pub(super) node: usize,
+    /// The birth of the incarnation that it was sent to.
+    pub(super) born: Time,
+    pub(super) attempt: Attempt,
+    /// When it expires, by the worker's clock.
+    pub(super) until_ms: u64,
+    pub(super) is_answered: bool,
+}
+
+/// The events to come. Those of the same time happen in the order in which they were added.
+#[derive(Default)]
+pub(super) struct Calendar {
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    last_id: u64,
+}
+
+impl Calendar {
+    /// Returns a number that no event and no call of a client has had.
+    pub(super) fn new_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    pub(super) fn add(&mut self, at: Time, event: Event) {
+        let id = self.new_id();
+        self.events.insert(id, event);
+        self.queue.push(Reverse((at, id)));
+    }
+
+    /// Removes the next event.
+    pub(super) fn next(&mut self) -> Option<(Time, Event)> {
+        let Reverse((at, id)) = self.queue.pop()?;
+        let event = self.events.remove(&id)?;
+        Some((at, event))
+    }
+}
