Gives the openings of the tests of incomplete gangs names

Most tests of incomplete_gangs.rs repeated that two of three members run, and two that all orders were lost. Gang::with_running and Gang::ordered_again say it.

Nothing else changes: the calls are the same in the same order.

--- a/crates/decide/tests/incomplete_gangs.rs
+++ b/crates/decide/tests/incomplete_gangs.rs
@@ -63,6 +63,24 @@
         }
     }
 
+    /// A gang of which the members on these workers run, as the scheduler knows.
+    fn with_running(workers: &[usize]) -> Gang {
+        let mut gang = Gang::ordered();
+        for &worker in workers {
+            gang.handle(worker, StartOutcome::Running);
+        }
+        gang
+    }
+
+    /// A gang whose orders all were lost, so that all members were ordered to start again.
+    fn ordered_again() -> Gang {
+        let mut gang = Gang::ordered();
+        gang.advance_to(LOST_AFTER_MS);
+        (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Lost));
+        gang.advance_to(STOP_BY_MS);
+        gang
+    }
+
     fn handle(&mut self, worker: usize, outcome: StartOutcome) {
         let expires_ms = self.bench.clock_ms() + ORDER_VALIDITY_MS;
         let attempt = self.members[worker];
@@ -139,18 +157,14 @@
 
 #[test]
 fn unanswered_order() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.advance_to(STOP_BY_MS);
     gang.assert_stopped(&[0, 1, 2]);
 }
 
 #[test]
 fn outcomes_never_delivered() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.advance_to(LOST_AFTER_MS);
     gang.handle(2, StartOutcome::Lost);
     gang.advance_to(STOP_BY_MS);
@@ -162,9 +176,7 @@
 
 #[test]
 fn expired_order() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     for _ in 0..3 {
         gang.handle(2, StartOutcome::Lost);
     }
@@ -184,9 +196,7 @@
 
 #[test]
 fn refused_second_order() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.handle(2, StartOutcome::Lost);
     gang.advance();
     gang.restarts.clear();
@@ -198,9 +208,7 @@
 
 #[test]
 fn removed_worker() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.bench.scheduler.remove_worker(2);
     gang.advance();
     gang.assert_stopped(&[0, 1]);
@@ -208,10 +216,7 @@
 
 #[test]
 fn expired_lease() {
-    let mut gang = Gang::ordered();
-    for worker in 0..WORKERS {
-        gang.handle(worker, StartOutcome::Running);
-    }
+    let mut gang = Gang::with_running(&[0, 1, 2]);
     gang.bench.scheduler.mark_silent(2);
     gang.bench.scheduler.expire_leases(2);
     gang.advance();
@@ -220,9 +225,7 @@
 
 #[test]
 fn member_ended_before_others_started() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.report(1, None, Some(Outcome::Lapsed));
     gang.advance();
     gang.assert_stopped(&[0, 2]);
@@ -230,10 +233,7 @@
 
 #[test]
 fn all_orders_delayed() {
-    let mut gang = Gang::ordered();
-    gang.advance_to(LOST_AFTER_MS);
-    (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Lost));
-    gang.advance_to(STOP_BY_MS);
+    let mut gang = Gang::ordered_again();
     // The second orders are carried out.
     assert_eq!(gang.restarts.len(), WORKERS);
     (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Running));
@@ -243,10 +243,7 @@
 
 #[test]
 fn late_first_member() {
-    let mut gang = Gang::ordered();
-    gang.advance_to(LOST_AFTER_MS);
-    (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Lost));
-    gang.advance_to(STOP_BY_MS);
+    let mut gang = Gang::ordered_again();
     gang.restarts.clear();
     gang.handle(0, StartOutcome::Running);
     // It may have begun a second ago.
@@ -256,19 +253,14 @@
 
 #[test]
 fn complete_gang() {
-    let mut gang = Gang::ordered();
-    for worker in 0..WORKERS {
-        gang.handle(worker, StartOutcome::Running);
-    }
+    let mut gang = Gang::with_running(&[0, 1, 2]);
     gang.advance_to(10_000);
     assert!(gang.stops.is_empty());
 }
 
 #[test]
 fn complete_but_unconfirmed_gang() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.advance_to(500);
     gang.report(0, Some(0.0), None);
     gang.advance_to(1_000);
@@ -280,9 +272,7 @@
 
 #[test]
 fn starts_again_as_whole() {
-    let mut gang = Gang::ordered();
-    gang.handle(0, StartOutcome::Running);
-    gang.handle(1, StartOutcome::Running);
+    let mut gang = Gang::with_running(&[0, 1]);
     gang.advance_to(LOST_AFTER_MS);
     gang.handle(2, StartOutcome::Lost);
     gang.advance_to(STOP_BY_MS);
