Names the unfinished call and the stop in the tests of a stop

instance_stop.rs began three tests with the same instance and call, and signalled and noted the time in seven. with_unfinished_call and stop do so now.

Nothing else changes; the time is noted before the signal as it was.

--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -31,11 +31,26 @@
     Ok(stream)
 }
 
+/// Starts an instance with a call whose body does not come.
+async fn with_unfinished_call(cluster: &Cluster) -> Result<(Process, TcpStream)> {
+    let instance = cluster.instance("a").await?;
+    let call = begin_call(instance.http, 1).await?;
+    until(async || calls_in_flight(&instance).await == Some(1)).await;
+    Ok((instance, call))
+}
+
 async fn calls_in_flight(instance: &Process) -> Option<u64> {
     let metrics = address(instance, "metrics").ok()?;
     get(metrics, "/dump").await.ok()?.json()["in_flight"].as_u64()
 }
 
+/// Asks an instance to stop and returns the time.
+fn stop(instance: &Process) -> Result<Instant> {
+    let asked = Instant::now();
+    instance.signal("TERM")?;
+    Ok(asked)
+}
+
 /// Waits until a stop that was asked for at `asked` has ended, and checks that it took less than
 /// the grace period.
 async fn stops_in_time(instance: &mut Process, asked: Instant) -> Result<()> {
@@ -49,9 +64,7 @@
 #[tokio::test]
 async fn unfinished_call_not_in_log() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    let instance = cluster.instance("a").await?;
-    let _call = begin_call(instance.http, 1).await?;
-    until(async || calls_in_flight(&instance).await == Some(1)).await;
+    let (instance, _call) = with_unfinished_call(&cluster).await?;
     instance.signal("TERM")?;
     until(async || {
         let events = instance.log();
@@ -67,8 +80,7 @@
     let cluster = Cluster::start(1)?;
     let mut instance = cluster.instance("a").await?;
     let mut idle = TcpStream::connect(instance.http).await?;
-    let asked = Instant::now();
-    instance.signal("TERM")?;
+    let asked = stop(&instance)?;
     tokio::time::sleep(Duration::from_millis(2_100)).await;
     let answer = submit(instance.http, &id(1), &job_body(1, 10, false)).await?;
     assert_eq!(answer.status, 503);
@@ -80,11 +92,8 @@
 #[tokio::test]
 async fn unfinished_call_past_grace() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    let mut instance = cluster.instance("a").await?;
-    let _call = begin_call(instance.http, 1).await?;
-    until(async || calls_in_flight(&instance).await == Some(1)).await;
-    let asked = Instant::now();
-    instance.signal("TERM")?;
+    let (mut instance, _call) = with_unfinished_call(&cluster).await?;
+    let asked = stop(&instance)?;
     stops_in_time(&mut instance, asked).await
 }
 
@@ -101,19 +110,15 @@
         .await?;
     submit_until(&[&instance], &id(1), &job_body(1, 10, false)).await;
     let _question = advice.accept().await?;
-    let asked = Instant::now();
-    instance.signal("TERM")?;
+    let asked = stop(&instance)?;
     stops_in_time(&mut instance, asked).await
 }
 
 #[tokio::test]
 async fn silent_peer_past_grace() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    let mut instance = cluster.instance("a").await?;
-    let _call = begin_call(instance.http, 1).await?;
-    until(async || calls_in_flight(&instance).await == Some(1)).await;
-    let asked = Instant::now();
-    instance.signal("TERM")?;
+    let (mut instance, _call) = with_unfinished_call(&cluster).await?;
+    let asked = stop(&instance)?;
     tokio::time::sleep(Duration::from_millis(4_800)).await;
     let _peer = TcpStream::connect(instance.peers).await?;
     stops_in_time(&mut instance, asked).await
@@ -133,13 +138,11 @@
     let body = job_body(1, 10, false);
     let ids: Vec<String> = (0..8).map(id).collect();
     let calls = futures::future::join_all(ids.iter().map(|id| submit(at, id, &body)));
-    let stop = async {
+    let stopped = async {
         until(async || calls_in_flight(&instance).await > Some(0)).await;
-        let asked = Instant::now();
-        instance.signal("TERM")?;
-        anyhow::Ok(asked)
+        stop(&instance)
     };
-    let (answers, asked) = tokio::join!(calls, stop);
+    let (answers, asked) = tokio::join!(calls, stopped);
     for answer in answers {
         assert!([429, 503, 504].contains(&answer?.status.as_u16()));
     }
@@ -159,8 +162,7 @@
         .instance_through("a", store.address, store.address)
         .await?;
     until(async || instance.logged("leadership claimed").is_some()).await;
-    let asked = Instant::now();
-    instance.signal("TERM")?;
+    let asked = stop(&instance)?;
     stops_in_time(&mut instance, asked).await
 }
 
@@ -172,13 +174,11 @@
     let [leader, follower] = &mut instances;
     let clients = (0..8).map(|client| keep_calling(follower.http, client));
     let clients = futures::future::join_all(clients);
-    let stop = async {
+    let stopped = async {
         tokio::time::sleep(Duration::from_millis(500)).await;
-        let asked = Instant::now();
-        follower.signal("TERM")?;
-        anyhow::Ok(asked)
+        stop(follower)
     };
-    let (answered, asked) = tokio::join!(clients, stop);
+    let (answered, asked) = tokio::join!(clients, stopped);
     for answered in answered {
         assert!(answered? > 1);
     }
