Names the leader whose worker is taken in the tests of relayed events

Two tests of relayed_events.rs began with the same five lines, passed address, epoch and worker number to each call, and named neither the 1 in each call, the change that the instance has seen. A struct Leader holds them, and the 1 is FIRST_CHANGE.

Nothing else changes; numbers, epoch and order of the events are the same. Shown with faults in the working tree only: repeated_lapse fails when events that were handled before are handled again, lapse_after_start when each report of a lapse is believed (worker_of in links.rs); both pass without.

--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -24,6 +24,9 @@
 /// Settings of a leader that needs others for its workers.
 const SMALL: &str = "cores = 0.001\n";
 
+/// The number of a leader's first change, which gives the instance a worker.
+const FIRST_CHANGE: u64 = 1;
+
 /// The path of calls between instances.
 const PATH: &str = "/azurepath";
 
@@ -90,6 +93,39 @@
     attached.unwrap_or_default()
 }
 
+/// A leader that has given its only worker to the instance that the test plays.
+struct Leader {
+    process: Process,
+    peers: SocketAddr,
+    epoch: u64,
+    /// The number under which the worker is renewed.
+    serial: u64,
+}
+
+impl Leader {
+    async fn start(cluster: &Cluster) -> Result<Leader> {
+        let process = cluster.instance_with("a", SMALL).await?;
+        let peers = address(&process, "peers")?;
+        let (epoch, serial) = take_worker(peers).await;
+        Ok(Leader {
+            process,
+            peers,
+            epoch,
+            serial,
+        })
+    }
+
+    /// Makes a call with news of the worker, of which the first has the number `first`.
+    async fn relay(&self, first: u64, news: &[News]) -> Result<Relay> {
+        let events = events(self.serial, first, news.iter().cloned());
+        relay(self.peers, self.epoch, FIRST_CHANGE, &events).await
+    }
+
+    fn count(&self, message: &str) -> usize {
+        count(&self.process, message)
+    }
+}
+
 /// Numbers news of a worker.
 fn events(serial: u64, first: u64, news: impl IntoIterator<Item = News>) -> Vec<Event> {
     let number = |(number, news)| Event {
@@ -137,25 +173,22 @@
 #[tokio::test]
 async fn repeated_lapse() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    let leader = cluster.instance_with("a", SMALL).await?;
-    let peers = address(&leader, "peers")?;
-    let (epoch, serial) = take_worker(peers).await;
+    let leader = Leader::start(&cluster).await?;
     let report = report(&cluster.fleet.workers[0]).await?;
-    let news = [
+    let first = [
         News::Report(report.clone()),
         silent(),
         News::Lapsed,
         News::Report(report),
     ];
-    let first = events(serial, 1, news);
     // The reply to the first call is lost, so the instance makes it again.
-    relay(peers, epoch, 1, &first).await?;
-    until(async || count(&leader, "worker claimed") == 2).await;
-    relay(peers, epoch, 1, &first).await?;
-    relay(peers, epoch, 1, &events(serial, 5, [silent()])).await?;
-    until(async || count(&leader, "worker silent") >= 2).await;
-    assert_eq!(count(&leader, "worker leases expired"), 1);
-    assert_eq!(count(&leader, "worker claimed"), 2);
+    leader.relay(1, &first).await?;
+    until(async || leader.count("worker claimed") == 2).await;
+    leader.relay(1, &first).await?;
+    leader.relay(5, &[silent()]).await?;
+    until(async || leader.count("worker silent") >= 2).await;
+    assert_eq!(leader.count("worker leases expired"), 1);
+    assert_eq!(leader.count("worker claimed"), 2);
     Ok(())
 }
 
@@ -163,19 +196,16 @@
 #[tokio::test]
 async fn lapse_after_start() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    let leader = cluster.instance_with("a", SMALL).await?;
-    let peers = address(&leader, "peers")?;
-    let (epoch, serial) = take_worker(peers).await;
+    let leader = Leader::start(&cluster).await?;
     let worker = &cluster.fleet.workers[0];
     let claimed = News::Report(report(worker).await?);
-    relay(peers, epoch, 1, &events(serial, 1, [claimed])).await?;
-    submit_until(&[&leader], &id(1), &job_body(1, 60_000, false)).await;
+    leader.relay(1, &[claimed]).await?;
+    submit_until(&[&leader.process], &id(1), &job_body(1, 60_000, false)).await;
     until(async || cluster.fleet.started_runs() == 1).await;
     let running = News::Report(report(worker).await?);
-    let lapse = events(serial, 2, [silent(), News::Lapsed, running]);
-    relay(peers, epoch, 1, &lapse).await?;
-    until(async || count(&leader, "worker claimed") == 2).await;
-    assert_eq!(count(&leader, "task lost"), 0);
+    leader.relay(2, &[silent(), News::Lapsed, running]).await?;
+    until(async || leader.count("worker claimed") == 2).await;
+    assert_eq!(leader.count("task lost"), 0);
     Ok(())
 }
 
