Takes apart the play of returning clients

submission_limit.rs played clients, instances and the link in one function of 75 lines, with a second, a half and a fifth of a second as bare numbers. A struct Play has a function for each step, and the numbers are constants.

--- a/crates/decide/tests/submission_limit.rs
+++ b/crates/decide/tests/submission_limit.rs
@@ -17,19 +17,23 @@
 /// How long a client waits for an answer, in milliseconds.
 const PATIENCE_MS: u64 = 2_700;
 
-/// How long a submission may wait in its instance, in milliseconds.
-const WAIT_MS: u64 = 1_200;
+/// The time until a client comes again, in milliseconds.
+const RETURN_MS: u64 = 1_000;
+
+/// How long a submission may wait in its instance.
+const MAX_WAIT: Duration = Duration::from_millis(1_200);
 
 const CLIENTS_PER_INSTANCE: usize = 100;
 
+/// How long the clients come, in milliseconds.
 const DAY_MS: u64 = 20_000;
 
 /// A submission on the leader's link.
 struct Packet {
     instance: usize,
-    sent: u64,
+    sent_ms: u64,
     /// When its client stops waiting.
-    deadline: u64,
+    deadline_ms: u64,
 }
 
 /// What callers got.
@@ -40,93 +44,147 @@
     late: usize,
 }
 
-/// Plays clients that come again a second after each answer, refusal or timeout.
-fn play(limits: &mut [Option<Limit>]) -> Tally {
-    let mut tally = Tally::default();
-    let mut link: VecDeque<Packet> = VecDeque::new();
-    // For each instance, when the submissions that wait in it came.
-    let mut waiting: Vec<VecDeque<u64>> = Vec::new();
-    waiting.resize_with(INSTANCES, VecDeque::new);
-    let mut arrivals: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
-    let everyone = (0..INSTANCES).flat_map(|instance| [instance; CLIENTS_PER_INSTANCE]);
-    arrivals.insert(0, everyone.collect());
-    let mut credit = 0;
-    for now in 0..DAY_MS {
-        let time = Time::from_millis(now);
-        for instance in arrivals.remove(&now).unwrap_or_default() {
-            let queue = &mut waiting[instance];
-            let wait = limits[instance]
-                .as_ref()
-                .map_or(Duration::ZERO, |limit| limit.expected_wait(queue.len()));
-            if wait > Duration::from_millis(WAIT_MS) {
-                tally.refused += 1;
-                arrivals.entry(now + 1_000).or_default().push(instance);
-            } else {
-                queue.push_back(now);
+/// An instance that passes submissions on to the leader.
+#[derive(Default)]
+struct Instance {
+    /// Limits how many of its submissions are under way, if set.
+    limit: Option<Limit>,
+    /// When the submissions that wait in it came.
+    waiting: VecDeque<u64>,
+}
+
+/// Clients, instances and the leader's link.
+struct Play {
+    now_ms: u64,
+    instances: Vec<Instance>,
+    /// The instances that clients will come to, by time.
+    arrivals: BTreeMap<u64, Vec<usize>>,
+    link: VecDeque<Packet>,
+    /// The bytes that the link may carry at once.
+    credit: usize,
+    tally: Tally,
+}
+
+impl Play {
+    /// Returns a play in which all clients come at once.
+    fn new(limit: Option<&Limit>) -> Play {
+        let instance = || Instance {
+            limit: limit.cloned(),
+            ..Instance::default()
+        };
+        let everyone = (0..INSTANCES).flat_map(|instance| [instance; CLIENTS_PER_INSTANCE]);
+        Play {
+            now_ms: 0,
+            instances: (0..INSTANCES).map(|_| instance()).collect(),
+            arrivals: BTreeMap::from([(0, everyone.collect())]),
+            link: VecDeque::new(),
+            credit: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Plays the clients, which come again after each answer, refusal or timeout.
+    fn run(mut self) -> Tally {
+        for now_ms in 0..DAY_MS {
+            self.now_ms = now_ms;
+            for instance in self.arrivals.remove(&now_ms).unwrap_or_default() {
+                self.arrive(instance);
             }
+            (0..INSTANCES).for_each(|instance| self.forward(instance));
+            self.carry();
         }
-        for (instance, queue) in waiting.iter_mut().enumerate() {
-            while let Some(&since) = queue.front() {
-                if now - since > WAIT_MS {
-                    queue.pop_front();
-                    tally.refused += 1;
-                    arrivals.entry(now + 1_000).or_default().push(instance);
-                    continue;
-                }
-                if limits[instance]
-                    .as_mut()
-                    .is_some_and(|limit| !limit.acquire())
-                {
-                    break;
-                }
-                let deadline = since + PATIENCE_MS;
-                queue.pop_front();
-                link.push_back(Packet {
-                    instance,
-                    sent: now,
-                    deadline,
-                });
+        self.tally
+    }
+
+    fn come_again(&mut self, instance: usize) {
+        let at = self.now_ms + RETURN_MS;
+        self.arrivals.entry(at).or_default().push(instance);
+    }
+
+    fn refuse(&mut self, instance: usize) {
+        self.tally.refused += 1;
+        self.come_again(instance);
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        let waiting = instance.waiting.len();
+        let wait = match &instance.limit {
+            Some(limit) => limit.expected_wait(waiting),
+            None => Duration::ZERO,
+        };
+        if wait > MAX_WAIT {
+            self.refuse(number);
+        } else {
+            instance.waiting.push_back(self.now_ms);
+        }
+    }
+
+    /// Refuses what has waited too long in an instance, and sends what its limit allows.
+    fn forward(&mut self, number: usize) {
+        while let Some(&since_ms) = self.instances[number].waiting.front() {
+            let instance = &mut self.instances[number];
+            if Duration::from_millis(self.now_ms - since_ms) > MAX_WAIT {
+                instance.waiting.pop_front();
+                self.refuse(number);
+                continue;
+            }
+            if instance
+                .limit
+                .as_mut()
+                .is_some_and(|limit| !limit.acquire())
+            {
+                break;
             }
+            instance.waiting.pop_front();
+            self.link.push_back(Packet {
+                instance: number,
+                sent_ms: self.now_ms,
+                deadline_ms: since_ms + PATIENCE_MS,
+            });
         }
-        credit += LINK_BYTES_PER_MS;
-        while credit >= SUBMISSION_BYTES
-            && let Some(packet) = link.pop_front()
+    }
+
+    /// Carries submissions to the leader, which answers at once.
+    fn carry(&mut self) {
+        self.credit += LINK_BYTES_PER_MS;
+        while self.credit >= SUBMISSION_BYTES
+            && let Some(packet) = self.link.pop_front()
         {
-            credit -= SUBMISSION_BYTES;
-            let in_time = now <= packet.deadline;
-            tally.answered += usize::from(in_time);
-            tally.late += usize::from(!in_time);
-            if let Some(limit) = &mut limits[packet.instance] {
-                let took = Duration::from_millis(now - packet.sent);
-                limit.release(Outcome::Answered(took), time);
+            self.credit -= SUBMISSION_BYTES;
+            let in_time = self.now_ms <= packet.deadline_ms;
+            self.tally.answered += usize::from(in_time);
+            self.tally.late += usize::from(!in_time);
+            if let Some(limit) = &mut self.instances[packet.instance].limit {
+                let took = Duration::from_millis(self.now_ms - packet.sent_ms);
+                limit.release(Outcome::Answered(took), Time::from_millis(self.now_ms));
             }
-            let again = arrivals.entry(now + 1_000).or_default();
-            again.push(packet.instance);
+            self.come_again(packet.instance);
         }
-        if link.is_empty() {
-            credit = credit.min(SUBMISSION_BYTES);
+        if self.link.is_empty() {
+            self.credit = self.credit.min(SUBMISSION_BYTES);
         }
     }
-    tally
 }
 
 /// Without a bound the submissions wait on the link, and many arrive after their clients have left.
 #[test]
 fn returning_clients() {
     let capacity = DAY_MS as usize * LINK_BYTES_PER_MS / SUBMISSION_BYTES;
-    let mut limits: Vec<Option<Limit>> = vec![Some(Limit::default()); INSTANCES];
-    let tally = play(&mut limits);
+    let tally = Play::new(Some(&Limit::default())).run();
     assert_eq!(tally.late, 0, "{tally:?}");
     assert!(tally.answered * 10 >= capacity * 9, "{tally:?}");
-    let unbounded = play(&mut vec![None; INSTANCES]);
+    let unbounded = Play::new(None).run();
     assert!(unbounded.late > unbounded.answered / 10, "{unbounded:?}");
 }
 
-/// Five submissions a second on each instance, and a store that makes the leader answer each after
-/// half a second.
+/// The store makes the leader answer late, and the submissions of an instance don't wait for that.
 #[test]
 fn slow_store() {
-    let took = Duration::from_millis(500);
+    /// The time between two submissions to one instance, and between a submission and its answer.
+    const INTERVAL_MS: u64 = 200;
+    const ANSWER_MS: u64 = 500;
+    let took = Duration::from_millis(ANSWER_MS);
     let mut limit = Limit::default();
     let mut answers: VecDeque<u64> = VecDeque::new();
     let mut waiting = 0_usize;
@@ -135,12 +193,12 @@
             answers.pop_front();
             limit.release(Outcome::Answered(took), Time::from_millis(now));
         }
-        waiting += usize::from(now % 200 == 0);
+        waiting += usize::from(now % INTERVAL_MS == 0);
         let wait = limit.expected_wait(waiting);
-        assert!(wait < Duration::from_millis(WAIT_MS), "{wait:?} at {now}");
+        assert!(wait < MAX_WAIT, "{wait:?} at {now}");
         while waiting > 0 && limit.acquire() {
             waiting -= 1;
-            answers.push_back(now + 500);
+            answers.push_back(now + ANSWER_MS);
         }
     }
 }
