Says what workers report in the tests of gangs after a takeover

takeover_gangs.rs reported with a boolean and an optional outcome, and used a run, the time of the takeover and its steps as bare numbers; making the successor took 40 lines. An enum Member says what is reported, the numbers are constants, and what is stored is a function of its own. takeover_limits.rs and store_rows.rs take the wait of gangs from the bench instead of repeating its three seconds.

Nothing else changes. Shown with faults in the working tree only: incomplete_gang fails when a successor does not adopt gangs (inherit_assembly not called), and both tests when it stops adopted gangs before all workers have reported.

--- a/crates/decide/tests/store_rows.rs
+++ b/crates/decide/tests/store_rows.rs
@@ -18,7 +18,7 @@
 use azurepath_decide::batch::{Action, Answer, Attempt, Decision, JobId, StartOutcome, State};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
-use bench::{Bench, JOB, entry, queue, single};
+use bench::{Bench, GANG_WAIT, JOB, entry, queue, single};
 
 /// How many tasks fit onto a worker of the bench.
 const TASKS: u32 = 3 * BLOCK_TASKS;
@@ -84,7 +84,7 @@
         epoch,
         origin_ms: 0,
         takeover_grace: Duration::ZERO,
-        gang_wait: Duration::from_secs(3),
+        gang_wait: GANG_WAIT,
     };
     Scheduler::new(setup, Time::from_millis(1_000), config, stored)
 }
--- a/crates/decide/tests/takeover_gangs.rs
+++ b/crates/decide/tests/takeover_gangs.rs
@@ -18,28 +18,61 @@
 
 const WORKERS: usize = 3;
 
+/// The run of the members that the predecessor has ordered to start.
+const RUN: u64 = 5;
+
+/// The time of the takeover, in milliseconds.
+const TAKEOVER_MS: u64 = 1_000;
+
+/// The time between two steps of the scheduler, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// A time after which the members of a gang no longer wait for each other, in milliseconds.
+const LATER_MS: u64 = 20_000;
+
+/// What a worker reports about its member of the gang.
+enum Member {
+    Runs,
+    Stopped,
+    Unknown,
+}
+
+/// Returns the time of a step of the scheduler after the takeover, in milliseconds.
+fn step_ms(number: u64) -> u64 {
+    TAKEOVER_MS + number * STEP_MS
+}
+
+/// Returns the attempt of the gang's member on a worker.
 fn attempt(worker: usize) -> Attempt {
     let step = StepId { job: JOB, step: 0 };
     let index = worker as u32;
     Attempt {
         task: TaskId { step, index },
-        run: 5,
+        run: RUN,
     }
 }
 
-/// A successor of a scheduler that has ordered a gang of three to start on three workers.
-fn successor() -> Scheduler {
-    let workers = (0..WORKERS).map(|number| Entry {
+/// Returns what the predecessor has stored: workers, and a job whose gang takes one each.
+fn stored() -> Stored {
+    let worker = |number| Entry {
         id: Name::from(format!("w{number}")),
         ..entry()
-    });
-    let workers: Vec<Entry> = workers.collect();
+    };
     let record = Record::Open(Submission {
         queue: Name::from("checks"),
         account: None,
         accepted_ms: 0,
-        spec: gang(3, 5_000),
+        spec: gang(WORKERS as u32, 5_000),
     });
+    Stored {
+        jobs: vec![(JOB, record)],
+        blocks: Vec::new(),
+        roster: (0..WORKERS).map(worker).collect(),
+    }
+}
+
+/// A successor of a scheduler that has ordered a gang of three to start on three workers.
+fn successor() -> Scheduler {
     let config = Config {
         version: 1,
         queues: vec![queue()],
@@ -51,12 +84,10 @@
         takeover_grace: Duration::from_secs(8),
         gang_wait: GANG_WAIT,
     };
-    let stored = Stored {
-        jobs: vec![(JOB, record)],
-        blocks: Vec::new(),
-        roster: workers.clone(),
-    };
-    let mut scheduler = Scheduler::new(setup, Time::from_millis(1_000), Arc::new(config), stored);
+    let stored = stored();
+    let workers = stored.roster.clone();
+    let now = Time::from_millis(TAKEOVER_MS);
+    let mut scheduler = Scheduler::new(setup, now, Arc::new(config), stored);
     scheduler.update_registry(workers);
     while scheduler.next_batch(|_| Fit::Taken) {
         scheduler.batch_stored();
@@ -64,23 +95,29 @@
     scheduler
 }
 
-fn report(scheduler: &mut Scheduler, worker: usize, runs: bool, end: Option<Outcome>) {
+fn report(scheduler: &mut Scheduler, worker: usize, member: &Member) {
+    let attempt = attempt(worker);
     let running = Running {
-        attempt: attempt(worker),
+        attempt,
         checkpoint: None,
         progress: 0.0,
     };
-    let end = end.map(|outcome| End {
+    let end = End {
         number: 1,
-        attempt: attempt(worker),
-        outcome,
+        attempt,
+        outcome: Outcome::Stopped,
         checkpoint: None,
-    });
+    };
+    let (running, ended) = match member {
+        Member::Runs => (vec![running], vec![]),
+        Member::Stopped => (vec![], vec![end]),
+        Member::Unknown => (vec![], vec![]),
+    };
     let report = Report {
-        clock_ms: 1_000,
+        clock_ms: TAKEOVER_MS,
         born_ms: 1,
-        running: runs.then_some(running).into_iter().collect(),
-        ended: end.into_iter().collect(),
+        running,
+        ended,
     };
     scheduler.report(worker, &report);
 }
@@ -103,14 +140,14 @@
 #[test]
 fn incomplete_gang() {
     let mut scheduler = successor();
-    report(&mut scheduler, 0, true, None);
-    report(&mut scheduler, 1, true, None);
-    assert_eq!(orders(&mut scheduler, 1_010), (vec![], vec![]));
-    report(&mut scheduler, 2, false, None);
-    assert_eq!(orders(&mut scheduler, 1_020), (vec![0, 1], vec![]));
-    report(&mut scheduler, 0, false, Some(Outcome::Stopped));
-    report(&mut scheduler, 1, false, Some(Outcome::Stopped));
-    let (stops, starts) = orders(&mut scheduler, 1_030);
+    report(&mut scheduler, 0, &Member::Runs);
+    report(&mut scheduler, 1, &Member::Runs);
+    assert_eq!(orders(&mut scheduler, step_ms(1)), (vec![], vec![]));
+    report(&mut scheduler, 2, &Member::Unknown);
+    assert_eq!(orders(&mut scheduler, step_ms(2)), (vec![0, 1], vec![]));
+    report(&mut scheduler, 0, &Member::Stopped);
+    report(&mut scheduler, 1, &Member::Stopped);
+    let (stops, starts) = orders(&mut scheduler, step_ms(3));
     assert_eq!((stops, starts.len()), (vec![], WORKERS));
 }
 
@@ -118,9 +155,9 @@
 fn complete_gang() {
     let mut scheduler = successor();
     for worker in 0..WORKERS {
-        report(&mut scheduler, worker, true, None);
-        let now_ms = 1_010 + worker as u64 * 10;
+        report(&mut scheduler, worker, &Member::Runs);
+        let now_ms = step_ms(1 + worker as u64);
         assert_eq!(orders(&mut scheduler, now_ms), (vec![], vec![]));
     }
-    assert_eq!(orders(&mut scheduler, 20_000), (vec![], vec![]));
+    assert_eq!(orders(&mut scheduler, LATER_MS), (vec![], vec![]));
 }
--- a/crates/decide/tests/takeover_limits.rs
+++ b/crates/decide/tests/takeover_limits.rs
@@ -16,7 +16,7 @@
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
-use bench::{JOB, entry, queue, single};
+use bench::{GANG_WAIT, JOB, entry, queue, single};
 
 const GRACE_MS: u64 = 8_000;
 
@@ -69,7 +69,7 @@
         epoch: 2,
         origin_ms: 0,
         takeover_grace: Duration::from_millis(GRACE_MS),
-        gang_wait: Duration::from_secs(3),
+        gang_wait: GANG_WAIT,
     };
     let stored = Stored {
         jobs: vec![(JOB, record)],
