--- a/crates/decide/tests/incomplete_gangs.rs
+++ b/crates/decide/tests/incomplete_gangs.rs
@@ -24,6 +24,9 @@
 /// The latest time at which the stop of a gang leaves its members time to end, in milliseconds.
 const STOP_BY_MS: u64 = 2_000;
 
+/// Long after members of a gang would have given up waiting, in milliseconds.
+const LONG_AFTER_MS: u64 = 10_000;
+
 /// A gang with a member on each of three workers.
 struct Gang {
     bench: Bench,
@@ -237,7 +240,7 @@
     // The second orders are carried out.
     assert_eq!(gang.restarts.len(), WORKERS);
     (0..WORKERS).for_each(|worker| gang.handle(worker, StartOutcome::Running));
-    gang.advance_to(10_000);
+    gang.advance_to(LONG_AFTER_MS);
     assert!(gang.stops.is_empty());
 }
 
@@ -254,7 +257,7 @@
 #[test]
 fn complete_gang() {
     let mut gang = Gang::with_running(&[0, 1, 2]);
-    gang.advance_to(10_000);
+    gang.advance_to(LONG_AFTER_MS);
     assert!(gang.stops.is_empty());
 }
 
@@ -266,7 +269,7 @@
     gang.advance_to(1_000);
     // A member works only once all have started.
     gang.report(0, Some(0.1), None);
-    gang.advance_to(10_000);
+    gang.advance_to(LONG_AFTER_MS);
     assert!(gang.stops.is_empty());
 }
 
