Makes the settings of an instance behind a proxy in one way

Cluster::instance_through replaced text in the finished settings where instance_via wrote them, and it was not said that the address of instance_via is that of the advice service too. settings_via takes both addresses. In the proxy the narrow link has a name, and the buffer of the others is a constant.

Nothing else changes; the settings files have the same text.

--- a/crates/server/tests/support/cluster.rs
+++ b/crates/server/tests/support/cluster.rs
@@ -32,16 +32,18 @@
     }
 
     pub fn settings(&self, name: &str) -> String {
-        self.settings_via(name, self.fleet.store.address())
+        let direct = self.fleet.store.address();
+        self.settings_via(name, direct, direct)
     }
 
-    /// Returns the settings of an instance that reaches the store at an address.
-    fn settings_via(&self, name: &str, store: SocketAddr) -> String {
+    /// Returns the settings of an instance that reaches the store and the advice service at these
+    /// addresses.
+    fn settings_via(&self, name: &str, store: SocketAddr, advice: SocketAddr) -> String {
         format!(
             "[server]\nname = {name}\nregion = r\nfailure_domain = a\n\
              http = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
              [cluster]\nready = 127.0.0.1:0\nmetrics = 127.0.0.1:0\nstore = {store}\n\
-             advice = {store}\nlease = 6000ms\ngrace = 6s\n"
+             advice = {advice}\nlease = 6000ms\ngrace = 6s\n"
         )
     }
 
@@ -63,10 +65,11 @@
         self.start_instance(&path).await
     }
 
-    /// Starts an instance that reaches the store at an address.
+    /// Starts an instance that reaches the store and the advice service at one other address, and
+    /// waits until it leads or knows the leader.
     pub async fn instance_via(&self, name: &str, store: SocketAddr, more: &str) -> Result<Process> {
         let path = self.directory.join(format!("{name}.ini"));
-        std::fs::write(&path, self.settings_via(name, store) + more)?;
+        std::fs::write(&path, self.settings_via(name, store, store) + more)?;
         self.start_instance(&path).await
     }
 
@@ -87,13 +90,8 @@
         store: SocketAddr,
         advice: SocketAddr,
     ) -> Result<Process> {
-        let direct = self.fleet.store.address();
-        let settings = self
-            .settings(name)
-            .replace(&format!("store = {direct}"), &format!("store = {store}"))
-            .replace(&format!("advice = {direct}"), &format!("advice = {advice}"));
         let path = self.directory.join(format!("{name}.ini"));
-        std::fs::write(&path, settings)?;
+        std::fs::write(&path, self.settings_via(name, store, advice))?;
         Process::start(&path).await
     }
 
--- a/crates/server/tests/support/proxy.rs
+++ b/crates/server/tests/support/proxy.rs
@@ -13,9 +13,12 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
-/// The most bytes that are relayed at a time. On a narrow link the connections take turns.
+/// The most bytes that are relayed at a time on a narrow link, where connections take turns.
 const PACKET_BYTES: usize = 1_500;
 
+/// The most bytes that are relayed at a time on a link that isn't narrow.
+const BUFFER_BYTES: usize = 64 << 10;
+
 /// What the relay does to the traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -46,6 +49,10 @@
         })
     }
 
+    fn is_narrow(&self) -> bool {
+        self.bytes_per_s.is_finite()
+    }
+
     /// Waits until the bytes have passed the link.
     async fn pass(&self, bytes: usize) {
         let until = {
@@ -172,10 +179,10 @@
     lane: &Lane,
     is_backward: bool,
 ) {
-    let buffer_bytes = if lane.bytes_per_s.is_finite() {
+    let buffer_bytes = if lane.is_narrow() {
         PACKET_BYTES
     } else {
-        64 << 10
+        BUFFER_BYTES
     };
     let mut buffer = vec![0; buffer_bytes];
     loop {
@@ -195,7 +202,7 @@
             // The bytes that were read are lost.
             Fault::OneWay | Fault::Silence => std::future::pending().await,
         }
-        if lane.bytes_per_s.is_finite() {
+        if lane.is_narrow() {
             lane.pass(count).await;
         }
         if to.write_all(&buffer[..count]).await.is_err() {
