Names times, lengths and counts in the server's new tests

instance_stop, narrow_link, platform_path (no_orders_without_authority), store_limits, carried_traffic and relayed_events had bare numbers: waits of 2100, 4800 and 500 ms, rows and payloads, a link's speed as a product of fractions, 36 runs of 12 jobs, 3 workers. They are constants with units and what they are for. link_meter says from which part of its link a direction is busy.

Nothing else changes; all values are the same.

--- a/crates/server/tests/carried_traffic.rs
+++ b/crates/server/tests/carried_traffic.rs
@@ -11,6 +11,17 @@
 
 const WORKERS: usize = 8;
 
+const JOBS: u64 = 12;
+
+const TASKS_PER_JOB: u32 = 3;
+
+/// The runs if each task is started once.
+const RUNS: usize = JOBS as usize * TASKS_PER_JOB as usize;
+
+/// Links so narrow that connections between instances are compressed.
+const LEADER_LINK: &str = "link = 0.1\n";
+const OTHER_LINK: &str = "link = 2\n";
+
 /// Starts a small instance, which leads, and two others.
 async fn start_three(cluster: &Cluster) -> Result<Vec<Process>> {
     let leader = cluster.instance_with("a", SMALL).await?;
@@ -33,10 +44,10 @@
 }
 
 async fn submit_all(instances: &[Process], millis: u64) -> Vec<String> {
-    let ids: Vec<String> = (0..12).map(id).collect();
+    let ids: Vec<String> = (0..JOBS).map(id).collect();
     let all: Vec<&Process> = instances.iter().collect();
     for (number, id) in ids.iter().enumerate() {
-        submit_until(&all, id, &job_body(3, millis, number % 3 == 0)).await;
+        submit_until(&all, id, &job_body(TASKS_PER_JOB, millis, number % 3 == 0)).await;
     }
     ids
 }
@@ -48,7 +59,7 @@
     let ids = submit_all(&instances, 40).await;
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     let metrics = get(address(&instances[0], "metrics")?, "/metrics").await?;
     let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
@@ -57,18 +68,17 @@
     Ok(())
 }
 
-/// The links are so narrow that connections between instances are compressed.
 #[tokio::test]
 async fn narrow_links() -> Result<()> {
     let cluster = Cluster::start(WORKERS)?;
-    let leader = cluster.instance_with("a", "link = 0.1\n").await?;
-    let other = cluster.instance_with("b", "link = 2\n").await?;
+    let leader = cluster.instance_with("a", LEADER_LINK).await?;
+    let other = cluster.instance_with("b", OTHER_LINK).await?;
     until(async || renews(&other).await.unwrap_or(false)).await;
     let instances = [leader, other];
     let ids = submit_all(&instances, 40).await;
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     Ok(())
 }
@@ -79,12 +89,12 @@
     let cluster = Cluster::start(WORKERS)?;
     let mut instances = start_three(&cluster).await?;
     let ids = submit_all(&instances, 2_500).await;
-    until(async || cluster.fleet.started_runs() == 36).await;
+    until(async || cluster.fleet.started_runs() == RUNS).await;
     instances[1].kill()?;
     instances.remove(1);
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     Ok(())
 }
@@ -95,14 +105,14 @@
     let cluster = Cluster::start(WORKERS)?;
     let instances = start_three(&cluster).await?;
     let ids = submit_all(&instances, 3_500).await;
-    until(async || cluster.fleet.started_runs() == 36).await;
+    until(async || cluster.fleet.started_runs() == RUNS).await;
     instances[1].signal("STOP")?;
     until(async || instances[0].logged("workers taken back").is_some()).await;
     tokio::time::sleep(std::time::Duration::from_millis(800)).await;
     instances[1].signal("CONT")?;
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     Ok(())
 }
@@ -112,12 +122,12 @@
     let cluster = Cluster::start(WORKERS)?;
     let mut instances = start_three(&cluster).await?;
     let ids = submit_all(&instances, 2_500).await;
-    until(async || cluster.fleet.started_runs() == 36).await;
+    until(async || cluster.fleet.started_runs() == RUNS).await;
     instances[0].kill()?;
     instances.remove(0);
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     Ok(())
 }
@@ -127,13 +137,13 @@
     let cluster = Cluster::start(WORKERS)?;
     let mut instances = start_three(&cluster).await?;
     let ids = submit_all(&instances, 2_500).await;
-    until(async || cluster.fleet.started_runs() == 36).await;
+    until(async || cluster.fleet.started_runs() == RUNS).await;
     let mut leader = instances.remove(0);
     leader.signal("TERM")?;
     let all: Vec<&Process> = instances.iter().collect();
     cluster.wait_until_completed(&all, &ids).await;
     assert!(leader.wait().await?.success());
-    assert_eq!(cluster.fleet.started_runs(), 36);
+    assert_eq!(cluster.fleet.started_runs(), RUNS);
     assert_eq!(cluster.fleet.duplicate_runs(), 0);
     Ok(())
 }
--- a/crates/server/tests/instance_stop.rs
+++ b/crates/server/tests/instance_stop.rs
@@ -20,6 +20,23 @@
 /// How long a stop may take, as in the settings of the instances.
 const GRACE: Duration = Duration::from_secs(6);
 
+/// How long after the request to stop a client submits a job, which is refused by then.
+const LATE_CALL_AFTER: Duration = Duration::from_millis(2_100);
+
+/// How long after the request to stop a peer connects, late in the grace period.
+const LATE_PEER_AFTER: Duration = Duration::from_millis(4_800);
+
+/// How long clients call before one of their instances is asked to stop.
+const CALLS_BEFORE_STOP: Duration = Duration::from_millis(500);
+
+/// How long the advice service may take, in milliseconds: longer than the grace period.
+const SLOW_ADVICE_MS: u64 = 10_000;
+
+/// Stored jobs that take a new leader long to read through a slow link.
+const ROWS: u64 = 100;
+const ROW_BYTES: usize = 30_000;
+const LINK_DELAY: Duration = Duration::from_millis(200);
+
 /// Sends the head of a submission and the first byte of its body.
 async fn begin_call(at: SocketAddr, number: u64) -> Result<TcpStream> {
     let mut stream = TcpStream::connect(at).await?;
@@ -81,7 +98,7 @@
     let mut instance = cluster.instance("a").await?;
     let mut idle = TcpStream::connect(instance.http).await?;
     let asked = stop(&instance)?;
-    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    tokio::time::sleep(LATE_CALL_AFTER).await;
     let answer = submit(instance.http, &id(1), &job_body(1, 10, false)).await?;
     assert_eq!(answer.status, 503);
     stops_in_time(&mut instance, asked).await?;
@@ -103,7 +120,7 @@
     let advice = TcpListener::bind("127.0.0.1:0").await?;
     let store = cluster.fleet.store.address();
     let mut slow = configuration(2, &[KEY]);
-    slow["routes"][0]["hint"]["decideMs"] = 10_000.into();
+    slow["routes"][0]["hint"]["decideMs"] = SLOW_ADVICE_MS.into();
     cluster.fleet.store.put("op", "config", &slow);
     let mut instance = cluster
         .instance_through("a", store, advice.local_addr()?)
@@ -119,7 +136,7 @@
     let cluster = Cluster::start(1)?;
     let (mut instance, _call) = with_unfinished_call(&cluster).await?;
     let asked = stop(&instance)?;
-    tokio::time::sleep(Duration::from_millis(4_800)).await;
+    tokio::time::sleep(LATE_PEER_AFTER).await;
     let _peer = TcpStream::connect(instance.peers).await?;
     stops_in_time(&mut instance, asked).await
 }
@@ -152,12 +169,12 @@
 #[tokio::test]
 async fn takeover_past_grace() -> Result<()> {
     let cluster = Cluster::start(1)?;
-    for number in 0..100 {
-        let row = [0; 30_000];
+    for number in 0..ROWS {
+        let row = [0; ROW_BYTES];
         cluster.fleet.store.put_bytes("jobs", &id(number), &row);
     }
     let store = Proxy::start(cluster.fleet.store.address()).await?;
-    store.set_fault(Fault::Delay(Duration::from_millis(200)));
+    store.set_fault(Fault::Delay(LINK_DELAY));
     let mut instance = cluster
         .instance_through("a", store.address, store.address)
         .await?;
@@ -166,7 +183,7 @@
     stops_in_time(&mut instance, asked).await
 }
 
-/// Clients that keep their connections and send on them until they are told to close.
+/// The clients keep their connections and send on them until they are told to close.
 #[tokio::test]
 async fn answer_cut_on_open_connection() -> Result<()> {
     let cluster = Cluster::start(4)?;
@@ -175,7 +192,7 @@
     let clients = (0..8).map(|client| keep_calling(follower.http, client));
     let clients = futures::future::join_all(clients);
     let stopped = async {
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(CALLS_BEFORE_STOP).await;
         stop(follower)
     };
     let (answered, asked) = tokio::join!(clients, stopped);
--- a/crates/server/tests/link_meter.rs
+++ b/crates/server/tests/link_meter.rs
@@ -6,7 +6,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// The speed of the link in kbit/s; a second carries 250,000 bytes.
+/// The speed of the link in kbit/s. A second carries 250,000 bytes; a direction gets busy at 75% of
+/// them and idle at 50%.
 const LINK_KBPS: u64 = 2_000;
 
 #[test]
--- a/crates/server/tests/narrow_link.rs
+++ b/crates/server/tests/narrow_link.rs
@@ -8,7 +8,6 @@
 use azurepath_standin::cluster::{KEY, configuration};
 use proxy::Proxy;
 use support::cluster::{Cluster, id, state, submit_until};
-
 use support::{Process, until};
 
 /// The speed of a link of 2 Mbit/s.
@@ -20,13 +19,19 @@
 /// The length of a configuration in bytes.
 const CONFIGURATION_BYTES: usize = 262_144;
 
+/// The speed of a link that carries the configuration, in base64, in two seconds.
+const CONFIGURATION_LINK_BYTES_PER_S: f64 = CONFIGURATION_BYTES as f64 * 4.0 / 3.0 / 2.0;
+
+/// The length of a job's payload in bytes.
+const PAYLOAD_BYTES: usize = 3_900;
+
 /// Jobs that take three seconds and more on the link.
 const JOBS: u64 = 160;
 
 /// Submits jobs with long payloads, which wait for workers, at the same time.
 async fn submit_all(instance: &Process) -> Vec<String> {
     let body = serde_json::json!({
-        "spec": "x".repeat(3_900),
+        "spec": "x".repeat(PAYLOAD_BYTES),
         "phases": [{"count": 2, "cpu": 500, "memMb": 256, "estMs": 1_000}],
     });
     let body = body.to_string();
@@ -38,6 +43,7 @@
     ids
 }
 
+/// Returns how often an instance has claimed the leadership.
 fn claims(instance: &Process) -> usize {
     let is_claim = |event: &&serde_json::Value| event["msg"] == "leadership claimed";
     instance.log().iter().filter(is_claim).count()
@@ -78,7 +84,7 @@
     Ok(())
 }
 
-/// The longest configuration that the users announce, and a link that carries it in two seconds.
+/// The longest configuration that the users announce.
 #[tokio::test]
 async fn configuration_too_long_for_link() -> Result<()> {
     let cluster = Cluster::start(0)?;
@@ -87,7 +93,7 @@
     configuration["limits"] = serde_json::json!({ "unused": unused });
     cluster.fleet.store.put("op", "config", &configuration);
     let store = cluster.fleet.store.address();
-    let link = Proxy::start_narrow(store, CONFIGURATION_BYTES as f64 * 4.0 / 3.0 / 2.0).await?;
+    let link = Proxy::start_narrow(store, CONFIGURATION_LINK_BYTES_PER_S).await?;
     cluster.instance_via("a", link.address, NARROW).await?;
     Ok(())
 }
--- a/crates/server/tests/platform_path.rs
+++ b/crates/server/tests/platform_path.rs
@@ -14,6 +14,12 @@
 /// How long a leader may give orders after its last write.
 const AUTHORITY: std::time::Duration = std::time::Duration::from_secs(4);
 
+/// How long a task runs that ends after the leader's authority has, and within its lease.
+const LONG_TASK_MS: u64 = 5_500;
+
+/// How long the store stays down after the leader's authority has ended.
+const OUTAGE_PAST_AUTHORITY: std::time::Duration = std::time::Duration::from_secs(3);
+
 /// Returns the index of the leading instance.
 fn leader(instances: &[Process]) -> usize {
     let leads = |process: &Process| {
@@ -246,10 +252,10 @@
 async fn no_orders_without_authority() -> Result<()> {
     let cluster = Cluster::start(4)?;
     let instance = cluster.instance("a").await?;
-    let phase = serde_json::json!({"count": 1, "cpu": 500, "memMb": 256, "estMs": 5_500});
+    let phase = serde_json::json!({"count": 1, "cpu": 500, "memMb": 256, "estMs": LONG_TASK_MS});
     let mut next = phase.clone();
     next["after"] = serde_json::json!([0]);
-    let job = serde_json::json!({"spec": "5500", "phases": [phase, next]});
+    let job = serde_json::json!({"spec": LONG_TASK_MS.to_string(), "phases": [phase, next]});
     submit_until(&[&instance], &id(1), &job.to_string()).await;
     until(async || cluster.fleet.started_runs() == 1).await;
     let down = Injection {
@@ -257,8 +263,7 @@
         ..Injection::default()
     };
     cluster.fleet.store.set_faults(down);
-    // The first task ends after the authority has, and within its lease.
-    tokio::time::sleep(AUTHORITY + std::time::Duration::from_secs(3)).await;
+    tokio::time::sleep(AUTHORITY + OUTAGE_PAST_AUTHORITY).await;
     cluster.fleet.store.set_faults(Injection::default());
     cluster.wait_until_completed(&[&instance], &[id(1)]).await;
     let events = instance.log();
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -21,6 +21,9 @@
 use support::cluster::{Cluster, address, id, job_body, submit_until};
 use support::{Process, call, until};
 
+/// The workers of a leader that gives all of them to one instance.
+const WORKERS: usize = 3;
+
 /// Settings of a leader that needs others for its workers.
 const SMALL: &str = "cores = 0.001\n";
 
@@ -209,7 +212,7 @@
     Ok(())
 }
 
-/// Returns the workers that an instance is told to renew.
+/// Returns the number of workers that an instance is told to renew.
 fn attached(relay: &Relay) -> usize {
     let is_attach = |change: &&(u64, RelayChange)| matches!(change.1, RelayChange::Attach { .. });
     relay.changes.iter().filter(is_attach).count()
@@ -217,17 +220,17 @@
 
 #[tokio::test]
 async fn overtaken_call() -> Result<()> {
-    let cluster = Cluster::start(3)?;
+    let cluster = Cluster::start(WORKERS)?;
     let leader = cluster.instance_with("a", SMALL).await?;
     let peers = address(&leader, "peers")?;
     let mut given = None;
     until(async || {
         let reply = relay(peers, 0, 0, &[]).await.ok();
-        given = reply.filter(|reply| attached(reply) == 3);
+        given = reply.filter(|reply| attached(reply) == WORKERS);
         given.is_some()
     })
     .await;
-    let given = given.context("three workers were given")?;
+    let given = given.context("all workers were given")?;
     let seen = given.changes.last().map_or(0, |(number, _)| *number);
     relay(peers, given.epoch, seen, &[]).await?;
     let first = Sequence {
@@ -244,7 +247,7 @@
     until(async || {
         number += 1;
         let reply = relay_as(restarted(number), peers, given.epoch, seen, &[]).await;
-        reply.is_ok_and(|reply| attached(&reply) == 3)
+        reply.is_ok_and(|reply| attached(&reply) == WORKERS)
     })
     .await;
     Ok(())
--- a/crates/server/tests/store_limits.rs
+++ b/crates/server/tests/store_limits.rs
@@ -10,6 +10,12 @@
 
 use azurepath_standin::cluster::KEY;
 
+/// The length of a payload that makes up most of its job's row, in bytes.
+const PAYLOAD_BYTES: usize = 3_000;
+
+/// How long the task with that payload runs.
+const TASK_MS: u64 = 1_500;
+
 /// Registers workers that can't be reached beside those that run.
 fn register(cluster: &Cluster, count: usize) {
     let entry = cluster.fleet.workers[0].entry();
@@ -98,8 +104,8 @@
 async fn long_payload_fills_the_leaders_link() -> Result<()> {
     let cluster = Cluster::start(2)?;
     let mut instance = cluster.instance("a").await?;
-    let mut body: serde_json::Value = serde_json::from_str(&job_body(1, 1_500, false))?;
-    let payload = format!("1500{}", " ".repeat(3_000));
+    let mut body: serde_json::Value = serde_json::from_str(&job_body(1, TASK_MS, false))?;
+    let payload = format!("{TASK_MS}{}", " ".repeat(PAYLOAD_BYTES));
     body["spec"] = payload.clone().into();
     submit_until(&[&instance], &id(1), &body.to_string()).await;
     let row = cluster.fleet.store.value("jobs", &id(1));
