Logs what a busy leader spends its time on

`leader busy` tells it once for each second of which the process was busy for three quarters; the same as metrics. The scheduler counts its passes, visits to steps and the steps that wait.

--- a/crates/decide/src/batch/journal.rs
+++ b/crates/decide/src/batch/journal.rs
@@ -61,6 +61,11 @@
         self.writing.len()
     }
 
+    /// Returns how many rows wait for a write.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the first row that waits for a write.
     pub(super) fn first(&self) -> Option<&Row> {
         self.waiting.keys().next()
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -70,6 +70,17 @@
     }
 }
 
+/// What the scheduler has done for placement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Effort {
+    /// Placement passes.
+    pub passes: u64,
+    /// Visits of these passes to steps.
+    pub visits: u64,
+    /// The steps that waited in the last pass.
+    pub ranked: usize,
+}
+
 /// The scheduler of all batch jobs.
 ///
 /// It does no I/O: callers pass in events and carry out the actions that [`Scheduler::advance`]
@@ -127,6 +138,8 @@
     capacity: Size,
     /// Jobs with a final state, by the time at which they reached it.
     ended: BTreeMap<Time, Vec<JobId>>,
+    /// What was done since it was last asked for.
+    effort: Effort,
     /// When the last placement pass began.
     placed_at: Time,
     /// Whether anything has changed that may let a step start.
@@ -169,6 +182,7 @@
             holds_left: 0,
             capacity: Size::ZERO,
             ended: BTreeMap::new(),
+            effort: Effort::default(),
             placed_at: Time::default(),
             dirty: true,
             suspended: false,
@@ -235,6 +249,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// Returns what was done for placement since the last call.
+    pub fn take_effort(&mut self) -> Effort {
+        std::mem::take(&mut self.effort)
+    }
+
     /// Drops jobs whose final state has been kept for [`FINAL_STATE_RETENTION`].
     fn drop_expired_jobs(&mut self) {
         while let Some(first) = self.ended.first_entry() {
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -87,6 +87,8 @@
             reserved_limits: Map::default(),
         };
         let ranks: Vec<Rank> = self.ranking.ranks().copied().collect();
+        self.effort.passes += 1;
+        self.effort.ranked = ranks.len();
         for rank in ranks {
             self.place_rank(rank, &mut pass);
             // Only the first gang of an account: the sum of all may exceed the limit, and then nothing
@@ -168,6 +170,7 @@
         let placed = if too_large && !candidate.step.gang {
             false
         } else {
+            self.effort.visits += 1;
             self.place_step(&candidate)
         };
         if !placed {
--- a/crates/decide/src/batch/scheduler/store.rs
+++ b/crates/decide/src/batch/scheduler/store.rs
@@ -81,6 +81,11 @@
         self.journal.is_writing()
     }
 
+    /// Returns how many rows have changed and are not part of a write yet.
+    pub fn unstored_rows(&self) -> usize {
+        self.journal.waiting()
+    }
+
     /// Handles the success of the last write.
     pub fn batch_stored(&mut self) {
         self.max_rows = self.max_rows.saturating_mul(2);
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -1,6 +1,7 @@
 //! The task that drives the scheduler while this instance leads.
 
 mod call;
+mod usage;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -23,12 +24,14 @@
 use tokio_util::sync::CancellationToken;
 
 use self::call::Poll;
+use self::usage::Usage;
 use super::clock::{self, Authority};
 use super::links::{Links, Started};
 use super::peer::Pending;
 use super::renewal;
 use super::writer::{Batch, Limits, Outcome, Writer};
 use super::{Context, decision, watch as feed};
+use crate::metrics::load::Activity;
 
 /// How long the leader may give orders after its last write. Together with the last lease, tasks
 /// survive outages of the store of twice this time. A successor waits as long for workers that it
@@ -78,7 +81,11 @@
     pub(super) async fn call(&self, call: Call) -> Option<Reply> {
         let (sender, receiver) = oneshot::channel();
         self.sender
-            .send(Message::Call(Box::new((call, sender))))
+            .send(Message::Call(Box::new(Pending {
+                call,
+                reply: sender,
+                received: Instant::now(),
+            })))
             .ok()?;
         receiver.await.ok()
     }
@@ -126,6 +133,7 @@
     write_begun: Instant,
     epoch: u64,
     resigned: bool,
+    usage: Usage,
 }
 
 impl Leader {
@@ -187,6 +195,7 @@
             write_begun: Instant::now(),
             epoch,
             resigned: false,
+            usage: Usage::new(context.clone()),
             context,
         };
         (leader, handle, receiver)
@@ -220,6 +229,7 @@
                 () = leaving.cancelled() => break EndReason::Released,
                 () = &mut term_end => break EndReason::Yielded,
                 message = receiver.recv() => {
+                    self.usage.resume();
                     if let Some(message) = message {
                         self.handle(message);
                     }
@@ -229,8 +239,10 @@
                         };
                         self.handle(message);
                     }
+                    self.usage.lap(Activity::Calls);
                 }
                 Some(event) = self.events.recv() => {
+                    self.usage.resume();
                     self.handle_event(event);
                     for _ in 0..MAX_MESSAGES_PER_STEP {
                         let Ok(event) = self.events.try_recv() else {
@@ -238,17 +250,22 @@
                         };
                         self.handle_event(event);
                     }
+                    self.usage.lap(Activity::Events);
                 }
                 Some(started) = self.started.recv() => {
+                    self.usage.resume();
                     self.handle_started(started);
                     while let Ok(started) = self.started.try_recv() {
                         self.handle_started(started);
                     }
+                    self.usage.lap(Activity::Outcomes);
                 }
                 Some(written) = self.writing.join_next() => {
+                    self.usage.resume();
                     if !self.written(written) {
                         break EndReason::Deposed;
                     }
+                    self.usage.lap(Activity::Writes);
                 }
                 Some(_) = self.tasks.join_next() => continue,
                 true = self.links.join_next() => continue,
@@ -258,6 +275,11 @@
                     }
                 }
                 _ = tick.tick() => {
+                    if self.usage.is_due() {
+                        let effort = self.scheduler.take_effort();
+                        let rows = self.scheduler.unstored_rows();
+                        self.usage.report(self.epoch, effort, rows);
+                    }
                     self.expire_polls();
                     self.links.tick();
                 }
@@ -302,8 +324,13 @@
 
     fn handle(&mut self, message: Message) {
         match message {
-            Message::Call(call) => {
-                let (call, reply) = *call;
+            Message::Call(pending) => {
+                let Pending {
+                    call,
+                    reply,
+                    received,
+                } = *pending;
+                self.usage.add_call(received.elapsed(), reply.is_closed());
                 self.call(call, reply);
             }
             Message::Registry(entries) => self.scheduler.update_registry(entries),
@@ -364,9 +391,11 @@
 
     /// Advances the scheduler, carries out its actions and starts the next write.
     fn step(&mut self) {
+        self.usage.resume();
         self.scheduler.suspend(!self.authority.holds());
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
+        self.usage.lap(Activity::Placement);
         let mut starts: BTreeMap<StepId, Vec<(usize, Start)>> = BTreeMap::new();
         for action in actions {
             match action {
@@ -391,11 +420,15 @@
                 action => self.execute(action),
             }
         }
+        self.usage.lap(Activity::Actions);
         for starts in starts.into_values() {
             self.links.start_step(starts);
         }
+        self.usage.lap(Activity::Orders);
         self.answer_polls();
+        self.usage.lap(Activity::Questions);
         self.begin_write();
+        self.usage.lap(Activity::Writes);
     }
 
     fn begin_write(&mut self) {
--- /dev/null
+++ b/crates/server/src/cluster/leader/usage.rs
@@ -0,0 +1,98 @@
+//! Logs what the leader spends its time on while there is little left.
+
+use std::time::Duration;
+
+use azurepath_decide::batch::scheduler::Effort;
+use opentelemetry::KeyValue;
+use slog::warn;
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+
+use crate::cluster::Context;
+use crate::metrics::load::{Activity, Meter};
+
+/// The interval over which the time is measured.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// The time of the leader's task and of its process.
+pub(super) struct Usage {
+    context: Context,
+    meter: Meter,
+    begun: Instant,
+    /// How long the process had been busy when the interval began.
+    busy_before: Duration,
+    /// When the last activity ended.
+    lap_begun: Instant,
+}
+
+impl Usage {
+    /// Begins to measure.
+    pub(super) fn new(context: Context) -> Usage {
+        Usage {
+            context,
+            meter: Meter::default(),
+            begun: Instant::now(),
+            busy_before: busy(),
+            lap_begun: Instant::now(),
+        }
+    }
+
+    /// Begins an activity, after other tasks of the process may have run.
+    pub(super) fn resume(&mut self) {
+        self.lap_begun = Instant::now();
+    }
+
+    /// Counts the time since the last activity ended, and returns it.
+    pub(super) fn lap(&mut self, activity: Activity) -> Duration {
+        let now = Instant::now();
+        let time = now - self.lap_begun;
+        self.meter.add(activity, time);
+        self.lap_begun = now;
+        time
+    }
+
+    /// Counts a call that the leader's task takes.
+    pub(super) fn add_call(&mut self, waited: Duration, abandoned: bool) {
+        let counts = &self.context.counts;
+        counts.leader_wait.record(waited.as_secs_f64(), &[]);
+        if abandoned {
+            counts.abandoned_calls.add(1, &[]);
+        }
+        self.meter.add_call(waited, abandoned);
+    }
+
+    /// Tells whether an interval has ended.
+    pub(super) fn is_due(&self) -> bool {
+        self.begun.elapsed() >= INTERVAL
+    }
+
+    /// Ends an interval. `rows` wait to be stored.
+    pub(super) fn report(&mut self, epoch: u64, effort: Effort, rows: usize) {
+        let busy = busy();
+        let spent = busy.saturating_sub(self.busy_before);
+        let usage = self.meter.end_interval(spent, self.begun.elapsed());
+        self.busy_before = busy;
+        self.begun = Instant::now();
+        for (activity, ms) in &usage.activities {
+            let labels = [KeyValue::new("activity", activity.to_string())];
+            self.context.counts.leader_busy_ms.add(*ms, &labels);
+        }
+        if !usage.is_busy() {
+            return;
+        }
+        let activities = usage.activities.iter();
+        let activities: Vec<String> = activities
+            .map(|(activity, ms)| format!("{activity}={ms}"))
+            .collect();
+        warn!(self.context.log, "leader busy"; "epoch" => epoch, "percent" => usage.percent,
+            "activities_ms" => activities.join(" "), "rest_ms" => usage.rest_ms,
+            "wait_ms" => usage.longest_wait_ms, "abandoned" => usage.abandoned,
+            "passes" => effort.passes, "visits" => effort.visits, "ranked" => effort.ranked,
+            "rows" => rows);
+    }
+}
+
+/// Returns how long the only thread of the process has been busy.
+fn busy() -> Duration {
+    Handle::current().metrics().worker_total_busy_duration(0)
+}
--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -11,6 +11,7 @@
 use slog::{Logger, info};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::leader;
@@ -278,5 +279,11 @@
     }
 }
 
-/// A call to the leader, with the channel for its reply.
-pub(super) type Pending = (Call, oneshot::Sender<Reply>);
+/// A call that waits for the leader's task.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) call: Call,
+    pub(super) reply: oneshot::Sender<Reply>,
+    /// When this instance received it.
+    pub(super) received: Instant,
+}
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the process and their text format for a scraper.
 
 pub mod link;
+pub mod load;
 
 use anyhow::Context;
 use opentelemetry::KeyValue;
@@ -69,6 +70,12 @@
     pub silent_workers: Counter<u64>,
     /// Submissions that were not sent to the leader, since others wait before them.
     pub limited_submissions: Counter<u64>,
+    /// The time from a call to the leader until its task takes the call, in seconds.
+    pub leader_wait: Histogram<f64>,
+    /// Calls whose callers had given up before the leader's task took them.
+    pub abandoned_calls: Counter<u64>,
+    /// The time of the leader's task in milliseconds, by activity.
+    pub leader_busy_ms: Counter<u64>,
     /// How often this instance became the leader.
     pub leads: Counter<u64>,
     /// Bytes sent and received, by kind of call and direction.
@@ -116,6 +123,9 @@
             refused_orders: counter("azurepath.orders.refused"),
             silent_workers: counter("azurepath.workers.silent"),
             limited_submissions: counter("azurepath.submissions.limited"),
+            leader_wait: histogram("azurepath.leader.wait"),
+            abandoned_calls: counter("azurepath.calls.abandoned"),
+            leader_busy_ms: counter("azurepath.leader.busy.ms"),
             leads: counter("azurepath.leads"),
             bytes: counter("azurepath.bytes"),
             link: link::Meter::default(),
