Shows that passes visit the whole backlog, by a test that fails

While steps wait, each event of any other job lets the leader visit all of them, since a step is only left out if it found too little room: not one that its account's limit, an open question or an expired ticket holds back. 200 such steps, for which nothing changes, are visited 8,000 times in 400 ms; the four full passes in it are 1,000 visits at most with the one that begins.

--- /dev/null
+++ b/crates/decide/tests/pass_cost.rs
@@ -0,0 +1,92 @@
+//! What a placement pass costs while many steps wait.
+
+#[path = "support/batch/bench.rs"]
+mod bench;
+
+use std::time::Duration;
+
+use azurepath_decide::batch::JobId;
+use azurepath_decide::batch::advice::Advice;
+use azurepath_decide::batch::config::{Account, AdviceTiming, Queue};
+use azurepath_decide::batch::{Action, StepId};
+use azurepath_decide::name::Name;
+use azurepath_decide::size::Size;
+use bench::{Bench, queue, single};
+
+/// The account of the jobs that wait, whose limit is used up.
+const TEAM: &str = "team";
+
+/// Rounds of 10 ms in which nothing happens to the jobs that wait, and the full passes among them.
+const ROUNDS: usize = 40;
+const FULL_PASSES: u64 = 4;
+
+fn advised_queue() -> Queue {
+    Queue {
+        advice: Some(AdviceTiming {
+            base: Duration::from_millis(10),
+            per_worker: Duration::from_millis(1),
+            validity: Duration::from_secs(60),
+        }),
+        ..queue()
+    }
+}
+
+/// Answers all open questions: every worker is eligible.
+fn advise(bench: &mut Bench, actions: &[Action]) {
+    for action in actions {
+        if let Action::Ask(question) = action {
+            let ticket = |worker: &Name| (worker.clone(), Name::from("ticket"));
+            let tickets = question.workers.iter().map(ticket).collect();
+            let advice = Advice { tickets };
+            bench.scheduler.handle_advice(question.step, Some(&advice));
+        }
+    }
+}
+
+fn submit(bench: &mut Bench, id: JobId) {
+    let (checks, team) = (Name::from("checks"), Some(Name::from(TEAM)));
+    bench.scheduler.submit(1, id, &checks, team, single());
+    bench.store();
+}
+
+/// Returns how many visits other jobs' events cause while `jobs` wait for their account's limit.
+fn visits_with_waiting(jobs: u64) -> u64 {
+    let account = Account {
+        name: Name::from(TEAM),
+        keys: Vec::new(),
+        weight: 0.0,
+        limit: Size {
+            millicores: 500,
+            ..Size::MAX
+        },
+    };
+    let mut bench = Bench::with(vec![advised_queue()], vec![account]);
+    for id in 0..jobs {
+        submit(&mut bench, JobId(100 + id));
+    }
+    for _ in 0..20 {
+        let actions = bench.advance();
+        advise(&mut bench, &actions);
+    }
+    bench.scheduler.take_effort();
+    for _ in 0..ROUNDS {
+        // The answer to a question of a job that has ended.
+        let step = StepId {
+            job: JobId(1),
+            step: 0,
+        };
+        bench.scheduler.handle_advice(step, None);
+        bench.advance();
+    }
+    bench.scheduler.take_effort().visits
+}
+
+#[test]
+fn passes_visit_whole_backlog() {
+    let jobs = 200;
+    let visits = visits_with_waiting(jobs);
+    assert!(
+        visits <= (FULL_PASSES + 1) * jobs,
+        "{visits} visits although nothing has happened to the {jobs} steps that wait"
+    );
+}
