Visits only steps for which something has changed

Cause: between full passes, which come ten times a second, a pass visited every waiting step but those that had found too little room. So each event cost more, the more steps waited. A backlog of about 800 steps took the leader's whole processor; answers, writes and starts came late, and the backlog grew (overload that sustains itself).

Now a pass between full ones visits the steps of changed jobs, those with a ticket for a worker whose room has grown, those held back by the limit of an account of which a task has ended, and for each question that has ended two that could not ask. The ranking is kept in order, and finds a step, a job's steps and an account's gangs by key; the limit that is kept for an account's first waiting gang is looked up there in place of a walk over all ranks.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -82,8 +82,6 @@
     pub highest_end: u64,
     /// The numbers of ends that were processed but are not stored yet.
     pub unstored: BTreeSet<u64>,
-    /// The scheduler's `capacity_version` when the free capacity of this worker last grew.
-    pub grown_version: u64,
     /// The gang job for which this worker is being emptied.
     pub reserved_for: Option<JobId>,
     /// Whether its capacity is held for a gang that does not fit yet. Less urgent work does not
@@ -111,7 +109,6 @@
             orphans: BTreeSet::new(),
             highest_end: 0,
             unstored: BTreeSet::new(),
-            grown_version: 0,
             reserved_for: None,
             held_for_gang: false,
             advice_pending_until: Time::default(),
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -64,8 +64,6 @@
     pub started: Option<Time>,
     /// Why it waits, as last reported.
     pub cause: Option<Cause>,
-    /// The scheduler's `capacity_version` when the step last found too little free capacity.
-    pub blocked_version: Option<u64>,
     /// What is known of the workers that may run it.
     pub advice: Advice,
     /// The highest run of any task. The members of a gang share it.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -14,6 +14,7 @@
 mod start;
 mod store;
 mod target;
+mod visits;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +39,7 @@
 use account::Account;
 use assembly::Assembly;
 use ranking::Ranking;
+use visits::Visits;
 
 pub use dump::Dump;
 
@@ -99,8 +101,8 @@
     ready: BTreeSet<JobId>,
     ranking: Ranking,
     workers: Vec<Worker>,
-    /// Incremented whenever the free capacity of a worker grows.
-    capacity_version: u64,
+    /// What the next pass visits.
+    visits: Visits,
     by_id: BTreeMap<Name, usize>,
     accounts: BTreeMap<Name, Account>,
     /// The total size of the tasks of inherited jobs that may run on workers that have not reported
@@ -162,7 +164,7 @@
             ready: BTreeSet::new(),
             ranking: Ranking::default(),
             workers: Vec::new(),
-            capacity_version: 0,
+            visits: Visits::default(),
             by_id: BTreeMap::new(),
             accounts: BTreeMap::new(),
             unreported_tasks: BTreeMap::new(),
--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -101,8 +101,12 @@
 
     /// Removes an ended task from the usage of an account.
     pub(super) fn refund(&mut self, account: Option<&Name>, size: &Size) {
-        if let Some(account) = account.and_then(|name| self.accounts.get_mut(name)) {
+        let Some(name) = account else {
+            return;
+        };
+        if let Some(account) = self.accounts.get_mut(name) {
             account.used = account.used.minus(size);
+            self.visits.free_account(name);
         }
     }
 
--- a/crates/decide/src/batch/scheduler/dump.rs
+++ b/crates/decide/src/batch/scheduler/dump.rs
@@ -116,7 +116,7 @@
             id: rank.step,
             queue,
             step: job.spec.as_ref()?.get(number)?,
-            lateness: rank.lateness,
+            rank: *rank,
             reserved_limit: Size::ZERO,
         };
         let age = self.now.since(job.accepted).as_millis();
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -3,21 +3,19 @@
 //! Placement has to work on a fleet that is 80% booked with mixed work, and with a demand of twice
 //! the capacity. Tasks go to the worker on which the least capacity is left over (best fit), so
 //! that enough free capacity in one piece remains for members of gangs. A full pass over all steps
-//! runs several times a second. Passes in between only visit steps of jobs that have changed and
-//! steps with a worker whose free capacity has grown, so that urgent jobs don't wait for a scan of
-//! a long queue.
+//! runs several times a second. Passes in between only visit steps for which something has changed
+//! (`visits.rs`), so that urgent jobs don't wait for a scan of a long queue.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::name::{Map, Name};
 use crate::size::Size;
 
+use super::super::StepId;
 use super::super::event::{Cause, Decision};
 use super::super::fleet::Worker;
 use super::super::job::Place;
 use super::super::order::Rank;
-use super::super::{JobId, StepId};
 use super::Scheduler;
 use super::target::Candidate;
 
@@ -45,23 +43,10 @@
 
 /// The state of one placement pass.
 struct Pass {
-    /// Jobs that have changed; `None` in a full pass, which visits all steps.
-    changed: Option<BTreeSet<JobId>>,
     /// The largest amount of each resource that was free on any worker when the pass began.
     largest_free: Size,
     /// Number of steps that could not be placed, by queue.
     failures: Map<Name, u32>,
-    /// The part of each account's limit that is reserved for its first waiting gang. Otherwise steps of
-    /// lower rank would use up the limit piece by piece, and a wide gang would never start.
-    reserved_limits: Map<Name, Size>,
-}
-
-impl Pass {
-    /// Tells whether the steps of a job are visited even if none of its workers has got more free
-    /// capacity.
-    fn must_visit(&self, job: JobId) -> bool {
-        self.changed.as_ref().is_none_or(|jobs| jobs.contains(&job))
-    }
 }
 
 impl Scheduler {
@@ -74,28 +59,20 @@
         }
         self.dirty = false;
         self.placed_at = self.now;
-        let changed = if full {
+        let ranks = if full {
             self.begin_full_pass();
-            None
+            self.ranking.ranks().copied().collect()
         } else {
-            Some(self.update_ranking())
+            self.affected_ranks()
         };
         let mut pass = Pass {
-            changed,
             largest_free: self.largest_free(),
             failures: Map::default(),
-            reserved_limits: Map::default(),
         };
-        let ranks: Vec<Rank> = self.ranking.ranks().copied().collect();
         self.effort.passes += 1;
-        self.effort.ranked = ranks.len();
+        self.effort.ranked = self.ranking.len();
         for rank in ranks {
             self.place_rank(rank, &mut pass);
-            // Only the first gang of an account: the sum of all may exceed the limit, and then nothing
-            // of the account would start.
-            if let Some((account, need)) = self.waiting_gang(rank.step) {
-                pass.reserved_limits.entry(account).or_insert(need);
-            }
         }
         if full {
             self.measure_backlog();
@@ -110,20 +87,45 @@
         let now = self.now;
         self.questions.retain(|_, (until, _)| *until > now);
         self.slow_questions.retain(|_, until| *until > now);
+        self.visits.begin_full_pass();
         self.rebuild_ranking();
         let schedulable = self.schedulable().count() as f64;
         self.worker_reservations_left = (schedulable * MAX_RESERVED_FRACTION) as usize;
         self.holds_left = (schedulable * MAX_HELD_FRACTION) as usize;
     }
 
-    /// Returns the account of a waiting gang and the part of the account's limit that it needs.
-    fn waiting_gang(&self, id: StepId) -> Option<(Name, Size)> {
+    /// Returns the steps that a pass between full ones visits, in the order of their ranks.
+    fn affected_ranks(&mut self) -> Vec<Rank> {
+        let changed = self.update_ranking();
+        let mut ranks = self.take_affected();
+        for job in changed {
+            ranks.extend(self.ranking.ranks_of(job));
+        }
+        ranks.into_iter().collect()
+    }
+
+    /// Returns the part of an account's limit that steps behind a rank leave to its first waiting
+    /// gang. Otherwise they would use up the limit piece by piece, and a wide gang would never start.
+    /// The sum of all gangs may exceed the limit, and then nothing of the account would start.
+    fn reserved_limit(&self, account: Option<&Name>, rank: Rank) -> Size {
+        let gangs = account.map(|account| self.ranking.gangs_before(account, rank));
+        let mut gangs = gangs.into_iter().flatten();
+        gangs
+            .find_map(|gang| self.waiting_gang(gang.step))
+            .unwrap_or_default()
+    }
+
+    /// Returns the part of its account's limit that a waiting gang needs.
+    fn waiting_gang(&self, id: StepId) -> Option<Size> {
         let job = self.jobs.get(&id.job)?;
         let number = usize::from(id.step);
         let waits = !job.state.is_final()
             && job.is_gang(number)
             && matches!(job.steps[number].tasks.first(), Some(task) if task.place == Place::Waiting);
-        waits.then(|| self.gang_quota(id)).flatten()
+        waits
+            .then(|| self.gang_quota(id))
+            .flatten()
+            .map(|(_, need)| need)
     }
 
     fn place_rank(&mut self, rank: Rank, pass: &mut Pass) {
@@ -135,11 +137,7 @@
         if job.state.is_final() {
             return;
         }
-        let state = &job.steps[number];
-        let reserved = !state.reserved.is_empty();
-        if !reserved && !pass.must_visit(rank.step.job) && self.is_blocked(rank.step) {
-            return;
-        }
+        let reserved = !job.steps[number].reserved.is_empty();
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return;
         };
@@ -157,15 +155,8 @@
             id: rank.step,
             queue: &queue,
             step: &step.clone(),
-            lateness: rank.lateness,
-            reserved_limit: match &job.account {
-                Some(account) => pass
-                    .reserved_limits
-                    .get(account)
-                    .copied()
-                    .unwrap_or_default(),
-                None => Size::ZERO,
-            },
+            rank,
+            reserved_limit: self.reserved_limit(job.account.as_ref(), rank),
         };
         let placed = if too_large && !candidate.step.gang {
             false
@@ -175,28 +166,12 @@
         };
         if !placed {
             *pass.failures.entry(queue.name.clone()).or_default() += 1;
-            let version = self.capacity_version;
-            if let Some(job) = self.jobs.get_mut(&rank.step.job) {
-                job.steps[number].blocked_version = Some(version);
-            }
         }
     }
 
-    /// Tells whether a step could not be placed and the free capacity of none of its workers has
-    /// grown since.
-    fn is_blocked(&self, id: StepId) -> bool {
-        let step = &self.jobs[&id.job].steps[usize::from(id.step)];
-        let Some(version) = step.blocked_version else {
-            return false;
-        };
-        let mut workers = step.advice.tickets.keys();
-        !workers.any(|&worker| self.workers[worker].grown_version > version)
-    }
-
     /// Records that the free capacity of a worker has grown.
     pub(super) fn mark_capacity_freed(&mut self, worker: usize) {
-        self.capacity_version += 1;
-        self.workers[worker].grown_version = self.capacity_version;
+        self.visits.free_worker(worker);
         self.dirty = true;
     }
 
@@ -222,13 +197,9 @@
             self.log_cause(id, Cause::Advice, 0);
             return self.ask_without_advice(candidate);
         }
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return true;
-        };
-        if !job.stored {
+        if self.jobs.get(&id.job).is_none_or(|job| !job.stored) {
             return true;
         }
-        job.steps[usize::from(id.step)].blocked_version = None;
         if candidate.step.gang {
             self.place_gang(candidate)
         } else {
@@ -240,7 +211,11 @@
         let id = candidate.id;
         let mut waiting = self.waiting_tasks(id);
         let allowed = self.allowed_tasks(id.job, &candidate.step.size, &candidate.reserved_limit);
-        waiting.truncate(usize::try_from(allowed).unwrap_or(usize::MAX));
+        let allowed_count = usize::try_from(allowed).unwrap_or(usize::MAX);
+        if allowed_count < waiting.len() {
+            self.note_limited(id);
+        }
+        waiting.truncate(allowed_count);
         if waiting.is_empty() {
             self.log_cause(id, Cause::Limit, allowed);
             return true;
@@ -277,6 +252,13 @@
         tickets_expired || started > 0
     }
 
+    /// Lets a step be visited again once its account uses less of its limit.
+    pub(super) fn note_limited(&mut self, id: StepId) {
+        if let Some(account) = self.jobs.get(&id.job).and_then(|job| job.account.as_ref()) {
+            self.visits.add_limited(account, id);
+        }
+    }
+
     /// Logs what a step waits for, unless the cause is unchanged or the job was accepted less than
     /// [`MIN_LOGGED_AGE`] ago.
     pub(super) fn log_cause(&mut self, id: StepId, cause: Cause, fitting: u64) {
--- a/crates/decide/src/batch/scheduler/question.rs
+++ b/crates/decide/src/batch/scheduler/question.rs
@@ -103,8 +103,9 @@
         &self.jobs[&id.job].steps[usize::from(id.step)].advice
     }
 
-    /// Tells whether a step may ask a question now.
-    fn may_ask(&self, candidate: &Candidate<'_>) -> bool {
+    /// Tells whether a step may ask a question now. If too many are open, it is visited again once
+    /// one has ended.
+    fn may_ask(&mut self, candidate: &Candidate<'_>) -> bool {
         let Candidate { id, queue, .. } = *candidate;
         let Some(timing) = queue.advice else {
             return false;
@@ -112,10 +113,19 @@
         if self.advice_of(id).has_open_question(self.now) {
             return false;
         }
+        let allowed = self.may_open_question(candidate, &timing);
+        if !allowed {
+            self.visits.add_unasked(candidate.rank);
+        }
+        allowed
+    }
+
+    /// Tells whether few enough questions are open for one of a step.
+    fn may_open_question(&self, candidate: &Candidate<'_>, timing: &AdviceTiming) -> bool {
         if candidate.is_deferrable() && !self.may_ask_deferrable(candidate.is_late()) {
             return false;
         }
-        let slow = question_duration(&timing, MIN_WORKERS_PER_QUESTION) > SLOW_QUESTION_THRESHOLD;
+        let slow = question_duration(timing, MIN_WORKERS_PER_QUESTION) > SLOW_QUESTION_THRESHOLD;
         !slow || self.slow_questions.len() < self.advice_instances.max(1)
     }
 
@@ -280,10 +290,7 @@
     /// Asks about some workers, unless the step may not ask now.
     pub(super) fn ask(&mut self, candidate: &Candidate<'_>, workers: &[usize]) {
         let Candidate {
-            id,
-            queue,
-            lateness,
-            ..
+            id, queue, rank, ..
         } = *candidate;
         let Some(timing) = queue.advice else {
             return;
@@ -295,6 +302,7 @@
         let distinct = self.workers_in_question(id, workers);
         let takes = question_duration(&timing, distinct.len());
         if takes > SLOW_QUESTION_THRESHOLD && !self.open_slow_question(id) {
+            self.visits.add_unasked(rank);
             return;
         }
         let names = distinct
@@ -304,7 +312,7 @@
             step: id,
             workers: names.collect(),
             takes,
-            lateness,
+            lateness: rank.lateness,
             priority: queue.priority,
         };
         self.actions.push(Action::Ask(question));
@@ -350,6 +358,7 @@
     /// Handles an answer of the advice service; `None` means that no answer came.
     pub fn handle_advice(&mut self, id: StepId, advice: Option<&Advice>) {
         self.mark_ready(id.job);
+        self.visits.end_question();
         self.questions.remove(&id);
         self.slow_questions.remove(&id);
         let now = self.now;
@@ -400,6 +409,7 @@
             {
                 let text = text.clone();
                 step.advice.tickets.insert(index, Ticket { text, until });
+                self.visits.add_holder(index, id);
             }
         }
     }
--- a/crates/decide/src/batch/scheduler/ranking.rs
+++ b/crates/decide/src/batch/scheduler/ranking.rs
@@ -1,9 +1,9 @@
 //! The ranking of the steps with waiting tasks.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::name::Name;
+use crate::name::{Map, Name};
 use crate::time::Time;
 
 use super::super::id::OCCURRENCE_STEPS;
@@ -17,7 +17,10 @@
 /// since.
 #[derive(Debug, Default)]
 pub(super) struct Ranking {
-    ranks: Vec<Rank>,
+    ranks: BTreeSet<Rank>,
+    by_step: BTreeMap<StepId, Rank>,
+    /// The gangs of each account.
+    gangs: Map<Name, BTreeSet<Rank>>,
     changed: BTreeSet<JobId>,
     /// When the ranking was last built from scratch; `None` if it must be rebuilt in the next pass.
     pub(super) built_at: Option<Time>,
@@ -34,6 +37,53 @@
         self.built_at = None;
     }
 
+    /// Returns how many steps there are.
+    pub(super) fn len(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Returns the rank of a step.
+    pub(super) fn rank_of(&self, step: StepId) -> Option<Rank> {
+        self.by_step.get(&step).copied()
+    }
+
+    /// Returns the ranks of a job's steps.
+    pub(super) fn ranks_of(&self, job: JobId) -> impl Iterator<Item = Rank> {
+        let last = StepId {
+            job,
+            step: u16::MAX,
+        };
+        let steps = self.by_step.range(StepId { job, step: 0 }..=last);
+        steps.map(|(_, rank)| *rank)
+    }
+
+    /// Returns the gangs of an account that precede a rank, the first one first.
+    pub(super) fn gangs_before(&self, account: &Name, rank: Rank) -> impl Iterator<Item = Rank> {
+        let gangs = self.gangs.get(account).into_iter();
+        gangs.flat_map(move |gangs| gangs.range(..rank).copied())
+    }
+
+    /// Adds a step; `gang_account` is its account if it is a gang.
+    fn insert(&mut self, rank: Rank, gang_account: Option<&Name>) {
+        self.ranks.insert(rank);
+        self.by_step.insert(rank.step, rank);
+        if let Some(account) = gang_account {
+            self.gangs.entry(account.clone()).or_default().insert(rank);
+        }
+    }
+
+    /// Removes the steps of a job; `account` is its account.
+    fn remove_job(&mut self, job: JobId, account: Option<&Name>) {
+        let ranks: Vec<Rank> = self.ranks_of(job).collect();
+        for rank in ranks {
+            self.ranks.remove(&rank);
+            self.by_step.remove(&rank.step);
+            if let Some(gangs) = account.and_then(|account| self.gangs.get_mut(account)) {
+                gangs.remove(&rank);
+            }
+        }
+    }
+
     /// Returns the ranks in ascending order, the most urgent step first.
     pub(super) fn ranks(&self) -> impl Iterator<Item = &Rank> {
         self.ranks.iter()
@@ -44,39 +94,30 @@
     /// Builds the ranking from all jobs.
     pub(super) fn rebuild_ranking(&mut self) {
         let ready: Vec<JobId> = self.ready.iter().copied().collect();
-        let mut ranks = Vec::with_capacity(self.ranking.ranks.len());
-        for job in ready {
-            self.rank_job(job, &mut ranks);
-        }
-        ranks.sort_unstable();
         self.ranking = Ranking {
-            ranks,
-            changed: BTreeSet::new(),
             built_at: Some(self.now),
+            ..Ranking::default()
         };
+        for job in ready {
+            self.rank_job(job);
+        }
     }
 
     /// Ranks the steps of changed jobs again; returns these jobs.
     pub(super) fn update_ranking(&mut self) -> BTreeSet<JobId> {
         let changed = std::mem::take(&mut self.ranking.changed);
-        if changed.is_empty() {
-            return changed;
-        }
-        let mut ranks = std::mem::take(&mut self.ranking.ranks);
-        ranks.retain(|rank| !changed.contains(&rank.step.job));
         for &job in &changed {
+            let account = self.jobs.get(&job).and_then(|job| job.account.clone());
+            self.ranking.remove_job(job, account.as_ref());
             if self.ready.contains(&job) {
-                self.rank_job(job, &mut ranks);
+                self.rank_job(job);
             }
         }
-        // The stable sort is fast here since the old ranks are already in order.
-        ranks.sort();
-        self.ranking.ranks = ranks;
         changed
     }
 
-    /// Appends the ranks of a job's due steps with waiting tasks.
-    fn rank_job(&mut self, id: JobId, ranks: &mut Vec<Rank>) {
+    /// Adds a job's due steps with waiting tasks to the ranking.
+    fn rank_job(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             self.ready.remove(&id);
             return;
@@ -91,7 +132,12 @@
             return;
         }
         for number in waiting {
-            ranks.extend(self.rank(id, number));
+            let Some(rank) = self.rank(id, number) else {
+                continue;
+            };
+            let job = self.jobs.get(&id).filter(|job| job.is_gang(number));
+            let gang_account = job.and_then(|job| job.account.as_ref());
+            self.ranking.insert(rank, gang_account);
         }
     }
 
--- a/crates/decide/src/batch/scheduler/target.rs
+++ b/crates/decide/src/batch/scheduler/target.rs
@@ -10,7 +10,7 @@
 use super::super::config::Queue;
 use super::super::fleet::Worker;
 use super::super::job::{self, Place};
-use super::super::order::Lateness;
+use super::super::order::{Lateness, Rank};
 use super::super::spec;
 use super::Scheduler;
 
@@ -28,8 +28,7 @@
     pub(super) id: StepId,
     pub(super) queue: &'a Queue,
     pub(super) step: &'a spec::Step,
-    /// How late it is.
-    pub(super) lateness: Lateness,
+    pub(super) rank: Rank,
     /// The part of its account's limit that is reserved for gangs of higher rank.
     pub(super) reserved_limit: Size,
 }
@@ -48,7 +47,7 @@
 
     /// Tells whether the step can't be on time any more.
     pub(super) fn is_late(&self) -> bool {
-        self.lateness > Lateness::Excess
+        self.rank.lateness > Lateness::Excess
     }
 
     /// Tells whether the step leaves workers that are held for gangs to them.
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -89,6 +89,7 @@
         }
         self.workers[index].contact = Contact::Gone;
         self.workers[index].listed = false;
+        self.visits.remove_worker(index);
         let row = Row::Worker(self.workers[index].entry.id.clone());
         self.journal.record(row, None);
         self.actions.push(Action::Detach { worker: index });
