Lets passes of placement take a quarter of the leader's time at most

A full pass still visits all waiting steps, and one with thousands of them takes tens of milliseconds on half a core. Nothing bounded the share of the time that passes take, so whatever makes them long could starve the calls, reports and writes that shrink the backlog.

The leader tells the scheduler how long it took, and the next pass begins no sooner than four times that after the last one began; after 200 ms at the latest, so that a pass during which the instance was suspended puts nothing off.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -144,6 +144,8 @@
     effort: Effort,
     /// When the last placement pass began.
     placed_at: Time,
+    /// How long it took.
+    pass_time: Duration,
     /// Whether anything has changed that may let a step start.
     dirty: bool,
     /// Whether nothing is placed.
@@ -186,6 +188,7 @@
             ended: BTreeMap::new(),
             effort: Effort::default(),
             placed_at: Time::default(),
+            pass_time: Duration::ZERO,
             dirty: true,
             suspended: false,
             actions: Vec::new(),
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -22,6 +22,14 @@
 /// The shortest time between two passes; changes in between are placed together.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(4);
 
+/// The time from the beginning of a pass to the next one, as a multiple of what the pass took. The rest
+/// is left to calls, reports and writes, without which a backlog could not shrink.
+const PASS_INTERVAL_FACTOR: u32 = 4;
+
+/// The longest time until the next pass may begin. A pass during which the instance was suspended
+/// must not put it off for long.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between full passes, which rank all steps again, since ranks and tickets age, and
 /// distribute the worker reservations of gangs anew.
 const FULL_PASS_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,10 +62,12 @@
         let since = self.now.since(self.placed_at);
         let built_at = self.ranking.built_at;
         let full = built_at.is_none_or(|at| self.now.since(at) >= FULL_PASS_INTERVAL);
-        if since < MIN_PASS_INTERVAL || (!self.dirty && !full) {
+        let interval = self.pass_time * PASS_INTERVAL_FACTOR;
+        if since < interval.clamp(MIN_PASS_INTERVAL, MAX_PASS_INTERVAL) || (!self.dirty && !full) {
             return;
         }
         self.dirty = false;
+        self.pass_time = Duration::ZERO;
         self.placed_at = self.now;
         let ranks = if full {
             self.begin_full_pass();
@@ -79,6 +89,14 @@
         }
     }
 
+    /// Notes how long the last call of [`Scheduler::advance`] took. After a long pass the next one comes
+    /// later.
+    pub fn note_advance_time(&mut self, took: Duration) {
+        if self.placed_at == self.now {
+            self.pass_time = self.pass_time.max(took);
+        }
+    }
+
     fn begin_full_pass(&mut self) {
         for worker in &mut self.workers {
             worker.reserved_for = None;
--- a/crates/decide/tests/pass_cost.rs
+++ b/crates/decide/tests/pass_cost.rs
@@ -90,3 +90,29 @@
         "{visits} visits although nothing has happened to the {jobs} steps that wait"
     );
 }
+
+/// Returns the passes in a second in which each advance takes `took` and something always changes.
+fn passes_in_a_second(took: Duration) -> u64 {
+    const ROUNDS: u64 = 100;
+    let mut bench = Bench::with_queue(advised_queue());
+    bench.scheduler.take_effort();
+    for round in 0..ROUNDS {
+        submit(&mut bench, JobId(100 + round));
+        bench.advance();
+        bench.scheduler.note_advance_time(took);
+    }
+    bench.scheduler.take_effort().passes
+}
+
+/// Passes may take a quarter of the time.
+#[test]
+fn long_passes_take_all_time() {
+    let passes = passes_in_a_second(Duration::from_millis(50));
+    assert!(passes <= 5, "{passes} passes of 50 ms in a second");
+}
+
+#[test]
+fn suspended_pass_stops_placement() {
+    let passes = passes_in_a_second(Duration::from_secs(5));
+    assert!(passes >= 4, "{passes} passes in a second");
+}
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -395,7 +395,8 @@
         self.scheduler.suspend(!self.authority.holds());
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
-        self.usage.lap(Activity::Placement);
+        let took = self.usage.lap(Activity::Placement);
+        self.scheduler.note_advance_time(took);
         let mut starts: BTreeMap<StepId, Vec<(usize, Start)>> = BTreeMap::new();
         for action in actions {
             match action {
