Writes changed rows in the order of their first change

While the store was slower than the changes, some callers got 504 although jobs that came later were accepted, and ends of tasks were not stored for seconds.

Rows have a place by their first change now, and keep it when a write is rejected. The rows of an ended job are found by range.

--- a/crates/decide/src/batch/journal.rs
+++ b/crates/decide/src/batch/journal.rs
@@ -17,38 +17,73 @@
     End { worker: usize, number: u64 },
 }
 
-type Rows = BTreeMap<Row, Vec<Deferred>>;
+/// A changed row that waits for a write.
+#[derive(Debug)]
+struct Entry {
+    /// Its place among all rows, in the order of their first change.
+    place: u64,
+    deferred: Vec<Deferred>,
+}
+
+type Rows = BTreeMap<Row, Entry>;
 
 /// The rows that have changed since the last write and those in the current write. A row can be in
-/// both.
+/// both. Rows are written in the order of their first change, so that none waits for ever while the
+/// store is slower than the changes.
 #[derive(Debug, Default)]
 pub(super) struct Journal {
     waiting: Rows,
+    /// The waiting rows by place.
+    order: BTreeMap<u64, Row>,
+    last_place: u64,
     writing: Rows,
 }
 
 impl Journal {
     /// Records that a row has changed, and the action to carry out once the change is stored.
-    pub(super) fn record(&mut self, row: Row, deferred: Option<Deferred>) {
-        self.waiting.entry(row).or_default().extend(deferred);
+    pub(super) fn record(&mut self, row: Row, deferred: impl IntoIterator<Item = Deferred>) {
+        if let Some(entry) = self.waiting.get_mut(&row) {
+            entry.deferred.extend(deferred);
+            return;
+        }
+        self.last_place += 1;
+        let entry = Entry {
+            place: self.last_place,
+            deferred: deferred.into_iter().collect(),
+        };
+        self.insert(row, entry);
+    }
+
+    fn insert(&mut self, row: Row, entry: Entry) {
+        self.order.insert(entry.place, row.clone());
+        self.waiting.insert(row, entry);
+    }
+
+    fn remove(&mut self, row: &Row) -> Option<Entry> {
+        let entry = self.waiting.remove(row)?;
+        self.order.remove(&entry.place);
+        Some(entry)
     }
 
     /// Lets the actions that wait for blocks of a job wait for the job's own row instead.
     pub(super) fn fold_blocks(&mut self, job: JobId) {
-        let first = |job| BlockId {
-            step: StepId { job, step: 0 },
-            number: 0,
+        let block = |step, number| {
+            Row::Block(BlockId {
+                step: StepId { job, step },
+                number,
+            })
         };
-        let mut rest = self.waiting.split_off(&Row::Block(first(job)));
-        if let Some(next) = job.0.checked_add(1) {
-            let mut behind = rest.split_off(&Row::Block(first(JobId(next))));
-            self.waiting.append(&mut behind);
+        let blocks = self.waiting.range(block(0, 0)..=block(u16::MAX, u32::MAX));
+        let blocks: Vec<Row> = blocks.map(|(row, _)| row.clone()).collect();
+        let mut deferred = Vec::new();
+        for row in blocks {
+            deferred.extend(
+                self.remove(&row)
+                    .into_iter()
+                    .flat_map(|entry| entry.deferred),
+            );
         }
-        let deferred = rest.into_values().flatten();
-        self.waiting
-            .entry(Row::Job(job))
-            .or_default()
-            .extend(deferred);
+        self.record(Row::Job(job), deferred);
     }
 
     /// Tells whether a write is in progress.
@@ -68,33 +103,38 @@
 
     /// Returns the first row that waits for a write.
     pub(super) fn first(&self) -> Option<&Row> {
-        self.waiting.keys().next()
+        self.order.values().next()
     }
 
     /// Moves the first row into the current write.
     pub(super) fn begin_first(&mut self) {
-        if let Some((row, deferred)) = self.waiting.pop_first() {
-            self.writing.insert(row, deferred);
+        if let Some(row) = self.first().cloned()
+            && let Some(entry) = self.remove(&row)
+        {
+            self.writing.insert(row, entry);
         }
     }
 
     /// Removes the first row, which can't be written, and returns the actions that waited for it.
     pub(super) fn give_up_first(&mut self) -> Vec<Deferred> {
-        let first = self.waiting.pop_first();
-        first.map(|(_, deferred)| deferred).unwrap_or_default()
+        let first = self.first().cloned();
+        let entry = first.and_then(|row| self.remove(&row));
+        entry.map(|entry| entry.deferred).unwrap_or_default()
     }
 
     /// Ends the current write and returns its rows with the actions that waited for it.
     pub(super) fn written(&mut self) -> BTreeMap<Row, Vec<Deferred>> {
-        std::mem::take(&mut self.writing)
+        let rows = std::mem::take(&mut self.writing).into_iter();
+        rows.map(|(row, entry)| (row, entry.deferred)).collect()
     }
 
-    /// Lets the rows of the current write wait again.
+    /// Lets the rows of the current write wait again, at their former places.
     pub(super) fn requeue(&mut self) {
-        for (row, mut deferred) in self.written() {
-            let waiting = self.waiting.entry(row).or_default();
-            deferred.append(waiting);
-            *waiting = deferred;
+        for (row, mut entry) in std::mem::take(&mut self.writing) {
+            if let Some(newer) = self.remove(&row) {
+                entry.deferred.extend(newer.deferred);
+            }
+            self.insert(row, entry);
         }
     }
 
