Refuses at once jobs that could not be stored in time

While the store was slow, clients waited up to 2.7 s and got 504: they could not know whether their job would run, and may not send it again. Jobs were accepted up to 10 s after their clients had left, also after the end of the traffic.

Cause: a new job waits for its write behind all rows that have changed before, and nothing bounded how many. It was refused only while a single write had taken 800 ms; a store with answers of 240 ms never did that, but stored 400 rows a second where 1,600 changed.

The leader measures how long writes take and how many rows a full one holds (store_pace.rs in decide). A job that would wait over 800 ms, as before for a single write, is refused with 429 and the time that the rows ahead of it need. The line is `job refused for a slow store` now, since it says more than that a write stalls.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -19,6 +19,7 @@
 pub mod report;
 pub mod scheduler;
 pub mod spec;
+pub mod store_pace;
 
 pub use event::{Action, Answer, Decision, Refusal, StartOutcome, State};
 pub use id::{Attempt, JobId, StepId, TaskId};
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -12,6 +12,7 @@
 use azurepath_decide::batch::fleet::{Contact, Entry};
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
+use azurepath_decide::batch::store_pace::StorePace;
 use azurepath_decide::batch::{Action, StartOutcome, StepId};
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
@@ -55,9 +56,8 @@
 /// that may run on an unreachable worker are started elsewhere only after it has expired.
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
-/// How long a write may take before new jobs are refused at once. Their clients would get no
-/// answer in time.
-const MAX_WRITE_TIME: Duration = Duration::from_millis(800);
+/// How long the end of the leadership waits for the current write.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// A message to the leader.
 #[derive(Debug)]
@@ -131,6 +131,9 @@
     writer: Option<Writer>,
     writing: JoinSet<(Writer, Outcome)>,
     write_begun: Instant,
+    /// The rows of the present write, and whether it left others waiting.
+    write_rows: (usize, bool),
+    store_pace: StorePace,
     epoch: u64,
     resigned: bool,
     usage: Usage,
@@ -193,6 +196,8 @@
             writer: Some(writer),
             writing: JoinSet::new(),
             write_begun: Instant::now(),
+            write_rows: (0, false),
+            store_pace: StorePace::default(),
             epoch,
             resigned: false,
             usage: Usage::new(context.clone()),
@@ -301,7 +306,7 @@
         if reason != EndReason::Deposed {
             let _guard = pending.enter("write");
             let wait = self.writing.join_next();
-            if let Ok(Some(written)) = tokio::time::timeout(MAX_WRITE_TIME, wait).await {
+            if let Ok(Some(written)) = tokio::time::timeout(LAST_WRITE_TIMEOUT, wait).await {
                 self.written(written);
                 let mut actions = Vec::new();
                 self.scheduler.advance(clock::now(), &mut actions);
@@ -450,6 +455,7 @@
         }
         if let Some(writer) = self.writer.take() {
             self.write_begun = Instant::now();
+            self.write_rows = (batch.len(), self.scheduler.unstored_rows() > 0);
             self.writing.spawn(writer.write(batch));
         }
     }
@@ -459,8 +465,10 @@
         match written {
             Ok((writer, Outcome::Stored(sent))) => {
                 self.authority.extend(sent);
-                let seconds = self.write_begun.elapsed().as_secs_f64();
-                self.context.counts.writes.record(seconds, &[]);
+                let took = self.write_begun.elapsed();
+                self.context.counts.writes.record(took.as_secs_f64(), &[]);
+                let (rows, full) = self.write_rows;
+                self.store_pace.record(rows, full, took);
                 self.writer = Some(writer);
                 self.scheduler.batch_stored();
                 true
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -11,15 +11,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::{Leader, MAX_WRITE_TIME};
+use super::Leader;
 use crate::cluster::clock;
 
 /// How long the leader holds a poll for a question.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The time after which clients may retry if their jobs can't be stored, in milliseconds.
-const STORE_RETRY_AFTER_MS: u64 = 1_000;
-
 /// An instance's poll for a question that waits for its reply.
 pub(super) struct Poll {
     instance: Name,
@@ -101,14 +98,15 @@
         if !self.authority.holds() {
             return Some(Reply::NotLeading);
         }
-        if !self.is_store_stalled() {
-            return None;
-        }
+        let rows = self.scheduler.unstored_rows();
+        let writing = self.writing_time();
+        let pause = self.store_pace.retry_after(rows, writing)?;
         let kind = KeyValue::new("kind", "refused");
         self.context.counts.jobs.add(1, &[kind]);
-        info!(self.context.log, "job refused for a stalled write"; "job" => %job,
-            "epoch" => self.epoch, "write_ms" => self.write_begun.elapsed().as_millis() as u64);
-        let retry_after_ms = STORE_RETRY_AFTER_MS;
+        let retry_after_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        info!(self.context.log, "job refused for a slow store"; "job" => %job,
+            "epoch" => self.epoch, "write_ms" => writing.as_millis() as u64, "rows" => rows,
+            "retry_after_ms" => retry_after_ms);
         Some(Reply::Refused { retry_after_ms })
     }
 
@@ -149,8 +147,13 @@
         self.next_call
     }
 
-    fn is_store_stalled(&self) -> bool {
-        !self.writing.is_empty() && self.write_begun.elapsed() > MAX_WRITE_TIME
+    /// Returns how long the present write takes so far.
+    fn writing_time(&self) -> Duration {
+        if self.writing.is_empty() {
+            Duration::ZERO
+        } else {
+            self.write_begun.elapsed()
+        }
     }
 
     pub(super) fn answer(&mut self, call: u64, answer: &Answer) {
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -178,7 +178,8 @@
         Fit::Taken
     }
 
-    fn len(&self) -> usize {
+    /// Returns how many changes there are.
+    pub(super) fn len(&self) -> usize {
         self.puts.len() + self.removals.len()
     }
 }
