Accepts a job when nothing waits to be stored

After an outage of the store the last writes were slow, and a job could be refused for them although a write would begin at once: on a quiet instance until some heartbeats of 400 ms had brought the average down.

While no row waits and no write is under way, a job is accepted; its own write tells the pace. store_pace.rs::past_outage_refuses_next_job fails without it.

--- a/crates/decide/src/batch/store_pace.rs
+++ b/crates/decide/src/batch/store_pace.rs
@@ -57,6 +57,10 @@
     /// Returns the time after which a job may be submitted again, or `None` if it can be stored in
     /// time.
     pub fn retry_after(&self, waiting: usize, writing: Duration) -> Option<Duration> {
+        if waiting == 0 && writing.is_zero() {
+            // The last writes may have been slow, but the next one begins at once and will tell.
+            return None;
+        }
         let wait = self.expected_wait(waiting, writing);
         (wait > MAX_STORE_WAIT).then(|| wait.max(MIN_RETRY_AFTER))
     }
--- a/crates/decide/tests/store_pace.rs
+++ b/crates/decide/tests/store_pace.rs
@@ -102,3 +102,11 @@
     assert_eq!(pace.retry_after(0, Duration::ZERO), None);
     assert!(pace.retry_after(0, Duration::from_millis(900)).is_some());
 }
+
+/// The store is back after an outage, and nothing has been written since.
+#[test]
+fn past_outage_refuses_next_job() {
+    let mut pace = StorePace::default();
+    pace.record(1, false, Duration::from_secs(8));
+    assert_eq!(pace.retry_after(0, Duration::ZERO), None);
+}
