--- a/crates/decide/tests/wakeups.rs
+++ b/crates/decide/tests/wakeups.rs
@@ -18,6 +18,10 @@
 /// The jobs that wait for each other. Full passes come every 100 ms, and a round takes 10 ms.
 const JOBS: u64 = 8;
 
+/// The tasks that fit onto the worker, and rounds in which they all have started.
+const WORKER_TASKS: usize = 8;
+const ROUNDS: usize = 40;
+
 fn submit(bench: &mut Bench, id: u64) {
     let (checks, team) = (Name::from("checks"), Some(Name::from(TEAM)));
     bench
@@ -26,6 +30,38 @@
     bench.store();
 }
 
+/// Confirms the start of a task and reports its end.
+fn finish(bench: &mut Bench, number: u64, attempt: Attempt) {
+    bench
+        .scheduler
+        .handle_start(0, attempt, StartOutcome::Running, 0);
+    bench.report(vec![End {
+        number,
+        attempt,
+        outcome: Outcome::Done,
+        checkpoint: None,
+    }]);
+}
+
+/// Answers a question: the worker is eligible.
+fn advise(bench: &mut Bench, question: &Question) {
+    let advice = Advice {
+        tickets: vec![(Name::from("w"), Name::from("ticket"))],
+    };
+    bench.scheduler.handle_advice(question.step, Some(&advice));
+}
+
+fn advised_queue(base: Duration) -> Queue {
+    Queue {
+        advice: Some(AdviceTiming {
+            base,
+            per_worker: Duration::from_millis(1),
+            validity: Duration::from_secs(60),
+        }),
+        ..queue()
+    }
+}
+
 fn started(actions: &[Action]) -> Option<Attempt> {
     actions.iter().find_map(|action| match action {
         Action::Start { attempt, .. } => Some(*attempt),
@@ -57,29 +93,14 @@
     }
     let mut attempt = started(&bench.advance()).expect("the first job starts");
     for number in 1..JOBS {
-        bench
-            .scheduler
-            .handle_start(0, attempt, StartOutcome::Running, 0);
-        bench.report(vec![End {
-            number,
-            attempt,
-            outcome: Outcome::Done,
-            checkpoint: None,
-        }]);
+        finish(&mut bench, number, attempt);
         attempt = started(&bench.advance()).expect("the next job starts at once");
     }
 }
 
 #[test]
 fn freed_question_stays_unused() {
-    let slow = Queue {
-        advice: Some(AdviceTiming {
-            base: Duration::from_millis(500),
-            per_worker: Duration::from_millis(1),
-            validity: Duration::from_secs(60),
-        }),
-        ..queue()
-    };
+    let slow = advised_queue(Duration::from_millis(500));
     // One instance asks one slow question at a time.
     let mut bench = Bench::with(vec![slow], Vec::new());
     for id in 1..=JOBS {
@@ -88,55 +109,32 @@
     let mut question = asked(&bench.advance()).expect("the first job asks");
     for _ in 1..JOBS {
         assert_eq!(asked(&bench.advance()), None);
-        let advice = Advice {
-            tickets: vec![(Name::from("w"), Name::from("ticket"))],
-        };
-        bench.scheduler.handle_advice(question.step, Some(&advice));
+        advise(&mut bench, &question);
         question = asked(&bench.advance()).expect("the next job asks at once");
     }
 }
 
 #[test]
 fn freed_room_stays_unused() {
-    let advised = Queue {
-        advice: Some(AdviceTiming {
-            base: Duration::from_millis(10),
-            per_worker: Duration::from_millis(1),
-            validity: Duration::from_secs(60),
-        }),
-        ..queue()
-    };
-    let mut bench = Bench::with(vec![advised], Vec::new());
-    bench.scheduler.set_advice_instances(4 * JOBS as usize);
-    for id in 1..=4 * JOBS {
+    let quick = advised_queue(Duration::from_millis(10));
+    let mut bench = Bench::with(vec![quick], Vec::new());
+    bench.scheduler.set_advice_instances(4 * WORKER_TASKS);
+    for id in 1..=4 * WORKER_TASKS as u64 {
         submit(&mut bench, id);
     }
     let mut running = Vec::new();
-    for _ in 0..40 {
+    for _ in 0..ROUNDS {
         for action in bench.advance() {
             match action {
-                Action::Ask(question) => {
-                    let advice = Advice {
-                        tickets: vec![(Name::from("w"), Name::from("ticket"))],
-                    };
-                    bench.scheduler.handle_advice(question.step, Some(&advice));
-                }
+                Action::Ask(question) => advise(&mut bench, &question),
                 Action::Start { attempt, .. } => running.push(attempt),
                 _ => {}
             }
         }
     }
-    assert_eq!(running.len(), 8, "the worker is full");
+    assert_eq!(running.len(), WORKER_TASKS, "the worker is full");
     for (number, attempt) in (1..).zip(running) {
-        bench
-            .scheduler
-            .handle_start(0, attempt, StartOutcome::Running, 0);
-        bench.report(vec![End {
-            number,
-            attempt,
-            outcome: Outcome::Done,
-            checkpoint: None,
-        }]);
+        finish(&mut bench, number, attempt);
         assert!(
             started(&bench.advance()).is_some(),
             "the next job starts at once"
