--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -1,7 +1,7 @@
 //! The task that drives the scheduler while this instance leads.
 
 mod call;
-mod usage;
+mod stopwatch;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -25,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::call::Poll;
-use self::usage::Usage;
+use self::stopwatch::Stopwatch;
 use super::clock::{self, Authority};
 use super::links::{Links, Started};
 use super::peer::Pending;
@@ -136,7 +136,7 @@
     store_pace: StorePace,
     epoch: u64,
     resigned: bool,
-    usage: Usage,
+    stopwatch: Stopwatch,
 }
 
 impl Leader {
@@ -200,7 +200,7 @@
             store_pace: StorePace::default(),
             epoch,
             resigned: false,
-            usage: Usage::new(context.clone()),
+            stopwatch: Stopwatch::new(context.clone()),
             context,
         };
         (leader, handle, receiver)
@@ -234,7 +234,7 @@
                 () = leaving.cancelled() => break EndReason::Released,
                 () = &mut term_end => break EndReason::Yielded,
                 message = receiver.recv() => {
-                    self.usage.resume();
+                    self.stopwatch.resume();
                     if let Some(message) = message {
                         self.handle(message);
                     }
@@ -244,10 +244,10 @@
                         };
                         self.handle(message);
                     }
-                    self.usage.lap(Activity::Calls);
+                    self.stopwatch.lap(Activity::Calls);
                 }
                 Some(event) = self.events.recv() => {
-                    self.usage.resume();
+                    self.stopwatch.resume();
                     self.handle_event(event);
                     for _ in 0..MAX_MESSAGES_PER_STEP {
                         let Ok(event) = self.events.try_recv() else {
@@ -255,22 +255,22 @@
                         };
                         self.handle_event(event);
                     }
-                    self.usage.lap(Activity::Events);
+                    self.stopwatch.lap(Activity::Events);
                 }
                 Some(started) = self.started.recv() => {
-                    self.usage.resume();
+                    self.stopwatch.resume();
                     self.handle_started(started);
                     while let Ok(started) = self.started.try_recv() {
                         self.handle_started(started);
                     }
-                    self.usage.lap(Activity::Outcomes);
+                    self.stopwatch.lap(Activity::Outcomes);
                 }
                 Some(written) = self.writing.join_next() => {
-                    self.usage.resume();
+                    self.stopwatch.resume();
                     if !self.written(written) {
                         break EndReason::Deposed;
                     }
-                    self.usage.lap(Activity::Writes);
+                    self.stopwatch.lap(Activity::Writes);
                 }
                 Some(_) = self.tasks.join_next() => continue,
                 true = self.links.join_next() => continue,
@@ -280,10 +280,10 @@
                     }
                 }
                 _ = tick.tick() => {
-                    if self.usage.is_due() {
+                    if self.stopwatch.is_due() {
                         let effort = self.scheduler.take_effort();
                         let rows = self.scheduler.unstored_rows();
-                        self.usage.report(self.epoch, effort, rows);
+                        self.stopwatch.report(self.epoch, effort, rows);
                     }
                     self.expire_polls();
                     self.links.tick();
@@ -335,7 +335,8 @@
                     reply,
                     received,
                 } = *pending;
-                self.usage.add_call(received.elapsed(), reply.is_closed());
+                self.stopwatch
+                    .add_call(received.elapsed(), reply.is_closed());
                 self.call(call, reply);
             }
             Message::Registry(entries) => self.scheduler.update_registry(entries),
@@ -396,11 +397,11 @@
 
     /// Advances the scheduler, carries out its actions and starts the next write.
     fn step(&mut self) {
-        self.usage.resume();
+        self.stopwatch.resume();
         self.scheduler.suspend(!self.authority.holds());
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
-        let took = self.usage.lap(Activity::Placement);
+        let took = self.stopwatch.lap(Activity::Placement);
         self.scheduler.note_advance_time(took);
         let mut starts: BTreeMap<StepId, Vec<(usize, Start)>> = BTreeMap::new();
         for action in actions {
@@ -426,15 +427,15 @@
                 action => self.execute(action),
             }
         }
-        self.usage.lap(Activity::Actions);
+        self.stopwatch.lap(Activity::Actions);
         for starts in starts.into_values() {
             self.links.start_step(starts);
         }
-        self.usage.lap(Activity::Orders);
+        self.stopwatch.lap(Activity::Orders);
         self.answer_polls();
-        self.usage.lap(Activity::Questions);
+        self.stopwatch.lap(Activity::Questions);
         self.begin_write();
-        self.usage.lap(Activity::Writes);
+        self.stopwatch.lap(Activity::Writes);
     }
 
     fn begin_write(&mut self) {
--- a/crates/server/src/cluster/leader/usage.rs
+++ b/crates/server/src/cluster/leader/stopwatch.rs
@@ -14,8 +14,8 @@
 /// The interval over which the time is measured.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// The time of the leader's task and of its process.
-pub(super) struct Usage {
+/// Measures the activities of the leader's task one after the other.
+pub(super) struct Stopwatch {
     context: Context,
     meter: Meter,
     begun: Instant,
@@ -25,10 +25,10 @@
     lap_begun: Instant,
 }
 
-impl Usage {
+impl Stopwatch {
     /// Begins to measure.
-    pub(super) fn new(context: Context) -> Usage {
-        Usage {
+    pub(super) fn new(context: Context) -> Stopwatch {
+        Stopwatch {
             context,
             meter: Meter::default(),
             begun: Instant::now(),
