Tells what calls a busy leader serves and how late its timers are

Callers saw 4 to 7 s without service with each change of the leader on the large site.

`leader busy` now has the calls by kind and the longest delay of a timer of the leader's task, `job refused` the capacity of the fleet by which the wait was computed.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -136,6 +136,8 @@
         excess: bool,
         /// How long the work ahead of it takes.
         wait: Duration,
+        /// The processors with which this was computed, in thousandths of a core.
+        fleet_millicores: u64,
         /// The time after which its client may retry.
         pause: Duration,
     },
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -39,6 +39,7 @@
             self.log(Decision::Refused {
                 job: id,
                 wait: self.estimated_wait(queue),
+                fleet_millicores: self.capacity.millicores,
                 queue: queue.clone(),
                 account,
                 excess,
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -32,12 +32,13 @@
             account,
             excess,
             wait,
+            fleet_millicores,
             pause,
         } => {
             metrics.jobs.add(1, &[kind(name.to_owned())]);
             info!(log, "job refused"; "job" => %job, "queue" => %queue,
                 "account" => account.as_deref(), "excess" => excess,
-                "wait_ms" => wait.as_millis() as u64,
+                "wait_ms" => wait.as_millis() as u64, "fleet_millicores" => fleet_millicores,
                 "retry_after_ms" => pause.as_millis() as u64, "epoch" => epoch);
         }
         Decision::Waits {
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -279,7 +279,8 @@
                         self.scheduler.configure(config);
                     }
                 }
-                _ = tick.tick() => {
+                due = tick.tick() => {
+                    self.stopwatch.add_delay(due.elapsed());
                     if self.stopwatch.is_due() {
                         let effort = self.scheduler.take_effort();
                         let rows = self.scheduler.unstored_rows();
@@ -336,7 +337,7 @@
                     received,
                 } = *pending;
                 self.stopwatch
-                    .add_call(received.elapsed(), reply.is_closed());
+                    .add_call((&call).into(), received.elapsed(), reply.is_closed());
                 self.call(call, reply);
             }
             Message::Registry(entries) => self.scheduler.update_registry(entries),
--- a/crates/server/src/cluster/leader/stopwatch.rs
+++ b/crates/server/src/cluster/leader/stopwatch.rs
@@ -1,5 +1,6 @@
 //! Logs what the leader spends its time on while there is little left.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use azurepath_decide::batch::scheduler::Effort;
@@ -52,13 +53,18 @@
     }
 
     /// Counts a call that the leader's task takes.
-    pub(super) fn add_call(&mut self, waited: Duration, abandoned: bool) {
+    pub(super) fn add_call(&mut self, kind: &'static str, waited: Duration, abandoned: bool) {
         let counts = &self.context.counts;
         counts.leader_wait.record(waited.as_secs_f64(), &[]);
         if abandoned {
             counts.abandoned_calls.add(1, &[]);
         }
-        self.meter.add_call(waited, abandoned);
+        self.meter.add_call(kind, waited, abandoned);
+    }
+
+    /// Counts a timer of the leader's task that was late by `delay`.
+    pub(super) fn add_delay(&mut self, delay: Duration) {
+        self.meter.add_delay(delay);
     }
 
     /// Tells whether an interval has ended.
@@ -80,18 +86,23 @@
         if !usage.is_busy() {
             return;
         }
-        let activities = usage.activities.iter();
-        let activities: Vec<String> = activities
-            .map(|(activity, ms)| format!("{activity}={ms}"))
-            .collect();
+        let activities = join(&usage.activities);
+        let calls = join(&usage.calls);
         warn!(self.context.log, "leader busy"; "epoch" => epoch, "percent" => usage.percent,
-            "activities_ms" => activities.join(" "), "rest_ms" => usage.rest_ms,
-            "wait_ms" => usage.longest_wait_ms, "abandoned" => usage.abandoned,
+            "activities_ms" => activities, "rest_ms" => usage.rest_ms,
+            "delay_ms" => usage.longest_delay_ms, "wait_ms" => usage.longest_wait_ms,
+            "abandoned" => usage.abandoned, "calls" => calls,
             "passes" => effort.passes, "visits" => effort.visits, "ranked" => effort.ranked,
             "rows" => rows);
     }
 }
 
+/// Joins names and their values to one text.
+fn join(values: &[(impl Display, u64)]) -> String {
+    let texts = values.iter().map(|(name, value)| format!("{name}={value}"));
+    texts.collect::<Vec<_>>().join(" ")
+}
+
 /// Returns how long the only thread of the process has been busy.
 fn busy() -> Duration {
     Handle::current().metrics().worker_total_busy_duration(0)
--- a/crates/server/src/metrics/load.rs
+++ b/crates/server/src/metrics/load.rs
@@ -1,5 +1,7 @@
 //! Measures what a leader spends its time on.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use strum::{EnumCount, IntoEnumIterator};
@@ -52,6 +54,10 @@
     pub longest_wait_ms: u64,
     /// The calls whose callers had given up before the leader's task took them.
     pub abandoned: u64,
+    /// The number of calls by kind, the most frequent kind first.
+    pub calls: Vec<(&'static str, u64)>,
+    /// The longest time by which a timer of the leader's task was late, in milliseconds.
+    pub longest_delay_ms: u64,
 }
 
 impl Usage {
@@ -67,6 +73,8 @@
     times: [Duration; Activity::COUNT],
     longest_wait: Duration,
     abandoned: u64,
+    calls: BTreeMap<&'static str, u64>,
+    longest_delay: Duration,
 }
 
 impl Meter {
@@ -76,9 +84,15 @@
     }
 
     /// Adds a call that has waited for the leader's task; `abandoned` if its caller has given up.
-    pub fn add_call(&mut self, waited: Duration, abandoned: bool) {
+    pub fn add_call(&mut self, kind: &'static str, waited: Duration, abandoned: bool) {
         self.longest_wait = self.longest_wait.max(waited);
         self.abandoned += u64::from(abandoned);
+        *self.calls.entry(kind).or_default() += 1;
+    }
+
+    /// Adds a timer of the leader's task that was late by `delay`.
+    pub fn add_delay(&mut self, delay: Duration) {
+        self.longest_delay = self.longest_delay.max(delay);
     }
 
     /// Ends an interval that has lasted `elapsed`, in which the process was busy for `busy`.
@@ -87,6 +101,8 @@
         let percent = busy.as_micros() * 100 / elapsed.as_micros().max(1);
         let total: Duration = ended.times.iter().sum();
         let times = Activity::iter().zip(ended.times);
+        let mut calls: Vec<_> = ended.calls.into_iter().collect();
+        calls.sort_by_key(|(_, count)| Reverse(*count));
         Usage {
             percent: u64::try_from(percent).unwrap_or(u64::MAX),
             activities: times
@@ -95,6 +111,8 @@
             rest_ms: millis(busy.saturating_sub(total)),
             longest_wait_ms: millis(ended.longest_wait),
             abandoned: ended.abandoned,
+            calls,
+            longest_delay_ms: millis(ended.longest_delay),
         }
     }
 }
--- a/crates/server/tests/load_meter.rs
+++ b/crates/server/tests/load_meter.rs
@@ -34,7 +34,7 @@
 fn each_interval_anew() {
     let mut meter = Meter::default();
     meter.add(Activity::Placement, millis(900));
-    meter.add_call(millis(40), true);
+    meter.add_call("submit", millis(40), true);
     assert!(meter.end_interval(millis(900), SECOND).is_busy());
     let usage = meter.end_interval(millis(100), SECOND);
     assert!(!usage.is_busy());
@@ -54,9 +54,29 @@
 #[test]
 fn longest_wait_and_abandoned_calls() {
     let mut meter = Meter::default();
-    meter.add_call(millis(5), false);
-    meter.add_call(millis(70), true);
-    meter.add_call(millis(30), true);
+    meter.add_call("submit", millis(5), false);
+    meter.add_call("submit", millis(70), true);
+    meter.add_call("submit", millis(30), true);
     let usage = meter.end_interval(millis(100), SECOND);
     assert_eq!((usage.longest_wait_ms, usage.abandoned), (70, 2));
 }
+
+#[test]
+fn calls_by_kind() {
+    let mut meter = Meter::default();
+    meter.add_call("submit", millis(5), false);
+    meter.add_call("relay", millis(1), false);
+    meter.add_call("relay", millis(1), false);
+    let usage = meter.end_interval(millis(100), SECOND);
+    assert_eq!(usage.calls, [("relay", 2), ("submit", 1)]);
+    assert_eq!(meter.end_interval(millis(100), SECOND).calls, []);
+}
+
+#[test]
+fn longest_delay() {
+    let mut meter = Meter::default();
+    meter.add_delay(millis(30));
+    meter.add_delay(millis(10));
+    assert_eq!(meter.end_interval(millis(100), SECOND).longest_delay_ms, 30);
+    assert_eq!(meter.end_interval(millis(100), SECOND).longest_delay_ms, 0);
+}
