Counts the workers that a new leader expects to answer when it refuses jobs

Cause: the backlog was measured against the workers that had answered the new leader so far, a few of 1,100.

A new leader now counts the listed workers of the stored roster as well until they have answered or the time is over in which tasks of its predecessor may run. Without them it goes by those that answer, as before.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -132,6 +132,11 @@
         self.in_roster && self.contact == Contact::Unclaimed
     }
 
+    /// Tells whether it has not answered this scheduler yet and takes new tasks once it has.
+    pub fn may_answer(&self) -> bool {
+        self.is_unreported() && self.listed && self.entry.status == Status::Ready
+    }
+
     /// Tells whether its capacity is held for a gang, or a gang waits for advice about it.
     pub fn is_held_for_gang(&self, now: Time) -> bool {
         self.held_for_gang || self.advice_pending_until > now
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -136,7 +136,8 @@
     worker_reservations_left: usize,
     /// How many more workers may be held for gangs until the next full pass.
     holds_left: usize,
-    /// Total capacity of the workers that accept tasks, as of the last full pass.
+    /// Total capacity of the workers that accept tasks, or will after a takeover, as of the last full
+    /// pass.
     capacity: Size,
     /// Jobs with a final state, by the time at which they reached it.
     ended: BTreeMap<Time, Vec<JobId>>,
--- a/crates/decide/src/batch/scheduler/admission.rs
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -48,7 +48,7 @@
 
     /// Measures the backlog. Late work is left out, since it is ranked last.
     pub(super) fn measure_backlog(&mut self) {
-        self.capacity = self.schedulable_capacity();
+        self.capacity = self.expected_capacity();
         let mut backlog = Backlog::default();
         for rank in self
             .ranking
@@ -78,8 +78,13 @@
         size.dominant_share(&self.capacity)
     }
 
-    fn schedulable_capacity(&self) -> Size {
-        self.schedulable()
-            .fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
+    /// Returns the capacity for the work that waits. A new scheduler expects the workers of its
+    /// predecessors to answer; with only those that have, it would refuse what they can run.
+    fn expected_capacity(&self) -> Size {
+        let taking_over = self.now < self.takeover_ends_at;
+        let expected = self.workers.iter().filter(|worker| {
+            worker.is_schedulable(self.now) || (taking_over && worker.may_answer())
+        });
+        expected.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
     }
 }
