Gives workers to instances without waiting for their next calls

Callers were not served for a second after a new leader led, although the store, 146 instances and 1,100 workers were well.

Cause: an instance learns which workers it renews from the reply to its call, and one without workers calls every 700 ms. A new leader knows of the instances after their first calls, which come at once, and so gave the workers out in the replies to their second ones.

The leader now holds the call of an instance without workers until there are some for it, for as long as the instance would have paused. Polls for orders begin at once with a new leader as well, since otherwise the leader sends its first orders itself.

relayed_events.rs::first_call_gets_no_workers failed before (0 of 3 workers in the first reply) and passes. carried_traffic.rs::no_faults failed without the second change, since the jobs came before the first poll.

--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -151,6 +151,12 @@
         Some(name.clone())
     }
 
+    /// Tells whether an instance may be given workers and has none.
+    pub fn is_idle(&self, instance: &Name) -> bool {
+        let carrier = self.instances.get(instance);
+        carrier.is_some_and(|carrier| carrier.heard.is_some() && carrier.workers == 0)
+    }
+
     /// Records that an instance no longer renews one of its workers.
     pub fn unassign(&mut self, instance: &Name) {
         if let Some(carrier) = self.instances.get_mut(instance) {
--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -52,6 +52,7 @@
     let permits = Arc::new(Semaphore::new(under_way as usize));
     let mut tasks = JoinSet::new();
     tasks.spawn(deliver(context.clone(), receiver, halt.clone()));
+    let mut route = context.route.clone();
     while !halt.is_cancelled() {
         let call = Call::Carry {
             instance: context.name.to_string(),
@@ -77,6 +78,7 @@
             }
             Ok(_) | Err(_) => tokio::select! {
                 () = halt.cancelled() => break,
+                () = route.changed() => {}
                 () = tokio::time::sleep(RETRY_PAUSE) => {}
             },
         }
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -76,15 +76,16 @@
                 seen,
                 events,
             } => {
+                let instance = Name::from(instance);
                 let relay = self.links.relay(
-                    &Name::from(instance),
+                    &instance,
                     &Name::from(failure_domain),
                     capacity,
                     sequence,
                     (epoch, seen),
                     events,
                 );
-                send(reply, Reply::Relay(relay));
+                self.links.answer_relay(instance, relay, reply);
             }
         }
     }
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -20,7 +20,7 @@
 
 use self::link::{Link, Renewal};
 use self::order::{Carried, Poll};
-use self::relay::Outbox;
+use self::relay::{IdleCall, Outbox};
 use super::Context;
 use super::clock::{self, Authority};
 use super::relay::MAX_GRANT;
@@ -52,6 +52,8 @@
     unattached: BTreeSet<usize>,
     carriers: Carriers,
     outboxes: BTreeMap<Name, Outbox>,
+    /// The calls of instances without workers.
+    idle_calls: BTreeMap<Name, IdleCall>,
     /// The last call of each instance that renews workers.
     last_calls: BTreeMap<Name, wire::Sequence>,
     polls: BTreeMap<Name, Poll>,
@@ -89,6 +91,7 @@
             unattached: BTreeSet::new(),
             carriers: Carriers::default(),
             outboxes: BTreeMap::new(),
+            idle_calls: BTreeMap::new(),
             last_calls: BTreeMap::new(),
             polls: BTreeMap::new(),
             queued: BTreeMap::new(),
@@ -213,6 +216,11 @@
     pub(super) fn tick(&mut self) {
         self.expire_polls();
         self.expire_carried();
+        self.share_workers();
+        self.answer_idle_calls();
+    }
+
+    fn share_workers(&mut self) {
         let now = clock::now();
         for instance in self.carriers.silent(now) {
             self.take_back(&instance);
--- a/crates/server/src/cluster/links/relay.rs
+++ b/crates/server/src/cluster/links/relay.rs
@@ -4,13 +4,15 @@
 
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::name::Name;
-use azurepath_wire::batch::{self as wire, Relay, RelayChange};
+use azurepath_wire::batch::{self as wire, Relay, RelayChange, Reply};
 use slog::info;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::Links;
 use super::link::{Link, Renewal};
 use crate::cluster::clock;
-use crate::cluster::relay::{CALL_TIMEOUT, MAX_GRANT};
+use crate::cluster::relay::{CALL_TIMEOUT, IDLE_INTERVAL, MAX_GRANT};
 use crate::cluster::renewal::Event;
 
 /// The changes that an instance has not confirmed yet.
@@ -20,6 +22,12 @@
     pub(super) changes: VecDeque<(u64, RelayChange)>,
 }
 
+/// A call of an instance without workers, which waits until there are some for it.
+pub(super) struct IdleCall {
+    reply: oneshot::Sender<Reply>,
+    until: Instant,
+}
+
 impl Outbox {
     pub(super) fn push(&mut self, change: RelayChange) {
         self.last += 1;
@@ -28,6 +36,49 @@
 }
 
 impl Links {
+    /// Replies to the call of an instance that renews workers. If it has none, the reply waits until
+    /// there are some for it, so that they don't wait for its next call.
+    pub(in crate::cluster) fn answer_relay(
+        &mut self,
+        instance: Name,
+        relay: Relay,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        if !relay.wanted || !relay.changes.is_empty() || !self.carriers.is_idle(&instance) {
+            // The instance may have gone.
+            let _ = reply.send(Reply::Relay(relay));
+            return;
+        }
+        let until = Instant::now() + IDLE_INTERVAL;
+        let call = IdleCall { reply, until };
+        if let Some(earlier) = self.idle_calls.insert(instance, call) {
+            let _ = earlier.reply.send(Reply::Relay(relay));
+        }
+    }
+
+    /// Replies to the waiting calls of instances that have got workers or have waited long enough.
+    pub(super) fn answer_idle_calls(&mut self) {
+        let now = Instant::now();
+        let outboxes = &self.outboxes;
+        let is_due = |instance: &Name, call: &mut IdleCall| {
+            let outbox = outboxes.get(instance);
+            call.until <= now || outbox.is_some_and(|outbox| !outbox.changes.is_empty())
+        };
+        let due: Vec<(Name, IdleCall)> = self.idle_calls.extract_if(.., is_due).collect();
+        for (instance, call) in due {
+            let relay = self.relay_reply(self.wants_carriers(), self.changes_for(&instance));
+            let _ = call.reply.send(Reply::Relay(relay));
+        }
+    }
+
+    /// Returns the changes that an instance has not confirmed.
+    fn changes_for(&self, instance: &Name) -> Vec<(u64, RelayChange)> {
+        let outbox = self.outboxes.get(instance).into_iter();
+        outbox
+            .flat_map(|outbox| outbox.changes.iter().cloned())
+            .collect()
+    }
+
     /// Handles the call of an instance that renews workers: its events go to the leader, and the
     /// changes that it has not seen come back.
     pub(in crate::cluster) fn relay(
@@ -82,8 +133,7 @@
         {
             outbox.changes.pop_front();
         }
-        let changes = outbox.changes.iter().cloned().collect();
-        self.relay_reply(wanted, changes)
+        self.relay_reply(wanted, self.changes_for(instance))
     }
 
     fn relay_reply(&self, wanted: bool, changes: Vec<(u64, RelayChange)>) -> Relay {
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -28,8 +28,9 @@
 /// The time between two calls of an instance that renews workers without events.
 const CALL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The time between two calls of an instance that renews no worker.
-const IDLE_INTERVAL: Duration = Duration::from_millis(700);
+/// The time between two calls of an instance that renews no worker, during which the leader may hold
+/// the first one.
+pub(super) const IDLE_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The same if the leader renews all workers itself.
 const UNWANTED_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -252,3 +252,13 @@
     .await;
     Ok(())
 }
+
+#[tokio::test]
+async fn first_call_gets_no_workers() -> Result<()> {
+    let cluster = Cluster::start(WORKERS)?;
+    let leader = cluster.instance_with("a", SMALL).await?;
+    until(async || count(&leader, "worker claimed") == WORKERS).await;
+    let reply = relay(address(&leader, "peers")?, 0, 0, &[]).await?;
+    assert_eq!(attached(&reply), WORKERS);
+    Ok(())
+}
