Compresses connections between instances up to 10 Mbit/s only

Callers waited for a leader whose half core was used up.

Connections of faster instances than 10 Mbit/s are no longer compressed.

--- a/crates/server/src/cluster/peer.rs
+++ b/crates/server/src/cluster/peer.rs
@@ -34,7 +34,7 @@
 
 /// The speed of the fastest link over which connections between instances are compressed, in kbit/s.
 /// On a faster one it would only cost processor time.
-const MAX_COMPRESSED_KBPS: u64 = 20_000;
+const MAX_COMPRESSED_KBPS: u64 = 10_000;
 
 /// How long an instance waits after another one has answered that it is no longer the leader.
 const NOT_LEADING_PAUSE: Duration = Duration::from_millis(20);
