Lets a leader make way whose machine is too slow

Callers were not served for 6 to 7 s while one machine of 147 was slow: the leader's.

Cause: other instances take over if the leader's row stays unchanged. A leader on a machine 6.5 times slower still writes in time, while a job waits for its task at each step: a call waits 159 to 426 ms for it, where 24 ms is the most before, and passes of placement drop from 216 to 6 a second. It kept the leadership for 5.4 s.

The leader measures how late the timers of its own task are. If most are late by 100 ms for a second, it writes that it makes way, and other instances claim the leadership at once. It leaves the leadership to them for 20 s unless nobody claims it, its successor is not judged for 20 s, and an instance that hears of no other one goes on: so neither an overload nor a single instance makes the leadership go round.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -20,6 +20,7 @@
 pub mod scheduler;
 pub mod spec;
 pub mod store_pace;
+pub mod tenure;
 
 pub use event::{Action, Answer, Decision, Refusal, StartOutcome, State};
 pub use id::{Attempt, JobId, StepId, TaskId};
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::config::Config;
+use azurepath_decide::batch::tenure::{REST_TIME, Tenure};
 use azurepath_decide::time::Time;
 use azurepath_platform::store::Page;
 use rand::Rng;
@@ -37,6 +38,10 @@
 /// How often the leader's row is read while the leader can't be reached.
 const FAST_READ_INTERVAL: Duration = Duration::from_millis(150);
 
+/// How long the leader's row may stay unchanged before an instance that was too slow to lead claims it
+/// all the same, since nobody else does.
+const ABANDONED_TIMEOUT: Duration = Duration::from_millis(2_800);
+
 /// A claim waits for this multiple of the latency of the store, so that instances in the store's
 /// region become the leader. From another region, each job and each start takes several more round
 /// trips.
@@ -85,6 +90,8 @@
     yield_count: u32,
     /// When the store was last read.
     read_at: Option<Time>,
+    /// Until when this instance leaves the leadership to others, since it was too slow.
+    rests_until: Time,
 }
 
 impl Election {
@@ -102,6 +109,7 @@
             store_latency: Duration::MAX,
             yield_count: 0,
             read_at: None,
+            rests_until: Time::default(),
         }
     }
 
@@ -201,10 +209,12 @@
         let Some(row) = &self.view.leader else {
             return true;
         };
-        let unchanged_for = clock::now().since(self.view.since);
+        let now = clock::now();
+        let unchanged_for = now.since(self.view.since);
         let timeout = match row.term {
+            _ if now < self.rests_until => ABANDONED_TIMEOUT,
             _ if self.is_own(row) => return true,
-            Term::Released | Term::Aborted => return true,
+            Term::Released | Term::Yielded | Term::Aborted => return true,
             // Instances don't connect to a recovering leader.
             Term::Recovering => LEADER_TIMEOUT,
             Term::Leading if self.context.route.is_connected() => LEADER_TIMEOUT,
@@ -228,6 +238,7 @@
         }
         let version = self.view.version;
         let authority_left = self.authority_left();
+        let after_slow = matches!(&self.view.leader, Some(row) if row.term == Term::Yielded);
         let Some((writer, sent)) = self.claim().await else {
             return;
         };
@@ -235,10 +246,12 @@
         info!(self.context.log, "leadership claimed"; "epoch" => epoch, "before" => version);
         self.leadership.send_replace(Leadership::Unknown);
         let reason = self
-            .serve_term(writer, sent, authority_left, config, leaving)
+            .serve_term(writer, sent, authority_left, after_slow, config, leaving)
             .await;
-        if reason == EndReason::Yielded {
-            self.yield_count += 1;
+        match reason {
+            EndReason::Yielded => self.yield_count += 1,
+            EndReason::Slow => self.rests_until = clock::now().after(REST_TIME),
+            EndReason::Deposed | EndReason::Released | EndReason::Stalled | EndReason::Failed => {}
         }
         self.leadership.send_replace(Leadership::Unknown);
         info!(self.context.log, "leading no more"; "epoch" => epoch, "reason" => %reason);
@@ -266,12 +279,14 @@
     }
 
     /// Reads what is stored and leads. The leadership was claimed by a write sent at `sent`, when the
-    /// previous leader could still give orders for `authority_left`.
+    /// previous leader could still give orders for `authority_left`; `after_slow` if it made way
+    /// because it was too slow.
     async fn serve_term(
         &self,
         mut writer: Writer,
         sent: Time,
         authority_left: Duration,
+        after_slow: bool,
         config: Arc<Config>,
         leaving: &CancellationToken,
     ) -> EndReason {
@@ -292,6 +307,7 @@
             writer,
             announced,
             authority_left.saturating_sub(clock::now().since(sent)),
+            Tenure::new(clock::now(), after_slow),
             config,
             stored,
         );
@@ -324,7 +340,7 @@
         match &self.view.leader {
             // It released its authority, or it was an earlier process of this instance, which is
             // dead. Instances that renew workers for it may still do so for a moment.
-            Some(row) if row.term == Term::Released => MAX_GRANT,
+            Some(row) if matches!(row.term, Term::Released | Term::Yielded) => MAX_GRANT,
             Some(row) if row.term == Term::Leading && self.is_previous_process(row) => MAX_GRANT,
             // A claimant that took no calls says nothing of the leader before it, whose last write is
             // older than this version.
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -13,6 +13,7 @@
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
 use azurepath_decide::batch::store_pace::StorePace;
+use azurepath_decide::batch::tenure::Tenure;
 use azurepath_decide::batch::{Action, StartOutcome, StepId};
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
@@ -56,6 +57,10 @@
 /// that may run on an unreachable worker are started elsewhere only after it has expired.
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
+/// How long after its last call another instance counts as one that may lead: the longest time
+/// between two calls of an instance and that of a call.
+const PEER_TIMEOUT: Duration = Duration::from_secs(7);
+
 /// How long the end of the leadership waits for the current write.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -108,6 +113,8 @@
     Released,
     /// The leadership was released for an instance nearer to the store.
     Yielded,
+    /// The leadership was released since the machine is too slow.
+    Slow,
     /// What is stored can't be read.
     Stalled,
     /// The leader's task failed.
@@ -137,6 +144,9 @@
     epoch: u64,
     resigned: bool,
     stopwatch: Stopwatch,
+    tenure: Tenure,
+    /// When another instance last called.
+    peer_called: Option<Instant>,
 }
 
 impl Leader {
@@ -147,6 +157,7 @@
         writer: Writer,
         sent: Time,
         authority_left: Duration,
+        tenure: Tenure,
         config: Arc<Config>,
         stored: Stored,
     ) -> (Leader, Handle, mpsc::UnboundedReceiver<Message>) {
@@ -201,6 +212,8 @@
             epoch,
             resigned: false,
             stopwatch: Stopwatch::new(context.clone()),
+            tenure,
+            peer_called: None,
             context,
         };
         (leader, handle, receiver)
@@ -280,7 +293,11 @@
                     }
                 }
                 due = tick.tick() => {
-                    self.stopwatch.add_delay(due.elapsed());
+                    let delay = due.elapsed();
+                    self.stopwatch.add_delay(delay);
+                    if self.tenure.record(delay, clock::now()) && self.has_peers() {
+                        break EndReason::Slow;
+                    }
                     if self.stopwatch.is_due() {
                         let effort = self.scheduler.take_effort();
                         let rows = self.scheduler.unstored_rows();
@@ -317,8 +334,11 @@
                     }
                 }
             }
-            if let Some(writer) = self.writer.take() {
+            if let Some(mut writer) = self.writer.take() {
                 let _guard = pending.enter("release");
+                if reason == EndReason::Slow {
+                    writer.yield_leading();
+                }
                 writer.release().await;
             }
         }
@@ -328,6 +348,12 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
+    /// Tells whether there are other instances that may lead.
+    fn has_peers(&self) -> bool {
+        self.peer_called
+            .is_some_and(|at| at.elapsed() < PEER_TIMEOUT)
+    }
+
     fn handle(&mut self, message: Message) {
         match message {
             Message::Call(pending) => {
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -26,6 +26,13 @@
 
 impl Leader {
     pub(super) fn call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
+        if let Call::Poll { instance, .. }
+        | Call::Carry { instance, .. }
+        | Call::Relay { instance, .. } = &call
+            && **instance != *self.context.name
+        {
+            self.peer_called = Some(Instant::now());
+        }
         match call {
             Call::Submit {
                 job,
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -100,6 +100,8 @@
     Released,
     /// It ended before it took calls. The leader before it may still give orders.
     Aborted,
+    /// It has released the leadership since its machine is too slow.
+    Yielded,
 }
 
 impl LeaderRow {
@@ -259,12 +261,18 @@
         self.row.term = Term::Leading;
     }
 
+    /// States with the next write that the machine is too slow to lead.
+    pub(super) fn yield_leading(&mut self) {
+        self.row.term = Term::Yielded;
+    }
+
     /// Releases the leadership.
     pub(super) async fn release(mut self) {
         self.row.write += 1;
         self.row.term = match self.row.term {
             Term::Leading | Term::Released => Term::Released,
             Term::Recovering | Term::Aborted => Term::Aborted,
+            Term::Yielded => Term::Yielded,
         };
         // If this fails, the other instances notice that the row no longer changes.
         let empty = Batch::default();
