Bounds the Retry-After of a leader that does not reach the store

Cause: the wait was computed from the present write as if all writes behind it took as long: 1.5 s for each of the eight for 700 rows. That says nothing of the writes once the store is reached again.

The pause is at most 2 s now, the time within which such a leader has a successor.

store_pace.rs::outage_keeps_clients_away failed before (Some(15.27551s)) and passes.

--- a/crates/decide/src/batch/store_pace.rs
+++ b/crates/decide/src/batch/store_pace.rs
@@ -13,6 +13,11 @@
 /// The shortest time after which a client is told to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The longest time after which a client is told to retry. A leader that does not reach the store has
+/// a successor by then, and an estimate from the present write says nothing of the writes after an
+/// outage.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// The weight of the last write in the averages.
 const WRITE_WEIGHT: f64 = 0.3;
 
@@ -62,6 +67,6 @@
             return None;
         }
         let wait = self.expected_wait(waiting, writing);
-        (wait > MAX_STORE_WAIT).then(|| wait.max(MIN_RETRY_AFTER))
+        (wait > MAX_STORE_WAIT).then(|| wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 }
--- a/crates/decide/tests/store_pace.rs
+++ b/crates/decide/tests/store_pace.rs
@@ -110,3 +110,16 @@
     pace.record(1, false, Duration::from_secs(8));
     assert_eq!(pace.retry_after(0, Duration::ZERO), None);
 }
+
+/// By then another instance leads, or the store is back.
+const OUTAGE_PAUSE: Duration = Duration::from_secs(2);
+
+#[test]
+fn outage_keeps_clients_away() {
+    let pace = StorePace::default();
+    let pause = pace.retry_after(900, Duration::from_millis(1_500));
+    assert!(
+        pause.is_some_and(|pause| pause <= OUTAGE_PAUSE),
+        "{pause:?}"
+    );
+}
