Reads the leader's row more often once its heartbeat is overdue

Cause: a connected instance reads the row every 400 ms, so it learns up to 400 ms late that the row has stopped to change, and again that the time is over.

It reads every 150 ms now once the row has been unchanged for 400 ms, the longest time between two writes, but only while the store answers: reads cost the store something while it is away. No test: the interval has no effect but the time.

--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -35,7 +35,7 @@
 /// that is deposed by mistake loses only the leadership.
 const UNREACHABLE_LEADER_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// How often the leader's row is read while the leader can't be reached.
+/// How often the leader's row is read while the leader can't be reached or its heartbeat is overdue.
 const FAST_READ_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long the leader's row may stay unchanged before an instance that was too slow to lead claims it
@@ -128,7 +128,7 @@
             }
             let pause = if leaving.is_cancelled() {
                 LEAVING_READ_INTERVAL
-            } else if self.context.route.is_connected() {
+            } else if self.context.route.is_connected() && !(read && self.is_overdue()) {
                 READ_INTERVAL
             } else {
                 FAST_READ_INTERVAL
@@ -204,6 +204,11 @@
         row.name == self.context.name
     }
 
+    /// Tells whether the leader's row has been unchanged for longer than one of its heartbeats.
+    fn is_overdue(&self) -> bool {
+        clock::now().since(self.view.since) >= READ_INTERVAL
+    }
+
     /// Tells whether this instance may claim the leadership.
     fn is_claimable(&self) -> bool {
         let Some(row) = &self.view.leader else {
