Checks that an entry of the registry may be that of a worker

Another writer may leave an entry that parses and says an absurd thing. One that states a birth far ahead replaced the worker of that id for good, since the later incarnation counts; one with port 0 or a multicast address was called again and again; one with 2^64 - 1 thousandths of a core counted as capacity after a takeover; labels by the thousand were copied with each change.

Entry::check refuses them, with bounds that no machine reaches.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -35,6 +35,70 @@
     pub born_ms: u64,
 }
 
+/// The largest amount of each resource of a worker: a million cores, a pebibyte of memory, a million
+/// accelerators. No machine has more.
+const MAX_CAPACITY: Size = Size {
+    millicores: 1_000_000_000,
+    memory_mib: 1 << 30,
+    accelerators: 1_000_000,
+    slots: u64::MAX,
+};
+
+/// The maximum number of labels of a worker.
+const MAX_LABELS: usize = 100;
+
+/// The maximum length of a name in an entry, in bytes: that of a key of the store.
+const MAX_NAME_BYTES: usize = 200;
+
+/// How far the clock of a worker may be ahead of the reader's, in milliseconds.
+const MAX_CLOCK_LEAD_MS: u64 = 60_000;
+
+/// Why an entry names no worker to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// No worker can be called at its address.
+    #[error("its address can't be called; register the address that the worker listens on")]
+    Address,
+    /// No machine has such a capacity.
+    #[error("its capacity is impossible; register that of the worker")]
+    Capacity,
+    /// Its names are too long or too many.
+    #[error(
+        "it has over {MAX_LABELS} labels or a name of over {MAX_NAME_BYTES} bytes; shorten them"
+    )]
+    Names,
+    /// It would precede all later incarnations of the worker.
+    #[error("the worker was born in the future; set its clock")]
+    Born,
+}
+
+impl Entry {
+    /// Checks that the entry may be that of a worker, at a time in milliseconds since 1970. Entries
+    /// may come from writers that are no workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn check(&self, wall_ms: u64) -> Result<(), Fault> {
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(Fault::Address);
+        }
+        if !self.capacity.fits(&MAX_CAPACITY) {
+            return Err(Fault::Capacity);
+        }
+        let names = [&self.id, &self.pool, &self.failure_domain, &self.rack];
+        let mut names = names.into_iter().chain(&self.labels);
+        if self.labels.len() > MAX_LABELS || names.any(|name| name.len() > MAX_NAME_BYTES) {
+            return Err(Fault::Names);
+        }
+        if self.born_ms > wall_ms.saturating_add(MAX_CLOCK_LEAD_MS) {
+            return Err(Fault::Born);
+        }
+        Ok(())
+    }
+}
+
 /// Whether a worker takes new tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
