Bounds what a stored row may state

An instance ended as soon as it read the leader's row if another writer had left bytes there that state a text of 2^64 - 1 bytes, and so did each one that was started again; a new leader ended the same way at such a row of a job, a worker or a block of tasks (processes that end by themselves, nothing is served).

Cause: the decoder reserves memory for the length that a row states before it looks at what there is, and the reader of bit sets does so for their length. Neither was bounded. A job's row was also believed whatever its steps were, such as one with four billion tasks.

If the leader's row can't be read, the next epoch is greater than the row's version, and so than any before: each epoch took a write.

--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -199,7 +199,7 @@
         let Some(step) = self.steps.get_mut(number) else {
             return;
         };
-        let first = (id.number * BLOCK_TASKS) as usize;
+        let first = id.number as usize * BLOCK_TASKS as usize;
         for index in progress.done.ones() {
             if let Some(task) = step.tasks.get_mut(first + index)
                 && task.place != Place::Done
--- a/crates/decide/src/batch/record.rs
+++ b/crates/decide/src/batch/record.rs
@@ -5,7 +5,8 @@
 //! leaves out those of which there is nothing to say.
 
 use fixedbitset::FixedBitSet;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::name::Name;
 
@@ -99,6 +100,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// Which tasks are done, by their number in the block.
+    #[serde(deserialize_with = "read_bits")]
     pub done: FixedBitSet,
     /// What has to be known of the others, by their number in the block.
     pub tasks: Vec<(u32, Task)>,
@@ -125,3 +127,25 @@
         }
     }
 }
+
+/// Reads the bits of a block. The library would allocate whatever length a row states.
+fn read_bits<'de, D: Deserializer<'de>>(deserializer: D) -> Result<FixedBitSet, D::Error> {
+    #[derive(Deserialize)]
+    struct Bits {
+        length: u64,
+        /// Blocks of bits, in little-endian order.
+        data: Vec<u8>,
+    }
+
+    let Bits { length, data } = Bits::deserialize(deserializer)?;
+    if length > u64::from(BLOCK_TASKS) || data.len() > BLOCK_TASKS as usize {
+        return Err(Error::custom("the block has too many tasks"));
+    }
+    let ones = (0..length as usize).filter(|index| {
+        let byte = data.get(index / 8).copied().unwrap_or(0);
+        byte & (1 << (index % 8)) != 0
+    });
+    let mut bits = FixedBitSet::with_capacity(length as usize);
+    bits.extend(ones);
+    Ok(bits)
+}
--- a/crates/decide/src/batch/spec.rs
+++ b/crates/decide/src/batch/spec.rs
@@ -9,6 +9,33 @@
 
 use super::id::OCCURRENCE_STEPS;
 
+/// The maximum number of tasks of a job with all its occurrences. An instance with 160 MB has memory
+/// for several jobs of this size.
+pub const MAX_TASKS: u64 = 50_000;
+
+/// The maximum number of occurrences of a job.
+pub const MAX_OCCURRENCES: u16 = u16::MAX / OCCURRENCE_STEPS;
+
+/// Why a job can't be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// It has no steps.
+    #[error("the job has no steps; add one")]
+    Empty,
+    /// A step has no tasks.
+    #[error("step {0} has no tasks; add one")]
+    NoTasks(usize),
+    /// A step depends on itself or a later one.
+    #[error("step {0} waits for itself or a later one; let it wait for earlier ones")]
+    Forward(usize),
+    /// It has too many steps or occurrences.
+    #[error("the job has too many steps or occurrences; split it")]
+    TooLong,
+    /// It has too many tasks.
+    #[error("the job has over {MAX_TASKS} tasks with all its occurrences; split it")]
+    TooManyTasks,
+}
+
 /// A job as submitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
@@ -99,6 +126,35 @@
 }
 
 impl Spec {
+    /// Checks that the job can be run.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn check(&self) -> Result<(), Fault> {
+        if self.steps.is_empty() {
+            return Err(Fault::Empty);
+        }
+        for (index, step) in self.steps.iter().enumerate() {
+            if step.count == 0 {
+                return Err(Fault::NoTasks(index));
+            }
+            let is_forward = |earlier: &u16| usize::from(*earlier) >= index;
+            if step.after.iter().any(is_forward) {
+                return Err(Fault::Forward(index));
+            }
+        }
+        let occurrences = self.occurrences();
+        if self.steps.len() > usize::from(OCCURRENCE_STEPS) || occurrences > MAX_OCCURRENCES {
+            return Err(Fault::TooLong);
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks * u64::from(occurrences) > MAX_TASKS {
+            return Err(Fault::TooManyTasks);
+        }
+        Ok(())
+    }
+
     /// Returns a step by its number. Each occurrence of the job has its own range of numbers.
     ///
     /// # Panics
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -366,7 +366,10 @@
     }
 
     async fn claim(&self) -> Option<(Writer, Time)> {
-        let epoch = self.view.leader.as_ref().map_or(0, |row| row.epoch);
+        // Each epoch took a write, so no leader before a row that can't be read had a later one than
+        // its version.
+        let before = self.view.leader.as_ref();
+        let epoch = before.map_or(self.view.version, |row| row.epoch);
         let row = LeaderRow {
             name: self.context.name.clone(),
             incarnation: self.incarnation,
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -58,8 +58,9 @@
 /// number of a variant of [`Record`].
 const DEFLATED: u8 = 0xff;
 
-/// The length of the longest job that is read from a compressed row, in bytes.
-const MAX_JOB_BYTES: u64 = 4 << 20;
+/// The length of the longest value that is read from a row, once it is no longer compressed, in bytes.
+/// Another writer's row may state any length.
+const MAX_VALUE_BYTES: usize = 4 << 20;
 
 /// How long the changes of one write may keep the link busy. Longer writes would delay the next
 /// heartbeat, and a lost answer costs their bytes again.
@@ -392,7 +393,9 @@
     };
     let mut bytes = Vec::new();
     let decoder = DeflateDecoder::new(compressed);
-    decoder.take(MAX_JOB_BYTES).read_to_end(&mut bytes)?;
+    decoder
+        .take(MAX_VALUE_BYTES as u64)
+        .read_to_end(&mut bytes)?;
     Ok(Cow::Owned(bytes))
 }
 
@@ -408,7 +411,11 @@
         .map_err(|error| error.to_string())?;
     let value = row.value.as_deref().unwrap_or_default();
     let value = decompress(value).map_err(|error| error.to_string())?;
-    Ok((id, decode(&value)?))
+    let record: Record = decode(&value)?;
+    if let Record::Open(submission) = &record {
+        submission.spec.check().map_err(|fault| fault.to_string())?;
+    }
+    Ok((id, record))
 }
 
 /// Reads the stored progress of a block of tasks.
@@ -427,7 +434,11 @@
 ///
 /// Returns a description of the problem if the row does not hold a valid worker.
 pub(super) fn decode_worker(row: &Row) -> Result<Entry, String> {
-    read(row)
+    let entry: Entry = read(row)?;
+    entry
+        .check(clock::wall_ms())
+        .map_err(|fault| fault.to_string())?;
+    Ok(entry)
 }
 
 fn read<T: DeserializeOwned>(row: &Row) -> Result<T, String> {
@@ -435,7 +446,8 @@
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
-    let (value, _) = bincode::serde::decode_from_slice(bytes, config::standard())
-        .map_err(|error| error.to_string())?;
+    let config = config::standard().with_limit::<MAX_VALUE_BYTES>();
+    let (value, _) =
+        bincode::serde::decode_from_slice(bytes, config).map_err(|error| error.to_string())?;
     Ok(value)
 }
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -244,6 +244,11 @@
         status.success().then_some(()).context("the signal failed")
     }
 
+    /// Tells whether the process has not ended.
+    pub fn is_running(&mut self) -> Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
     /// Waits until the process has exited.
     pub async fn wait(&mut self) -> Result<ExitStatus> {
         loop {
