--- a/crates/server/src/cluster/recovery.rs
+++ b/crates/server/src/cluster/recovery.rs
@@ -174,9 +174,7 @@
                     failures = 0;
                     limit = (limit * 2).min(page_rows);
                     self.arrived.store(clock::now().0, Ordering::Relaxed);
-                    if let Some(last) = page.rows.last() {
-                        from = format!("{}\0", last.key);
-                    }
+                    from = page.next_key().unwrap_or(from);
                     let more = page.more && !page.rows.is_empty();
                     rows.extend(page.rows);
                     if !more {
--- a/crates/server/src/cluster/watch.rs
+++ b/crates/server/src/cluster/watch.rs
@@ -1,6 +1,6 @@
 //! Follows the operator's configuration and the registry of workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,9 +56,7 @@
         all.more = page.more && !page.rows.is_empty();
         // A feed continues from the version of the first page and repeats later changes.
         all.version = all.version.min(page.version);
-        if let Some(last) = page.rows.last() {
-            from = format!("{}\0", last.key);
-        }
+        from = page.next_key().unwrap_or(from);
         all.rows.extend(page.rows);
     }
     Ok(all)
@@ -152,8 +150,7 @@
         match update {
             Ok(Update::All(rows) | Update::Changes(rows)) => {
                 dependency.observe(None);
-                let row = rows.iter().rfind(|row| row.key == CONFIGURATION_KEY);
-                if let Some(row) = row {
+                for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
                     apply(&context, &sender, row);
                 }
             }
@@ -244,6 +241,8 @@
 struct Registry {
     entries: BTreeMap<String, Entry>,
     missing: BTreeMap<String, Time>,
+    /// The keys of rows that can't be read, each of which is logged once.
+    unreadable: BTreeSet<String>,
 }
 
 impl Registry {
@@ -253,11 +252,13 @@
 
     fn apply_all(&mut self, rows: &[Row], now: Time, log: &Logger) -> bool {
         let mut changed = false;
+        let keys: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         for key in self.entries.keys() {
-            if !rows.iter().any(|row| row.key == *key) {
+            if !keys.contains(key.as_str()) {
                 self.missing.entry(key.clone()).or_insert(now);
             }
         }
+        self.unreadable.retain(|key| keys.contains(key.as_str()));
         for row in rows {
             changed |= self.apply(row, now, log);
         }
@@ -266,20 +267,29 @@
 
     fn apply(&mut self, row: &Row, now: Time, log: &Logger) -> bool {
         if row.value.is_none() {
+            self.unreadable.remove(&row.key);
             if self.entries.contains_key(&row.key) {
                 self.missing.entry(row.key.clone()).or_insert(now);
             }
             return false;
         }
-        match registry::read(row) {
+        let entry = registry::read(row).and_then(|entry| {
+            let checked = entry.check(clock::wall_ms());
+            checked.map_err(|fault| fault.to_string())?;
+            Ok(entry)
+        });
+        match entry {
             Ok(entry) => {
+                self.unreadable.remove(&row.key);
                 self.missing.remove(&row.key);
                 let before = self.entries.insert(row.key.clone(), entry.clone());
                 before.is_none_or(|before| before != entry)
             }
             Err(error) => {
-                warn!(log, "entry of a worker can't be read";
-                    "worker" => &row.key, "row_version" => row.version, "error" => error);
+                if self.unreadable.insert(row.key.clone()) {
+                    warn!(log, "entry of a worker can't be read";
+                        "worker" => &row.key, "row_version" => row.version, "error" => error);
+                }
                 if self.entries.contains_key(&row.key) {
                     self.missing.entry(row.key.clone()).or_insert(now);
                 }
--- a/crates/standin/src/cluster/store.rs
+++ b/crates/standin/src/cluster/store.rs
@@ -39,6 +39,8 @@
 struct State {
     faults: Injection,
     rows: BTreeMap<(String, String), Row>,
+    /// Rows that are sent as they are with each page of a table, by table.
+    odd_rows: Vec<(String, Value)>,
     version: u64,
     /// The version of the last compaction; feeds that start before it are answered with `410`.
     compacted_version: u64,
@@ -150,6 +152,7 @@
             .map(|(key, row)| row_json(key, row))
             .collect();
         let more = live.next().is_some();
+        let rows = self.with_odd_rows(&query.table, rows);
         let body = json!({"rows": rows, "hasMore": more, "ver": self.version, "nowMs": 0});
         Reply::json(StatusCode::OK, &body)
     }
@@ -171,9 +174,16 @@
             .into_iter()
             .map(|(key, row)| row_json(key, row))
             .collect();
+        let rows = self.with_odd_rows(table, rows);
         let body = json!({"rows": rows, "ver": self.version, "nowMs": 0});
         Some(Reply::json(StatusCode::OK, &body))
     }
+
+    fn with_odd_rows(&self, table: &str, mut rows: Vec<Value>) -> Vec<Value> {
+        let odd_rows = self.odd_rows.iter().filter(|(of, _)| of == table);
+        rows.extend(odd_rows.map(|(_, row)| row.clone()));
+        rows
+    }
 }
 
 fn row_json((table, key): &(String, String), row: &Row) -> Value {
@@ -256,6 +266,11 @@
     }
 }
 
+/// Returns the value of a row as the store sends it.
+pub fn encode(value: &Value) -> String {
+    STANDARD.encode(value.to_string())
+}
+
 /// The stand-in for the metadata store and the advice service.
 pub struct Standin {
     host: Host,
@@ -292,6 +307,14 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Sends a row with each page of a table, whatever its form.
+    pub fn add_odd_row(&self, table: &str, row: Value) {
+        let mut state = lock(&self.shared.state);
+        state.version += 1;
+        state.odd_rows.push((table.to_owned(), row));
+        self.shared.changed.notify_waiters();
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = lock(&self.shared.state);
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -52,6 +52,7 @@
     used_millicores: BTreeMap<String, u64>,
     /// How many starts exceeded the worker's capacity.
     overcommits: usize,
+    renewals: u64,
 }
 
 struct Shared {
@@ -95,6 +96,7 @@
             runs: Vec::new(),
             used_millicores: BTreeMap::new(),
             overcommits: 0,
+            renewals: 0,
         }
     }
 
@@ -240,6 +242,7 @@
         let end = Instant::now() + Duration::from_millis(order.wait_ms);
         {
             let mut state = lock(&self.state);
+            state.renewals += 1;
             state.lease_ms = state.lease_ms.max(order.until_ms);
             state
                 .ended
@@ -357,6 +360,11 @@
         lock(&self.shared.state).overcommits
     }
 
+    /// Returns how often its leases were renewed or its tasks asked for.
+    pub fn renewals(&self) -> u64 {
+        lock(&self.shared.state).renewals
+    }
+
     /// Returns all runs that have started.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.state).runs.clone()
