Passes on the outcomes of a step's orders together

Cause: outcomes were collected for 50 ms whatever they were, and those of an instance that dies are lost; the leader counts members without an outcome as not started.

Outcomes are collected by step now and passed on once all workers of the step have answered, or after 50 ms. A usual step is one call, as before, and waits for none but its own workers.

--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -1,5 +1,6 @@
 //! Carries the leader's start orders to the workers and returns their outcomes.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use azurepath_decide::name::Name;
 use azurepath_platform::worker::{Endpoint, Start, Workers};
 use azurepath_wire::batch::{Call, Order, Orders, Reply};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use slog::info;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
@@ -42,8 +45,8 @@
 /// outcome.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long outcomes are collected for one call. Workers answer at different times, and the leader's
-/// processor is the one that all calls share.
+/// How long the outcomes of a step's orders wait for the others of the step. Workers answer at different
+/// times, and the leader's processor is the one that the calls of all instances share.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
 
 /// An order's outcome: the leader's epoch, the order's number, the outcome.
@@ -95,27 +98,51 @@
     workers: &Workers,
     batch: Orders,
     permits: &Arc<Semaphore>,
-    sender: &mpsc::UnboundedSender<Outcome>,
+    sender: &mpsc::UnboundedSender<Vec<Outcome>>,
     tasks: &mut JoinSet<()>,
 ) {
-    for order in batch.orders {
-        let (workers, sender) = (workers.clone(), sender.clone());
-        let permits = permits.clone();
-        let received = Instant::now();
-        let (epoch, payload) = (batch.epoch, batch.payload.clone());
-        tasks.spawn(async move {
-            let number = order.number;
-            let (endpoint, start) = split(order, epoch, payload);
-            // The semaphore is never closed.
-            let _permit = permits.acquire().await;
-            let outcome = if received.elapsed() < MAX_QUEUE_TIME {
-                workers.start(&endpoint, &start, ORDER_TIMEOUT).await
-            } else {
-                StartOutcome::Refused(Refusal::Late)
-            };
-            // The receiver lives until all senders are dropped.
-            let _ = sender.send((epoch, number, outcome));
-        });
+    let received = Instant::now();
+    let Orders {
+        epoch,
+        payload,
+        orders,
+    } = batch;
+    let (workers, permits) = (workers.clone(), permits.clone());
+    let outcomes: FuturesUnordered<_> = orders
+        .into_iter()
+        .map(move |order| {
+            let (workers, permits, payload) = (workers.clone(), permits.clone(), payload.clone());
+            async move {
+                let number = order.number;
+                let (endpoint, start) = split(order, epoch, payload);
+                // The semaphore is never closed.
+                let _permit = permits.acquire().await;
+                let outcome = if received.elapsed() < MAX_QUEUE_TIME {
+                    workers.start(&endpoint, &start, ORDER_TIMEOUT).await
+                } else {
+                    StartOutcome::Refused(Refusal::Late)
+                };
+                (epoch, number, outcome)
+            }
+        })
+        .collect();
+    tasks.spawn(collect(outcomes, sender.clone()));
+}
+
+/// Passes on the outcomes of a step's orders: all of them at once if the workers answer within a short
+/// time.
+async fn collect(
+    mut outcomes: FuturesUnordered<impl Future<Output = Outcome>>,
+    sender: mpsc::UnboundedSender<Vec<Outcome>>,
+) {
+    while let Some(first) = outcomes.next().await {
+        let mut ready = vec![first];
+        let until = Instant::now() + COLLECT_TIME;
+        while let Ok(Some(outcome)) = tokio::time::timeout_at(until, outcomes.next()).await {
+            ready.push(outcome);
+        }
+        // The receiver lives until all senders are dropped.
+        let _ = sender.send(ready);
     }
 }
 
@@ -135,24 +162,18 @@
     (endpoint, start)
 }
 
-/// Delivers outcomes to the leader, those of a short time in one call.
+/// Delivers outcomes to the leader, those that are ready together in one call.
 async fn deliver(
     context: Context,
-    mut receiver: mpsc::UnboundedReceiver<Outcome>,
+    mut receiver: mpsc::UnboundedReceiver<Vec<Outcome>>,
     halt: CancellationToken,
 ) {
-    let mut ready = Vec::new();
-    while receiver.recv_many(&mut ready, usize::MAX).await > 0 {
-        tokio::select! {
-            () = halt.cancelled() => {}
-            () = tokio::time::sleep(COLLECT_TIME) => {}
-        }
-        while let Ok(outcome) = receiver.try_recv() {
-            ready.push(outcome);
-        }
+    let mut steps = Vec::new();
+    while receiver.recv_many(&mut steps, usize::MAX).await > 0 {
+        let ready: Vec<Outcome> = steps.drain(..).flatten().collect();
         let epoch = ready.iter().map(|(epoch, ..)| *epoch).max().unwrap_or(0);
         // An earlier leader no longer waits for outcomes.
-        let current = ready.drain(..).filter(|outcome| outcome.0 == epoch);
+        let current = ready.into_iter().filter(|outcome| outcome.0 == epoch);
         let call = Call::Carried {
             epoch,
             outcomes: current
