--- a/crates/server/src/cluster/leader/stopwatch.rs
+++ b/crates/server/src/cluster/leader/stopwatch.rs
@@ -91,8 +91,8 @@
         let calls = join(&usage.calls);
         warn!(self.context.log, "leader busy"; "epoch" => epoch, "percent" => usage.percent,
             "activities_ms" => activities, "rest_ms" => usage.rest_ms,
-            "delay_ms" => usage.longest_delay_ms, "mean_delay_ms" => usage.mean_delay_ms, "wait_ms" => usage.longest_wait_ms,
-            "abandoned" => usage.abandoned, "calls" => calls,
+            "delay_ms" => usage.longest_delay_ms, "mean_delay_ms" => usage.mean_delay_ms,
+            "wait_ms" => usage.longest_wait_ms, "abandoned" => usage.abandoned, "calls" => calls,
             "passes" => effort.passes, "visits" => effort.visits, "ranked" => effort.ranked,
             "rows" => rows);
     }
