--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -1,7 +1,9 @@
 //! The task that drives the scheduler while this instance leads.
 
 mod call;
+mod handle;
 mod stopwatch;
+mod write;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -9,15 +11,15 @@
 
 use azurepath_decide::batch::advice::Dispatcher;
 use azurepath_decide::batch::config::Config;
-use azurepath_decide::batch::fleet::{Contact, Entry};
+use azurepath_decide::batch::fleet::Contact;
 use azurepath_decide::batch::record::Stored;
-use azurepath_decide::batch::scheduler::{Dump, Scheduler, Setup};
+use azurepath_decide::batch::scheduler::{Scheduler, Setup};
 use azurepath_decide::batch::store_pace::StorePace;
 use azurepath_decide::batch::tenure::Tenure;
 use azurepath_decide::batch::{Action, StartOutcome, StepId};
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Start;
-use azurepath_wire::batch::{Call, News, Reply};
+use azurepath_wire::batch::{News, Reply};
 use opentelemetry::KeyValue;
 use slog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
@@ -26,12 +28,13 @@
 use tokio_util::sync::CancellationToken;
 
 use self::call::Poll;
+pub(super) use self::handle::{Handle, Message};
 use self::stopwatch::Stopwatch;
 use super::clock::{self, Authority};
 use super::links::{Links, Started};
 use super::peer::Pending;
 use super::renewal;
-use super::writer::{Batch, Limits, Outcome, Writer};
+use super::writer::{Outcome, Writer};
 use super::{Context, decision, watch as feed};
 use crate::metrics::load::Activity;
 
@@ -64,45 +67,6 @@
 /// How long the end of the leadership waits for the current write.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A message to the leader.
-#[derive(Debug)]
-pub(super) enum Message {
-    /// A call of a client, possibly forwarded by another instance.
-    Call(Box<Pending>),
-    /// All entries of the registry.
-    Registry(Vec<Entry>),
-    /// A request for the state in numbers.
-    Dump(oneshot::Sender<Dump>),
-}
-
-/// A handle for calls to the leader.
-#[derive(Clone, Debug)]
-pub(super) struct Handle {
-    sender: mpsc::UnboundedSender<Message>,
-}
-
-impl Handle {
-    /// Calls the leader. Returns `None` if it has ended.
-    pub(super) async fn call(&self, call: Call) -> Option<Reply> {
-        let (sender, receiver) = oneshot::channel();
-        self.sender
-            .send(Message::Call(Box::new(Pending {
-                call,
-                reply: sender,
-                received: Instant::now(),
-            })))
-            .ok()?;
-        receiver.await.ok()
-    }
-
-    /// Returns the state in numbers, or `None` if the leader has ended.
-    pub(super) async fn dump(&self) -> Option<Dump> {
-        let (sender, receiver) = oneshot::channel();
-        self.sender.send(Message::Dump(sender)).ok()?;
-        receiver.await.ok()
-    }
-}
-
 /// The reason why the leader has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -177,9 +141,7 @@
                 inherited_lease
             },
         };
-        let handle = Handle {
-            sender: sender.clone(),
-        };
+        let handle = Handle::new(sender.clone());
         let authority = Arc::new(Authority::new(sent, AUTHORITY_DURATION));
         let (event_sender, events) = mpsc::unbounded_channel();
         let (started_sender, started) = mpsc::unbounded_channel();
@@ -465,55 +427,6 @@
         self.stopwatch.lap(Activity::Writes);
     }
 
-    fn begin_write(&mut self) {
-        if self.writer.is_none() {
-            return;
-        }
-        let settings = self.context.settings();
-        let limits = Limits {
-            row_bytes: settings.row_bytes,
-            link_kbps: settings.link_kbps,
-        };
-        let mut batch = Batch::default();
-        let changed = self
-            .scheduler
-            .next_batch(|change| batch.add(change, limits));
-        if !changed && self.write_begun.elapsed() < HEARTBEAT_INTERVAL {
-            return;
-        }
-        if let Some(writer) = self.writer.take() {
-            self.write_begun = Instant::now();
-            self.write_rows = (batch.len(), self.scheduler.unstored_rows() > 0);
-            self.writing.spawn(writer.write(batch));
-        }
-    }
-
-    /// Handles the end of a write. Returns whether this instance still leads.
-    fn written(&mut self, written: Result<(Writer, Outcome), tokio::task::JoinError>) -> bool {
-        match written {
-            Ok((writer, Outcome::Stored(sent))) => {
-                self.authority.extend(sent);
-                let took = self.write_begun.elapsed();
-                self.context.counts.writes.record(took.as_secs_f64(), &[]);
-                let (rows, full) = self.write_rows;
-                self.store_pace.record(rows, full, took);
-                self.writer = Some(writer);
-                self.scheduler.batch_stored();
-                true
-            }
-            Ok((writer, Outcome::Rejected)) => {
-                self.writer = Some(writer);
-                self.scheduler.batch_rejected();
-                true
-            }
-            Ok((_, Outcome::Deposed)) => false,
-            Err(error) => {
-                warn!(self.context.log, "writer task failed"; "error" => %error);
-                false
-            }
-        }
-    }
-
     fn execute(&mut self, action: Action) {
         match action {
             // Starts are sent by step.
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -26,13 +26,7 @@
 
 impl Leader {
     pub(super) fn call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
-        if let Call::Poll { instance, .. }
-        | Call::Carry { instance, .. }
-        | Call::Relay { instance, .. } = &call
-            && **instance != *self.context.name
-        {
-            self.peer_called = Some(Instant::now());
-        }
+        self.note_peer(&call);
         match call {
             Call::Submit {
                 job,
@@ -97,6 +91,17 @@
         }
     }
 
+    /// Remembers that there is another instance if a call is made by one on its own behalf.
+    fn note_peer(&mut self, call: &Call) {
+        if let Call::Poll { instance, .. }
+        | Call::Carry { instance, .. }
+        | Call::Relay { instance, .. } = call
+            && **instance != *self.context.name
+        {
+            self.peer_called = Some(Instant::now());
+        }
+    }
+
     /// Returns the reply to a submission that is not handed to the scheduler. A job that is known
     /// already always is.
     fn refusal_of(&self, job: JobId) -> Option<Reply> {
@@ -155,15 +160,6 @@
         self.next_call
     }
 
-    /// Returns how long the present write takes so far.
-    fn writing_time(&self) -> Duration {
-        if self.writing.is_empty() {
-            Duration::ZERO
-        } else {
-            self.write_begun.elapsed()
-        }
-    }
-
     pub(super) fn answer(&mut self, call: u64, answer: &Answer) {
         let Some(reply) = self.calls.remove(&call) else {
             return;
