--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -78,6 +78,15 @@
     since: Time,
 }
 
+/// What a new leader knows of the one before it.
+#[derive(Clone, Copy, Debug)]
+struct Predecessor {
+    /// How long it may still give orders.
+    authority_left: Duration,
+    /// Whether it made way because it was too slow.
+    was_slow: bool,
+}
+
 /// The task that follows the leader's row and leads when this instance is elected.
 pub(super) struct Election {
     context: Context,
@@ -242,8 +251,10 @@
             return;
         }
         let version = self.view.version;
-        let authority_left = self.authority_left();
-        let after_slow = matches!(&self.view.leader, Some(row) if row.term == Term::Yielded);
+        let predecessor = Predecessor {
+            authority_left: self.authority_left(),
+            was_slow: matches!(&self.view.leader, Some(row) if row.term == Term::Yielded),
+        };
         let Some((writer, sent)) = self.claim().await else {
             return;
         };
@@ -251,7 +262,7 @@
         info!(self.context.log, "leadership claimed"; "epoch" => epoch, "before" => version);
         self.leadership.send_replace(Leadership::Unknown);
         let reason = self
-            .serve_term(writer, sent, authority_left, after_slow, config, leaving)
+            .serve_term(writer, sent, predecessor, config, leaving)
             .await;
         match reason {
             EndReason::Yielded => self.yield_count += 1,
@@ -283,15 +294,13 @@
         }
     }
 
-    /// Reads what is stored and leads. The leadership was claimed by a write sent at `sent`, when the
-    /// previous leader could still give orders for `authority_left`; `after_slow` if it made way
-    /// because it was too slow.
+    /// Reads what is stored and leads. The leadership was claimed by a write sent at `sent`;
+    /// `predecessor` is as it was just before.
     async fn serve_term(
         &self,
         mut writer: Writer,
         sent: Time,
-        authority_left: Duration,
-        after_slow: bool,
+        predecessor: Predecessor,
         config: Arc<Config>,
         leaving: &CancellationToken,
     ) -> EndReason {
@@ -311,8 +320,10 @@
             self.context.clone(),
             writer,
             announced,
-            authority_left.saturating_sub(clock::now().since(sent)),
-            Tenure::new(clock::now(), after_slow),
+            predecessor
+                .authority_left
+                .saturating_sub(clock::now().since(sent)),
+            Tenure::new(clock::now(), predecessor.was_slow),
             config,
             stored,
         );
