--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -99,6 +99,31 @@
     spec
 }
 
+/// Returns one of several workers.
+pub fn numbered(number: usize) -> Entry {
+    Entry {
+        id: Name::from(format!("w{number}")),
+        ..entry()
+    }
+}
+
+/// Returns a scheduler that has taken over at `now` from one that has stored this. Tasks may run for
+/// `grace` on workers that have not reported.
+pub fn successor(now: Time, grace: Duration, accounts: Vec<Account>, stored: Stored) -> Scheduler {
+    let config = Config {
+        version: 1,
+        queues: vec![queue()],
+        accounts,
+    };
+    let setup = Setup {
+        epoch: 2,
+        origin_ms: 0,
+        takeover_grace: grace,
+        gang_wait: GANG_WAIT,
+    };
+    Scheduler::new(setup, now, Arc::new(config), stored)
+}
+
 impl Bench {
     pub fn new() -> Bench {
         Bench::with_queue(queue())
--- a/crates/decide/tests/takeover_gangs.rs
+++ b/crates/decide/tests/takeover_gangs.rs
@@ -3,18 +3,15 @@
 #[path = "support/batch/bench.rs"]
 mod bench;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use azurepath_decide::batch::config::Config;
-use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::batch::record::{Fit, Record, Stored, Submission};
 use azurepath_decide::batch::report::{End, Outcome, Report, Running};
-use azurepath_decide::batch::scheduler::{Scheduler, Setup};
+use azurepath_decide::batch::scheduler::Scheduler;
 use azurepath_decide::batch::{Action, Attempt, StepId, TaskId};
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
-use bench::{GANG_WAIT, JOB, entry, gang, queue};
+use bench::{JOB, gang, numbered, successor};
 
 const WORKERS: usize = 3;
 
@@ -24,6 +21,9 @@
 /// The time of the takeover, in milliseconds.
 const TAKEOVER_MS: u64 = 1_000;
 
+/// How long tasks may run on workers that have not reported.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// The time between two steps of the scheduler, in milliseconds.
 const STEP_MS: u64 = 10;
 
@@ -54,10 +54,6 @@
 
 /// Returns what the predecessor has stored: workers, and a job whose gang takes one each.
 fn stored() -> Stored {
-    let worker = |number| Entry {
-        id: Name::from(format!("w{number}")),
-        ..entry()
-    };
     let record = Record::Open(Submission {
         queue: Name::from("checks"),
         account: None,
@@ -67,27 +63,16 @@
     Stored {
         jobs: vec![(JOB, record)],
         blocks: Vec::new(),
-        roster: (0..WORKERS).map(worker).collect(),
+        roster: (0..WORKERS).map(numbered).collect(),
     }
 }
 
 /// A successor of a scheduler that has ordered a gang of three to start on three workers.
-fn successor() -> Scheduler {
-    let config = Config {
-        version: 1,
-        queues: vec![queue()],
-        accounts: Vec::new(),
-    };
-    let setup = Setup {
-        epoch: 2,
-        origin_ms: 0,
-        takeover_grace: Duration::from_secs(8),
-        gang_wait: GANG_WAIT,
-    };
+fn take_over() -> Scheduler {
     let stored = stored();
     let workers = stored.roster.clone();
     let now = Time::from_millis(TAKEOVER_MS);
-    let mut scheduler = Scheduler::new(setup, now, Arc::new(config), stored);
+    let mut scheduler = successor(now, GRACE, Vec::new(), stored);
     scheduler.update_registry(workers);
     while scheduler.next_batch(|_| Fit::Taken) {
         scheduler.batch_stored();
@@ -139,7 +124,7 @@
 
 #[test]
 fn incomplete_gang() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     report(&mut scheduler, 0, &Member::Runs);
     report(&mut scheduler, 1, &Member::Runs);
     assert_eq!(orders(&mut scheduler, step_ms(1)), (vec![], vec![]));
@@ -153,7 +138,7 @@
 
 #[test]
 fn complete_gang() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     for worker in 0..WORKERS {
         report(&mut scheduler, worker, &Member::Runs);
         let now_ms = step_ms(1 + worker as u64);
--- a/crates/decide/tests/takeover_limits.rs
+++ b/crates/decide/tests/takeover_limits.rs
@@ -4,28 +4,24 @@
 #[path = "support/batch/bench.rs"]
 mod bench;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use azurepath_decide::batch::config::{Account, Config};
+use azurepath_decide::batch::config::Account;
 use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::batch::record::{Fit, Record, Stored, Submission};
 use azurepath_decide::batch::report::{Report, Running};
-use azurepath_decide::batch::scheduler::{Scheduler, Setup};
+use azurepath_decide::batch::scheduler::Scheduler;
 use azurepath_decide::batch::{Action, Attempt, JobId, StepId, TaskId};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
-use bench::{GANG_WAIT, JOB, entry, queue, single};
+use bench::{JOB, numbered, single, successor};
 
 const GRACE_MS: u64 = 8_000;
 
 /// Returns one of three workers. The last one has a single core.
 fn worker(number: usize) -> Entry {
-    let mut entry = Entry {
-        id: Name::from(format!("w{number}")),
-        ..entry()
-    };
+    let mut entry = numbered(number);
     if number == 2 {
         entry.capacity.millicores = 1_000;
     }
@@ -42,7 +38,7 @@
 
 /// A successor of a scheduler that has started a job of six tasks on three workers. The account may
 /// run eight such tasks.
-fn successor() -> Scheduler {
+fn take_over() -> Scheduler {
     let mut spec = single();
     spec.steps[0].count = 6;
     let team = Name::from("team");
@@ -52,31 +48,22 @@
         accepted_ms: 0,
         spec,
     });
-    let config = Config {
-        version: 1,
-        queues: vec![queue()],
-        accounts: vec![Account {
-            name: team,
-            keys: Vec::new(),
-            weight: 100.0,
-            limit: Size {
-                millicores: 8_000,
-                ..Size::MAX
-            },
-        }],
-    };
-    let setup = Setup {
-        epoch: 2,
-        origin_ms: 0,
-        takeover_grace: Duration::from_millis(GRACE_MS),
-        gang_wait: GANG_WAIT,
+    let account = Account {
+        name: team,
+        keys: Vec::new(),
+        weight: 100.0,
+        limit: Size {
+            millicores: 8_000,
+            ..Size::MAX
+        },
     };
     let stored = Stored {
         jobs: vec![(JOB, record)],
         blocks: Vec::new(),
         roster: (0..3).map(worker).collect(),
     };
-    let mut scheduler = Scheduler::new(setup, Time::from_millis(1_000), Arc::new(config), stored);
+    let grace = Duration::from_millis(GRACE_MS);
+    let mut scheduler = successor(Time::from_millis(1_000), grace, vec![account], stored);
     scheduler.update_registry((0..3).map(worker).collect());
     scheduler
 }
@@ -114,7 +101,7 @@
 
 #[test]
 fn one_reported() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     report(&mut scheduler, 0);
     // Two run, and four may run on the other workers.
     assert_eq!(start_more(&mut scheduler, 1_010), 2);
@@ -122,7 +109,7 @@
 
 #[test]
 fn all_reported() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     for worker in 0..3 {
         report(&mut scheduler, worker);
     }
@@ -132,7 +119,7 @@
 /// No more runs on the workers that are left than they have capacity for.
 #[test]
 fn small_worker() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     report(&mut scheduler, 0);
     let idle = Report {
         clock_ms: 1_000,
@@ -146,7 +133,7 @@
 
 #[test]
 fn grace_over() {
-    let mut scheduler = successor();
+    let mut scheduler = take_over();
     report(&mut scheduler, 0);
     // What ran on the silent workers has lost its lease.
     let started = start_more(&mut scheduler, 1_000 + GRACE_MS);
