--- a/crates/server/tests/odd_rows.rs
+++ b/crates/server/tests/malformed_rows.rs
@@ -42,7 +42,7 @@
 }
 
 #[tokio::test]
-async fn odd_row_stops_registry() -> Result<()> {
+async fn malformed_row_stops_registry() -> Result<()> {
     let mut cluster = Cluster::start(2)?;
     let instance = cluster.instance("a").await?;
     runs_a_job(&cluster, &instance, 1).await;
@@ -56,7 +56,7 @@
         json!("x6"),
         json!(null),
     ] {
-        store.add_odd_row("servers", row);
+        store.add_raw_row("servers", row);
     }
     join(&mut cluster, &instance, ["w2", "w3"]).await?;
     for id in ["w0", "w1"] {
@@ -76,7 +76,7 @@
     let store = &cluster.fleet.store;
     let value = encode(&entry);
     let row = json!({"table": "servers", "part": "p", "key": "w0", "value": value, "ver": 9});
-    store.add_odd_row("servers", row);
+    store.add_raw_row("servers", row);
     join(&mut cluster, &instance, ["w2", "w3"]).await?;
     let renewals = cluster.fleet.workers[0].renewals();
     until(async || cluster.fleet.workers[0].renewals() > renewals + 1).await;
@@ -84,7 +84,7 @@
 }
 
 #[tokio::test]
-async fn odd_leader_row_ends_instances() -> Result<()> {
+async fn malformed_leader_row_ends_instances() -> Result<()> {
     let cluster = Cluster::start(2)?;
     let mut instances = [cluster.instance("a").await?, cluster.instance("b").await?];
     runs_a_job(&cluster, &instances[0], 1).await;
@@ -99,7 +99,7 @@
 }
 
 #[tokio::test]
-async fn odd_stored_rows_end_recovery() -> Result<()> {
+async fn malformed_stored_rows_end_recovery() -> Result<()> {
     let cluster = Cluster::start(2)?;
     let store = &cluster.fleet.store;
     for table in ["jobs", "roster", "progress"] {
@@ -116,7 +116,7 @@
 }
 
 #[tokio::test]
-async fn many_odd_entries_fill_log() -> Result<()> {
+async fn many_malformed_entries_fill_log() -> Result<()> {
     let mut cluster = Cluster::start(2)?;
     for number in 0..MANY {
         let value = json!({"backend": number});
@@ -141,12 +141,12 @@
 }
 
 #[tokio::test]
-async fn odd_operator_rows_stop_configuration() -> Result<()> {
+async fn malformed_operator_rows_stop_configuration() -> Result<()> {
     let cluster = Cluster::start(2)?;
     let instance = cluster.instance("a").await?;
     let store = &cluster.fleet.store;
-    store.add_odd_row("op", json!({"table": "op", "key": "config", "value": 7}));
-    store.add_odd_row("op", json!([]));
+    store.add_raw_row("op", json!({"table": "op", "key": "config", "value": 7}));
+    store.add_raw_row("op", json!([]));
     store.put("op", "config", &configuration(2, &[KEY, "key-2"]));
     until(async || {
         let events = instance.log();
--- a/crates/standin/src/cluster/store.rs
+++ b/crates/standin/src/cluster/store.rs
@@ -40,7 +40,7 @@
     faults: Injection,
     rows: BTreeMap<(String, String), Row>,
     /// Rows that are sent as they are with each page of a table, by table.
-    odd_rows: Vec<(String, Value)>,
+    raw_rows: Vec<(String, Value)>,
     version: u64,
     /// The version of the last compaction; feeds that start before it are answered with `410`.
     compacted_version: u64,
@@ -152,7 +152,7 @@
             .map(|(key, row)| row_json(key, row))
             .collect();
         let more = live.next().is_some();
-        let rows = self.with_odd_rows(&query.table, rows);
+        let rows = self.with_raw_rows(&query.table, rows);
         let body = json!({"rows": rows, "hasMore": more, "ver": self.version, "nowMs": 0});
         Reply::json(StatusCode::OK, &body)
     }
@@ -174,14 +174,14 @@
             .into_iter()
             .map(|(key, row)| row_json(key, row))
             .collect();
-        let rows = self.with_odd_rows(table, rows);
+        let rows = self.with_raw_rows(table, rows);
         let body = json!({"rows": rows, "ver": self.version, "nowMs": 0});
         Some(Reply::json(StatusCode::OK, &body))
     }
 
-    fn with_odd_rows(&self, table: &str, mut rows: Vec<Value>) -> Vec<Value> {
-        let odd_rows = self.odd_rows.iter().filter(|(of, _)| of == table);
-        rows.extend(odd_rows.map(|(_, row)| row.clone()));
+    fn with_raw_rows(&self, table: &str, mut rows: Vec<Value>) -> Vec<Value> {
+        let raw_rows = self.raw_rows.iter().filter(|(of, _)| of == table);
+        rows.extend(raw_rows.map(|(_, row)| row.clone()));
         rows
     }
 }
@@ -308,10 +308,10 @@
     }
 
     /// Sends a row with each page of a table, whatever its form.
-    pub fn add_odd_row(&self, table: &str, row: Value) {
+    pub fn add_raw_row(&self, table: &str, row: Value) {
         let mut state = lock(&self.shared.state);
         state.version += 1;
-        state.odd_rows.push((table.to_owned(), row));
+        state.raw_rows.push((table.to_owned(), row));
         self.shared.changed.notify_waiters();
     }
 
