Looks up steps of repeating jobs without panicking

Callers saw: once a job with two or more occurrences was stored, no instance survived becoming the leader; no accepted job was answered for any more.

Cause: the numbers between the steps of two occurrences are unused. Spec::step panicked on them. note_unreported asks about every number while a successor is built, unreserve on every end of a job but success. The successor was built in the election's own task, whose panic ends the process.

Evidence: job_kinds.rs failed before with "index out of bounds: the len is 1 but the index is 1" in three new tests; the fourth, an endless estimate, with "overflow when adding durations", the same end by another way.

Change: Spec::step returns an Option, durations that come from estimates saturate, and the leader is built in the task that catches its failure.

--- a/crates/decide/src/batch/admission.rs
+++ b/crates/decide/src/batch/admission.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::order;
+
 /// The fraction of a job's slack that the work ahead of it may take. The rest covers delays that
 /// the backlog does not include: fragmented capacity, tickets and failures.
 const SLACK_FRACTION: f64 = 0.8;
@@ -32,12 +34,13 @@
     /// Adds work that takes the fraction `share` of the fleet for `time`.
     pub fn add(&mut self, priority: u32, share: f64, time: Duration) {
         let wait = self.waits.entry(priority).or_default();
-        *wait += time.mul_f64(share);
+        *wait = wait.saturating_add(order::scaled(time, share));
     }
 
     /// Returns how long the work takes that is ahead of a new job with this priority.
     pub fn wait(&self, priority: u32) -> Duration {
-        self.waits.range(..=priority).map(|(_, wait)| *wait).sum()
+        let waits = self.waits.range(..=priority);
+        waits.fold(Duration::ZERO, |sum, (_, wait)| sum.saturating_add(*wait))
     }
 
     /// Returns the time after which a job may be sent again, or `None` if it can be accepted now.
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -254,14 +254,17 @@
     }
 
     /// Tells whether the scheduled time of a step has come and all steps that it depends on are
-    /// done.
-    pub fn is_due(&self, step: usize, wall_ms: u64) -> bool {
+    /// done. An unused step number never is.
+    pub fn is_due(&self, number: usize, wall_ms: u64) -> bool {
         let Some(spec) = &self.spec else {
             return false;
         };
-        let occurrence = step - step % usize::from(OCCURRENCE_STEPS);
-        let mut before = spec.step(step).after.iter();
-        wall_ms >= spec.due_ms(step)
+        let Some(step) = spec.step(number) else {
+            return false;
+        };
+        let occurrence = number - number % usize::from(OCCURRENCE_STEPS);
+        let mut before = step.after.iter();
+        wall_ms >= spec.due_ms(number)
             && before.all(|&earlier| self.steps[occurrence + usize::from(earlier)].remaining == 0)
     }
 
@@ -276,14 +279,14 @@
     /// Returns the purpose of a step's tasks.
     pub fn purpose(&self, step: usize) -> Purpose {
         let spec = self.spec.as_ref();
-        spec.and_then(|spec| spec.get(step))
+        spec.and_then(|spec| spec.step(step))
             .map_or(Purpose::Work, |step| step.purpose)
     }
 
     /// Tells whether a step's tasks are a gang.
     pub fn is_gang(&self, step: usize) -> bool {
         let spec = self.spec.as_ref();
-        spec.is_some_and(|spec| spec.get(step).is_some_and(|step| step.gang))
+        spec.is_some_and(|spec| spec.step(step).is_some_and(|step| step.gang))
     }
 
     /// Finds a task by id.
--- a/crates/decide/src/batch/order.rs
+++ b/crates/decide/src/batch/order.rs
@@ -99,6 +99,11 @@
     Worthless,
 }
 
+/// Multiplies a duration, saturating. Clients may give any estimate of how long a task runs.
+pub fn scaled(duration: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
+
 /// Computes the rank of a step whose job was accepted at `accepted`.
 pub fn rank(
     step: StepId,
@@ -111,11 +116,10 @@
     }: Times,
     now: Time,
 ) -> Rank {
-    let allowed = critical_path.mul_f64(queue.stretch.max(1.0)) + queue.objective;
-    let latest = accepted.after(allowed.saturating_sub(remaining + COMPLETION_DELAY));
-    let last = allowed
-        .mul_f64(WORTHLESS_FACTOR)
-        .saturating_sub(remaining + COMPLETION_DELAY);
+    let allowed = scaled(critical_path, queue.stretch.max(1.0)).saturating_add(queue.objective);
+    let needed = remaining.saturating_add(COMPLETION_DELAY);
+    let latest = accepted.after(allowed.saturating_sub(needed));
+    let last = scaled(allowed, WORTHLESS_FACTOR).saturating_sub(needed);
     let last = accepted.after(last);
     let lateness = if now > last {
         Lateness::Worthless
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -306,7 +306,7 @@
     fn requirements_of(&self, attempt: &Attempt) -> Option<(Size, Size, Purpose)> {
         let job = self.jobs.get(&attempt.task.step.job)?;
         let number = usize::from(attempt.task.step.step);
-        let step = job.spec.as_ref()?.get(number)?;
+        let step = job.spec.as_ref()?.step(number)?;
         Some((step.size, step.booked(), step.purpose))
     }
 }
--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -53,7 +53,7 @@
         let wall_ms = self.wall_ms();
         let due = (0..job.steps.len()).filter(|&step| job.is_due(step, wall_ms));
         for number in due {
-            let Some(step) = spec.get(number) else {
+            let Some(step) = spec.step(number) else {
                 continue;
             };
             let tasks = job.steps[number].tasks.iter();
@@ -84,7 +84,7 @@
     /// whole limit is too small for it.
     pub(super) fn gang_quota(&self, id: StepId) -> Option<(Name, Size)> {
         let job = self.jobs.get(&id.job)?;
-        let step = job.spec.as_ref()?.step(usize::from(id.step));
+        let step = job.spec.as_ref()?.step(usize::from(id.step))?;
         let name = job.account.as_ref()?;
         let limit = self.config.account(name)?.limit;
         let need = step.size.times(u64::from(step.count));
--- a/crates/decide/src/batch/scheduler/admission.rs
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -7,7 +7,7 @@
 
 use super::super::admission::Backlog;
 use super::super::job::Place;
-use super::super::order::Lateness;
+use super::super::order::{self, Lateness};
 use super::super::spec;
 use super::Scheduler;
 
@@ -30,7 +30,8 @@
             return None;
         }
         let critical_path = spec.critical_path(|step| self.task_time(&queue.name, step));
-        let slack = critical_path.mul_f64((queue.stretch - 1.0).max(0.0)) + queue.objective;
+        let slack = order::scaled(critical_path, (queue.stretch - 1.0).max(0.0))
+            .saturating_add(queue.objective);
         let pause = self.backlog.retry_after(queue.priority, slack, excess);
         if pause.is_none() {
             // Accepted jobs count at once, since many may come in a burst before the backlog is
@@ -59,7 +60,7 @@
                 continue;
             };
             let number = usize::from(rank.step.step);
-            let Some(step) = job.spec.as_ref().map(|spec| spec.step(number)) else {
+            let Some(step) = job.spec.as_ref().and_then(|spec| spec.step(number)) else {
                 continue;
             };
             let tasks = job.steps[number].tasks.iter();
--- a/crates/decide/src/batch/scheduler/dump.rs
+++ b/crates/decide/src/batch/scheduler/dump.rs
@@ -115,7 +115,7 @@
         let candidate = Candidate {
             id: rank.step,
             queue,
-            step: job.spec.as_ref()?.get(number)?,
+            step: job.spec.as_ref()?.step(number)?,
             rank: *rank,
             reserved_limit: Size::ZERO,
         };
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -159,7 +159,7 @@
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return;
         };
-        let Some(step) = job.spec.as_ref().map(|spec| spec.step(number)) else {
+        let Some(step) = job.spec.as_ref().and_then(|spec| spec.step(number)) else {
             return;
         };
         let failures = pass.failures.get(&queue.name).copied().unwrap_or(0);
--- a/crates/decide/src/batch/scheduler/question.rs
+++ b/crates/decide/src/batch/scheduler/question.rs
@@ -367,7 +367,7 @@
         };
         let queue = self.queues.get(&job.queue);
         let spec = job.spec.as_ref();
-        let spec = spec.and_then(|spec| spec.get(usize::from(id.step)));
+        let spec = spec.and_then(|spec| spec.step(usize::from(id.step)));
         let timing = queue.and_then(|queue| queue.advice);
         let validity = timing.map_or(Duration::ZERO, |timing| timing.validity);
         let until = now.after(validity.saturating_sub(TICKET_MARGIN));
--- a/crates/decide/src/batch/scheduler/ranking.rs
+++ b/crates/decide/src/batch/scheduler/ranking.rs
@@ -184,14 +184,15 @@
     fn times(&self, id: JobId, number: usize) -> Option<order::Times> {
         let job = self.jobs.get(&id)?;
         let spec = job.spec.as_ref()?;
-        let task_time = self.task_time(&job.queue, spec.step(number));
+        let task_time = self.task_time(&job.queue, spec.step(number)?);
         let critical_path = spec.critical_path(|_| task_time);
         let position = number % usize::from(OCCURRENCE_STEPS);
         let steps_after = (spec.steps.len() - position - 1) as u32;
         let durations = self.step_durations.get(&job.queue);
         let step_time = durations.map_or(task_time, |durations| durations.mean(task_time));
         let fraction_left = 1.0 - job.steps[number].saved(job.is_gang(number));
-        let remaining = step_time.mul_f64(fraction_left) + step_time * steps_after;
+        let later = step_time.saturating_mul(steps_after);
+        let remaining = order::scaled(step_time, fraction_left).saturating_add(later);
         Some(order::Times {
             critical_path,
             remaining,
--- a/crates/decide/src/batch/scheduler/reservation.rs
+++ b/crates/decide/src/batch/scheduler/reservation.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::super::JobId;
+use super::super::spec;
 use super::Scheduler;
 use super::target::Candidate;
 
@@ -40,7 +41,8 @@
             return;
         };
         let reserved = std::mem::take(&mut job.steps[number].reserved);
-        let Some(size) = job.spec.as_ref().map(|spec| spec.step(number).booked()) else {
+        let spec = job.spec.as_ref().and_then(|spec| spec.step(number));
+        let Some(size) = spec.map(spec::Step::booked) else {
             return;
         };
         for worker in reserved {
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -26,7 +26,9 @@
         let Some(spec) = &job.spec else {
             return;
         };
-        let step = spec.step(number);
+        let Some(step) = spec.step(number) else {
+            return;
+        };
         let (payload, size, booked) = (spec.payload.clone(), step.size, step.booked());
         let (gang, purpose) = (step.gang, step.purpose);
         job.state = State::Running;
@@ -165,7 +167,7 @@
             return;
         };
         let step = &job.steps[usize::from(id.step)];
-        let gang = spec.step(usize::from(id.step)).gang;
+        let gang = job.is_gang(usize::from(id.step));
         let ticket = step.advice.tickets.get(&worker);
         self.actions.push(Action::Start {
             worker,
--- a/crates/decide/src/batch/spec.rs
+++ b/crates/decide/src/batch/spec.rs
@@ -155,17 +155,9 @@
         Ok(())
     }
 
-    /// Returns a step by its number. Each occurrence of the job has its own range of numbers.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the job has no such step.
-    pub fn step(&self, number: usize) -> &Step {
-        &self.steps[number % usize::from(OCCURRENCE_STEPS)]
-    }
-
-    /// Returns a step by its number, or `None` if the job has no such step.
-    pub fn get(&self, number: usize) -> Option<&Step> {
+    /// Returns a step by its number, or `None` if the number is unused. Each occurrence of the job
+    /// has its own range of numbers, most of which are unused.
+    pub fn step(&self, number: usize) -> Option<&Step> {
         self.steps.get(number % usize::from(OCCURRENCE_STEPS))
     }
 
@@ -198,7 +190,7 @@
         for step in &self.steps {
             let before = step.after.iter().map(|&index| ends[usize::from(index)]);
             let begin = before.max().unwrap_or_default();
-            ends.push(begin + time(step));
+            ends.push(begin.saturating_add(time(step)));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/decide/tests/job_kinds.rs
+++ b/crates/decide/tests/job_kinds.rs
@@ -5,11 +5,14 @@
 
 use std::time::Duration;
 
+use azurepath_decide::batch::config::Account;
+use azurepath_decide::batch::record::{Record, Stored, Submission};
 use azurepath_decide::batch::report::{End, Outcome};
 use azurepath_decide::batch::spec::{Purpose, Schedule, Spec};
 use azurepath_decide::batch::{Action, Answer, Attempt, JobId, StartOutcome, State, TaskId};
 use azurepath_decide::name::Name;
-use bench::{Bench, JOB, single};
+use azurepath_decide::time::Time;
+use bench::{Bench, JOB, entry, single, successor};
 
 /// Advances the scheduler by a number of steps and confirms its start orders; returns the started
 /// attempts.
@@ -45,19 +48,23 @@
     spec
 }
 
-#[test]
-fn occurrences() {
-    let mut bench = Bench::new();
-    // The clock is at 1 s when the job is submitted and advances by 10 ms with each step.
-    let spec = Spec {
+/// Returns a job whose only step runs twice, half a second apart.
+fn repeating() -> Spec {
+    Spec {
         schedule: Some(Schedule {
             occurrences: 2,
             first_ms: 2_000,
             interval: Duration::from_millis(500),
         }),
         ..single()
-    };
-    bench.submit(spec);
+    }
+}
+
+#[test]
+fn occurrences() {
+    let mut bench = Bench::new();
+    // The clock is at 1 s when the job is submitted and advances by 10 ms with each step.
+    bench.submit(repeating());
     assert!(
         advance(&mut bench, 95).is_empty(),
         "the job started before its time"
@@ -130,3 +137,65 @@
     bench.store();
     assert_eq!(advance(&mut bench, 20).len(), 1);
 }
+
+#[test]
+fn stored_repeating_job_ends_each_leader() {
+    let account = Name::from("team");
+    let record = Record::Open(Submission {
+        queue: Name::from("checks"),
+        account: Some(account.clone()),
+        accepted_ms: 0,
+        spec: repeating(),
+    });
+    let stored = Stored {
+        jobs: vec![(JOB, record)],
+        blocks: Vec::new(),
+        roster: vec![entry()],
+    };
+    let limit = Account {
+        name: account,
+        keys: Vec::new(),
+        weight: 0.0,
+        limit: entry().capacity,
+    };
+    let now = Time::from_millis(3_000);
+    let scheduler = successor(now, Duration::from_secs(8), vec![limit], stored);
+    assert_eq!(scheduler.state(JOB), Some(State::Queued));
+}
+
+#[test]
+fn cancelled_repeating_job_ends_leader() {
+    let mut bench = Bench::new();
+    bench.submit(repeating());
+    bench.scheduler.cancel(2, JOB);
+    bench.store();
+    assert_eq!(bench.scheduler.state(JOB), Some(State::Cancelled));
+}
+
+#[test]
+fn failed_repeating_job_ends_leader() {
+    let mut bench = Bench::new();
+    bench.submit(repeating());
+    let first = advance(&mut bench, 120);
+    bench.report(vec![end(1, first[0], Outcome::Failed)]);
+    bench.store();
+    assert_eq!(bench.scheduler.state(JOB), Some(State::Failed));
+}
+
+#[test]
+fn endless_estimate_ends_leader() {
+    let mut bench = Bench::new();
+    let mut spec = single();
+    spec.steps[0].estimate = Duration::MAX;
+    spec.steps.push(spec.steps[0].clone());
+    spec.steps[1].after = vec![0];
+    bench.submit(spec.clone());
+    for id in 100..120 {
+        let queue = Name::from("checks");
+        bench
+            .scheduler
+            .submit(1, JobId(id), &queue, None, spec.clone());
+    }
+    bench.store();
+    assert_eq!(advance(&mut bench, 20).len(), 8);
+}
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -9,11 +9,11 @@
 use azurepath_platform::store::Page;
 use rand::Rng;
 use slog::{error, info};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use super::leader::{AUTHORITY_DURATION, EndReason, Leader, Message};
+use super::leader::{AUTHORITY_DURATION, EndReason, Leader};
 use super::peer::{self, Leadership};
 use super::recovery::Recovery;
 use super::relay::MAX_GRANT;
@@ -316,31 +316,28 @@
         };
         info!(self.context.log, "leading"; "epoch" => writer.row().epoch,
             "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
-        let (leader, handle, receiver) = Leader::new(
-            self.context.clone(),
-            writer,
-            announced,
-            predecessor
-                .authority_left
-                .saturating_sub(clock::now().since(sent)),
-            Tenure::new(clock::now(), predecessor.was_slow),
-            config,
-            stored,
-        );
         self.context.counts.leads.add(1, &[]);
-        self.leadership.send_replace(Leadership::Local(handle));
-        self.run_leader(leader, receiver, leaving).await
-    }
-
-    /// Runs the leader as a task of its own, so that its failure does not end the election.
-    async fn run_leader(
-        &self,
-        leader: Leader,
-        receiver: mpsc::UnboundedReceiver<Message>,
-        leaving: &CancellationToken,
-    ) -> EndReason {
+        let context = self.context.clone();
+        let leadership = self.leadership.clone();
+        let (leaving, max_term) = (leaving.clone(), self.max_term());
+        // A task of its own, so that a failure does not end the election, nor one while the stored
+        // jobs are taken over.
         let mut task = JoinSet::new();
-        task.spawn(leader.run(receiver, leaving.clone(), self.max_term()));
+        task.spawn(async move {
+            let (leader, handle, receiver) = Leader::new(
+                context,
+                writer,
+                announced,
+                predecessor
+                    .authority_left
+                    .saturating_sub(clock::now().since(sent)),
+                Tenure::new(clock::now(), predecessor.was_slow),
+                config,
+                stored,
+            );
+            leadership.send_replace(Leadership::Local(handle));
+            leader.run(receiver, leaving, max_term).await
+        });
         match task.join_next().await {
             Some(Ok(reason)) => reason,
             Some(Err(error)) => {
