Binds connections to workers to one incarnation

Cause: calls name a worker by an id that all its lives share. Orders for the old life reached the new one, and the attempts were then taken for dead with the old life. Renewals for the old life acknowledged ends by number, and the new life discarded its own ends of the same numbers unread.

Change: the client of the workers keeps connections by incarnation. A new connection begins with a report that shows the start time, and the renewal that opens one acknowledges nothing. A connection ends with the process, so an order reaches the incarnation that it is meant for or none.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,8 @@
 //! If the call allows it, a response may take longer than the timeout while its bytes keep arriving.
 //! Otherwise a response longer than the link carries within the timeout would never complete.
 
+mod connection;
+
 use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -12,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::response::Parts;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
@@ -21,6 +24,8 @@
 use volo_http::error::ClientError;
 use volo_http::error::client::ErrorKind;
 
+pub use connection::Connection;
+
 /// The maximum length of a response body in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -182,19 +187,10 @@
     ///
     /// Returns [`Failure`], which tells whether the request may have been sent.
     pub async fn call(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
-        let Some(observer) = &self.observer else {
-            return self.call_within(address, call).await;
-        };
-        let path = call.path.clone();
-        let sent = HEAD_BYTES + path.len() + head_bytes(&call.headers) + call.body.len();
-        let result = self.call_within(address, call).await;
-        let received = |reply: &Reply| STATUS_BYTES + head_bytes(&reply.headers) + reply.body.len();
-        observer(Traffic {
-            path: path.split('?').next().unwrap_or_default(),
-            sent,
-            received: result.as_ref().map_or(0, received),
-        });
-        result
+        observe(self.observer.as_ref(), call, |call| {
+            self.call_within(address, call)
+        })
+        .await
     }
 
     async fn call_within(&self, address: SocketAddr, call: Call) -> Result<Reply, Failure> {
@@ -212,24 +208,61 @@
         request.headers_mut().extend(call.headers);
         let response = within(timeout, request.send()).await?;
         let (parts, body) = response.map_err(|error| classify(&error))?.into_parts();
-        let mut body = Limited::new(body, MAX_BODY_BYTES);
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = within(timeout, body.frame()).await? {
-            let frame = frame
-                .map_err(|error| Failure::Lost(format!("the response was cut off: {error}")))?;
-            // Trailers are of no use here.
-            if let Ok(data) = frame.into_data() {
-                bytes.extend_from_slice(&data);
-            }
+        collect(parts, body, timeout).await
+    }
+}
+
+/// Reads the body of a response, each part of it within `timeout`.
+async fn collect<B>(parts: Parts, body: B, timeout: Duration) -> Result<Reply, Failure>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(timeout, body.frame()).await? {
+        let frame =
+            frame.map_err(|error| Failure::Lost(format!("the response was cut off: {error}")))?;
+        // Trailers are of no use here.
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
         }
-        let reply = Reply {
-            status: parts.status,
-            headers: parts.headers,
-            body: bytes.freeze(),
-        };
-        verify(&reply)?;
-        Ok(reply)
     }
+    let reply = Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body: bytes.freeze(),
+    };
+    verify(&reply)?;
+    Ok(reply)
+}
+
+/// Makes a call and tells an observer its bytes.
+///
+/// # Errors
+///
+/// Returns the failure of the call.
+pub async fn observe<F>(
+    observer: Option<&Observer>,
+    call: Call,
+    exchange: impl FnOnce(Call) -> F,
+) -> Result<Reply, Failure>
+where
+    F: Future<Output = Result<Reply, Failure>>,
+{
+    let Some(observer) = observer else {
+        return exchange(call).await;
+    };
+    let path = call.path.clone();
+    let sent = HEAD_BYTES + path.len() + head_bytes(&call.headers) + call.body.len();
+    let result = exchange(call).await;
+    let received = |reply: &Reply| STATUS_BYTES + head_bytes(&reply.headers) + reply.body.len();
+    observer(Traffic {
+        path: path.split('?').next().unwrap_or_default(),
+        sent,
+        received: result.as_ref().map_or(0, received),
+    });
+    result
 }
 
 /// Waits for a part of a response.
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -104,7 +104,6 @@
     let counts = Arc::new(metrics.cluster());
     let observer = observer(counts.clone());
     let pool = Pool::new(MAX_IDLE_CONNECTIONS).with_observer(observer.clone());
-    let carried_pool = Pool::new(MAX_IDLE_CARRIED).with_observer(observer);
     let (settings_sender, settings_receiver) = tokio_watch::channel(Arc::new(settings.clone()));
     let route = peer::connect(
         leadership,
@@ -122,8 +121,8 @@
         name: settings.server.name.clone(),
         peers_address: listeners.peers_address,
         store: Store::new(pool.clone(), settings.store),
-        workers: Workers::new(pool.clone()),
-        carried_workers: Workers::new(carried_pool),
+        workers: Workers::new(MAX_IDLE_CONNECTIONS, Some(observer.clone())),
+        carried_workers: Workers::new(MAX_IDLE_CARRIED, Some(observer)),
         advisor: settings
             .advice
             .map(|address| Advisor::new(pool.clone(), address)),
--- a/crates/server/src/cluster/carrier.rs
+++ b/crates/server/src/cluster/carrier.rs
@@ -150,6 +150,7 @@
     let endpoint = Endpoint {
         id: order.worker,
         address: order.address,
+        born_ms: order.born_ms,
     };
     let start = Start {
         attempt: order.attempt,
--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -121,6 +121,7 @@
             endpoint: Endpoint {
                 id: entry.id.clone(),
                 address: entry.address,
+                born_ms: entry.born_ms,
             },
             failure_domain: entry.failure_domain.clone(),
             serial: 0,
@@ -279,6 +280,7 @@
             serial,
             worker: link.endpoint.id.clone(),
             address: link.endpoint.address,
+            born_ms: link.endpoint.born_ms,
             inherited_lease: link
                 .inherited_until
                 .saturating_duration_since(Instant::now()),
--- a/crates/server/src/cluster/links/order.rs
+++ b/crates/server/src/cluster/links/order.rs
@@ -110,6 +110,7 @@
             number: self.last_order,
             worker: endpoint.id,
             address: endpoint.address,
+            born_ms: endpoint.born_ms,
             attempt: start.attempt,
             expires_ms,
             checkpoint: start.checkpoint,
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -249,12 +249,14 @@
                     serial,
                     worker,
                     address,
+                    born_ms,
                     inherited_lease,
                     acknowledged,
                 } => {
                     let endpoint = Endpoint {
                         id: worker,
                         address,
+                        born_ms,
                     };
                     self.attach(serial, endpoint, inherited_lease, acknowledged);
                 }
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -136,6 +136,27 @@
         }
     }
 
+    /// Forgets everything, as a new process does. The connections from before become silent.
+    fn restart(&mut self) {
+        self.discard_unacked_ends();
+        let running: Vec<String> = self.running.keys().cloned().collect();
+        for task in running {
+            self.end(&task, "lapsed");
+        }
+        let next = State::new();
+        *self = State {
+            born_ms: next.born_ms.max(self.born_ms + 1),
+            faults: Injection {
+                silence_open: self.faults.silence_open + 1,
+                ..self.faults
+            },
+            runs: std::mem::take(&mut self.runs),
+            overcommits: self.overcommits,
+            renewals: self.renewals,
+            ..next
+        };
+    }
+
     fn end(&mut self, task: &str, outcome: &'static str) {
         let Some((run, _)) = self.running.remove(task) else {
             return;
@@ -345,6 +366,12 @@
         })
     }
 
+    /// Starts the worker again under its id and address, without memory. Nothing answers on the
+    /// connections from before, as after a loss of power.
+    pub fn restart(&self) {
+        lock(&self.shared.state).restart();
+    }
+
     /// Returns the address that the worker listens on.
     pub fn address(&self) -> SocketAddr {
         self.host.address()
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -146,6 +146,8 @@
         worker: Name,
         /// The worker's address.
         address: SocketAddr,
+        /// The start time of its incarnation, in milliseconds since 1970.
+        born_ms: u64,
         /// How long tasks may run on it whose lease others have renewed.
         inherited_lease: Duration,
         /// The number up to which its ends are stored.
@@ -177,6 +179,8 @@
     pub worker: Name,
     /// The worker's address.
     pub address: SocketAddr,
+    /// The start time of its incarnation, in milliseconds since 1970.
+    pub born_ms: u64,
     /// The attempt.
     pub attempt: Attempt,
     /// The time until which the worker may start it, in milliseconds of the worker's clock.
