Gives skipped steps their turn, and steps out of reach no weight

Cause: a full pass gives a queue up after 16 steps that it could not place. Nothing of a skipped step changes when room appears for it, so nothing brought it back. The first waiting gang of an account reserved a part of its limit although no workers could run it, and work that nothing can run counted as backlog, by which other jobs were refused.

Change: steps that would not fit even on empty workers count neither as failures nor as backlog and reserve nothing.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -10,7 +10,9 @@
 mod place;
 mod question;
 mod ranking;
+mod reach;
 mod reservation;
+mod rotation;
 mod start;
 mod store;
 mod target;
@@ -39,6 +41,8 @@
 use account::Account;
 use assembly::Assembly;
 use ranking::Ranking;
+use reach::Reaches;
+use rotation::Rotation;
 use visits::Visits;
 
 pub use dump::Dump;
@@ -103,6 +107,9 @@
     workers: Vec<Worker>,
     /// What the next pass visits.
     visits: Visits,
+    /// What the next full pass visits of the steps that it skips.
+    rotation: Rotation,
+    reaches: Reaches,
     by_id: BTreeMap<Name, usize>,
     accounts: BTreeMap<Name, Account>,
     /// The total size of the tasks of inherited jobs that may run on workers that have not reported
@@ -168,6 +175,8 @@
             ranking: Ranking::default(),
             workers: Vec::new(),
             visits: Visits::default(),
+            rotation: Rotation::default(),
+            reaches: Reaches::default(),
             by_id: BTreeMap::new(),
             accounts: BTreeMap::new(),
             unreported_tasks: BTreeMap::new(),
--- a/crates/decide/src/batch/scheduler/admission.rs
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -7,7 +7,7 @@
 
 use super::super::admission::Backlog;
 use super::super::job::Place;
-use super::super::order::{self, Lateness};
+use super::super::order::{self, Lateness, Rank};
 use super::super::spec;
 use super::Scheduler;
 
@@ -47,15 +47,15 @@
         pause
     }
 
-    /// Measures the backlog. Late work is left out, since it is ranked last.
+    /// Measures the backlog. Late work is left out, since it is ranked last, and so is work that no
+    /// worker can run, which keeps none busy.
     pub(super) fn measure_backlog(&mut self) {
         self.capacity = self.expected_capacity();
         let mut backlog = Backlog::default();
-        for rank in self
-            .ranking
-            .ranks()
-            .filter(|rank| rank.lateness <= Lateness::Excess)
-        {
+        let counts = |rank: &&Rank| {
+            rank.lateness <= Lateness::Excess && !self.ranking.is_out_of_reach(rank.step)
+        };
+        for rank in self.ranking.ranks().filter(counts) {
             let Some(job) = self.jobs.get(&rank.step.job) else {
                 continue;
             };
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -35,7 +35,8 @@
 const FULL_PASS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How many steps of a queue may fail to be placed before a pass skips the rest of the queue. The
-/// other steps would repeat the same search, which is slow with many waiting steps.
+/// other steps would repeat the same search, which is slow with many waiting steps. Skipped steps
+/// have their turn in a later full pass (`rotation.rs`).
 const MAX_FAILURES_PER_QUEUE: u32 = 16;
 
 /// The shortest time since a job was accepted at which the cause of its waiting is logged.
@@ -55,6 +56,8 @@
     largest_free: Size,
     /// Number of steps that could not be placed, by queue.
     failures: Map<Name, u32>,
+    /// The steps that were skipped after too many failures of their queue.
+    skipped: Vec<Rank>,
 }
 
 impl Scheduler {
@@ -75,20 +78,40 @@
         } else {
             self.affected_ranks()
         };
-        let mut pass = Pass {
-            largest_free: self.largest_free(),
-            failures: Map::default(),
-        };
+        let mut pass = self.begin_pass();
         self.effort.passes += 1;
         self.effort.ranked = self.ranking.len();
         for rank in ranks {
             self.place_rank(rank, &mut pass);
         }
         if full {
+            self.place_skipped(&pass);
             self.measure_backlog();
         }
     }
 
+    fn begin_pass(&self) -> Pass {
+        Pass {
+            largest_free: self.largest_free(),
+            failures: Map::default(),
+            skipped: Vec::new(),
+        }
+    }
+
+    /// Visits a part of the steps that a full pass has skipped.
+    fn place_skipped(&mut self, pass: &Pass) {
+        if pass.skipped.is_empty() {
+            return;
+        }
+        let turns = self.rotation.take_turns(&pass.skipped);
+        let mut pass = self.begin_pass();
+        for rank in turns {
+            // The rotation bounds the number of visits.
+            pass.failures.clear();
+            self.place_rank(rank, &mut pass);
+        }
+    }
+
     /// Notes how long the last call of [`Scheduler::advance`] took. After a long pass the next one comes
     /// later.
     pub fn note_advance_time(&mut self, took: Duration) {
@@ -106,6 +129,7 @@
         self.questions.retain(|_, (until, _)| *until > now);
         self.slow_questions.retain(|_, until| *until > now);
         self.visits.begin_full_pass();
+        self.reaches.clear();
         self.rebuild_ranking();
         let schedulable = self.schedulable().count() as f64;
         self.worker_reservations_left = (schedulable * MAX_RESERVED_FRACTION) as usize;
@@ -159,23 +183,32 @@
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return;
         };
-        let Some(step) = job.spec.as_ref().and_then(|spec| spec.step(number)) else {
-            return;
-        };
         let failures = pass.failures.get(&queue.name).copied().unwrap_or(0);
         if !reserved && failures >= MAX_FAILURES_PER_QUEUE {
+            pass.skipped.push(rank);
             return;
         }
+        let account = job.account.clone();
+        let Some(step) = job.spec.as_ref().and_then(|spec| spec.step(number)) else {
+            return;
+        };
+        let step = step.clone();
+        let out_of_reach = !reserved && self.ranking.is_out_of_reach(rank.step);
         // If no worker has enough free capacity, only gangs go on, so that workers are reserved for
         // the first of them.
         let too_large = !reserved && !step.booked().fits(&pass.largest_free);
         let candidate = Candidate {
             id: rank.step,
             queue: &queue,
-            step: &step.clone(),
+            step: &step,
             rank,
-            reserved_limit: self.reserved_limit(job.account.as_ref(), rank),
+            reserved_limit: self.reserved_limit(account.as_ref(), rank),
         };
+        if out_of_reach {
+            // It doesn't count as a failure, since it would in each pass.
+            self.prepare(&candidate);
+            return;
+        }
         let placed = if too_large && !candidate.step.gang {
             false
         } else {
@@ -187,6 +220,20 @@
         }
     }
 
+    /// Asks for advice about a gang that is too wide for the present workers, so that it starts as soon
+    /// as there are enough.
+    fn prepare(&mut self, candidate: &Candidate<'_>) {
+        self.log_cause(candidate.id, Cause::Capacity, 0);
+        if candidate.queue.advice.is_none() || !candidate.step.gang {
+            return;
+        }
+        if self.has_advice(candidate.id) {
+            self.ask_unknown(candidate);
+        } else {
+            self.ask_without_advice(candidate);
+        }
+    }
+
     /// Records that the free capacity of a worker has grown.
     pub(super) fn mark_capacity_freed(&mut self, worker: usize) {
         self.visits.free_worker(worker);
--- a/crates/decide/src/batch/scheduler/ranking.rs
+++ b/crates/decide/src/batch/scheduler/ranking.rs
@@ -19,8 +19,10 @@
 pub(super) struct Ranking {
     ranks: BTreeSet<Rank>,
     by_step: BTreeMap<StepId, Rank>,
-    /// The gangs of each account.
+    /// The gangs of each account that reserve a part of its limit.
     gangs: Map<Name, BTreeSet<Rank>>,
+    /// The steps that no workers could run even if they were empty.
+    out_of_reach: BTreeSet<StepId>,
     changed: BTreeSet<JobId>,
     /// When the ranking was last built from scratch; `None` if it must be rebuilt in the next pass.
     pub(super) built_at: Option<Time>,
@@ -63,7 +65,12 @@
         gangs.flat_map(move |gangs| gangs.range(..rank).copied())
     }
 
-    /// Adds a step; `gang_account` is its account if it is a gang.
+    /// Tells whether no workers could run a step even if they were empty.
+    pub(super) fn is_out_of_reach(&self, step: StepId) -> bool {
+        self.out_of_reach.contains(&step)
+    }
+
+    /// Adds a step; `gang_account` is the account whose limit it reserves if it is a gang.
     fn insert(&mut self, rank: Rank, gang_account: Option<&Name>) {
         self.ranks.insert(rank);
         self.by_step.insert(rank.step, rank);
@@ -78,6 +85,7 @@
         for rank in ranks {
             self.ranks.remove(&rank);
             self.by_step.remove(&rank.step);
+            self.out_of_reach.remove(&rank.step);
             if let Some(gangs) = account.and_then(|account| self.gangs.get_mut(account)) {
                 gangs.remove(&rank);
             }
@@ -135,12 +143,29 @@
             let Some(rank) = self.rank(id, number) else {
                 continue;
             };
+            let out_of_reach = self.exceeds_reach(id, number);
             let job = self.jobs.get(&id).filter(|job| job.is_gang(number));
             let gang_account = job.and_then(|job| job.account.as_ref());
-            self.ranking.insert(rank, gang_account);
+            self.ranking
+                .insert(rank, gang_account.filter(|_| !out_of_reach));
+            if out_of_reach {
+                self.ranking.out_of_reach.insert(rank.step);
+            }
         }
     }
 
+    /// Tells whether no workers could run a step even if they were empty.
+    fn exceeds_reach(&mut self, id: JobId, number: usize) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let step = job.spec.as_ref().and_then(|spec| spec.step(number));
+        let (Some(step), Some(queue)) = (step, self.queues.get(&job.queue)) else {
+            return false;
+        };
+        self.reaches.exclude(&self.workers, self.now, queue, step)
+    }
+
     fn rank(&mut self, id: JobId, number: usize) -> Option<Rank> {
         let times = match self.jobs.get(&id)?.steps[number].times {
             Some(times) => times,
--- /dev/null
+++ b/crates/decide/tests/skipped_steps.rs
@@ -0,0 +1,192 @@
+//! Steps that can't be placed hold back no later step of their queue for good.
+
+#[path = "support/batch/bench.rs"]
+mod bench;
+
+use std::time::Duration;
+
+use azurepath_decide::batch::advice::Advice;
+use azurepath_decide::batch::config::{Account, AdviceTiming, Queue};
+use azurepath_decide::batch::report::{End, Outcome};
+use azurepath_decide::batch::spec::{Purpose, Spec};
+use azurepath_decide::batch::{Action, Attempt, JobId, StartOutcome};
+use azurepath_decide::name::Name;
+use azurepath_decide::size::Size;
+use bench::{Bench, JOB, entry, gang, queue, single};
+
+/// How many steps wait that can't be placed, more than a pass visits.
+const WAITING: u64 = 40;
+
+/// Within this time a step is started for which there is room.
+const START_MS: u64 = 3_000;
+
+/// The client account of all jobs.
+const TEAM: &str = "team";
+
+/// An account with a limit of two workers.
+fn account() -> Account {
+    Account {
+        name: Name::from(TEAM),
+        keys: Vec::new(),
+        weight: 0.0,
+        limit: entry().capacity.times(2),
+    }
+}
+
+fn of_size(millicores: u64) -> Spec {
+    let mut spec = single();
+    spec.steps[0].size.millicores = millicores;
+    spec
+}
+
+fn labelled(mut spec: Spec) -> Spec {
+    spec.steps[0].label = Some(Name::from("lost"));
+    spec
+}
+
+fn submit(bench: &mut Bench, id: JobId, spec: Spec) {
+    let (checks, team) = (Name::from("checks"), Some(Name::from(TEAM)));
+    bench.scheduler.submit(1, id, &checks, team, spec);
+    bench.store();
+}
+
+/// Advances the scheduler by a number of milliseconds: confirms its orders, and answers its questions
+/// with tickets for all workers. Returns the attempts that were started.
+fn advance(bench: &mut Bench, millis: u64) -> Vec<Attempt> {
+    let mut started = Vec::new();
+    let end = bench.clock_ms() + millis;
+    while bench.clock_ms() < end {
+        for action in bench.advance() {
+            match action {
+                Action::Start {
+                    worker, attempt, ..
+                } => {
+                    let running = StartOutcome::Running;
+                    bench.scheduler.handle_start(worker, attempt, running, 0);
+                    started.push(attempt);
+                }
+                Action::Ask(question) => {
+                    let ticket = |worker: &Name| (worker.clone(), Name::from("ticket"));
+                    let tickets = question.workers.iter().map(ticket).collect();
+                    let advice = Advice { tickets };
+                    bench.scheduler.handle_advice(question.step, Some(&advice));
+                }
+                _ => {}
+            }
+        }
+    }
+    started
+}
+
+/// Fills the worker with two tasks, submits `waiting` and then a small job, ends one of the two tasks,
+/// and expects that the small job starts.
+fn expect_start_behind(queue: Queue, waiting: &Spec) {
+    let mut bench = Bench::with(vec![queue], vec![account()]);
+    let first = [JobId(1), JobId(2)];
+    for id in first {
+        submit(&mut bench, id, of_size(4_000));
+    }
+    let fillers = advance(&mut bench, 200);
+    assert_eq!(fillers.len(), 2, "the worker is full");
+    for id in 0..WAITING {
+        submit(&mut bench, JobId(100 + id), waiting.clone());
+    }
+    advance(&mut bench, 200);
+    submit(&mut bench, JOB, single());
+    advance(&mut bench, 200);
+    bench.report(vec![End {
+        number: 1,
+        attempt: fillers[0],
+        outcome: Outcome::Done,
+        checkpoint: None,
+    }]);
+    bench.store();
+    let started = advance(&mut bench, START_MS);
+    assert!(
+        started.iter().any(|attempt| attempt.task.step.job == JOB),
+        "the small job is not started although half of the worker is free"
+    );
+}
+
+/// A queue whose jobs may wait for so long that none is refused.
+fn patient_queue() -> Queue {
+    Queue {
+        objective: Duration::from_secs(3_600),
+        ..queue()
+    }
+}
+
+fn advised_queue() -> Queue {
+    Queue {
+        advice: Some(AdviceTiming {
+            base: Duration::from_millis(10),
+            per_worker: Duration::from_millis(1),
+            validity: Duration::from_secs(60),
+        }),
+        ..patient_queue()
+    }
+}
+
+#[test]
+fn lost_kind_holds_back_queue() {
+    let mut lasting = labelled(single());
+    lasting.steps[0].purpose = Purpose::Serve;
+    expect_start_behind(patient_queue(), &lasting);
+    expect_start_behind(advised_queue(), &lasting);
+}
+
+#[test]
+fn too_large_tasks_hold_back_queue() {
+    expect_start_behind(patient_queue(), &of_size(9_000));
+    expect_start_behind(advised_queue(), &of_size(9_000));
+}
+
+#[test]
+fn tasks_that_need_more_room_hold_back_queue() {
+    expect_start_behind(patient_queue(), &of_size(6_000));
+    expect_start_behind(advised_queue(), &of_size(6_000));
+}
+
+/// Each of the gangs needs the whole limit of the account.
+#[test]
+fn gangs_of_lost_kind_hold_back_account() {
+    let wide = labelled(gang(2, 8_000));
+    expect_start_behind(patient_queue(), &wide);
+    expect_start_behind(advised_queue(), &wide);
+}
+
+#[test]
+fn too_wide_gangs_hold_back_account() {
+    let wide = gang(2, 8_000);
+    assert!(wide.steps[0].size.times(2).fits(&account().limit));
+    expect_start_behind(patient_queue(), &wide);
+    expect_start_behind(advised_queue(), &wide);
+}
+
+/// A step that nothing could run is placed as soon as a worker that can run it has joined.
+#[test]
+fn step_of_lost_kind_starts_on_new_worker() {
+    let mut bench = Bench::with(vec![queue()], vec![account()]);
+    submit(&mut bench, JOB, of_size(9_000));
+    assert!(advance(&mut bench, 500).is_empty());
+    let mut large = bench::numbered(1);
+    large.capacity = Size {
+        millicores: 16_000,
+        ..large.capacity
+    };
+    bench.scheduler.update_registry(vec![entry(), large]);
+    bench.store();
+    bench.report_idle(1);
+    assert_eq!(advance(&mut bench, 200).len(), 1);
+}
+
+#[test]
+fn jobs_of_lost_kind_refuse_others() {
+    let mut bench = Bench::with(vec![queue()], vec![account()]);
+    for id in 0..WAITING {
+        submit(&mut bench, JobId(100 + id), labelled(single()));
+    }
+    advance(&mut bench, 200);
+    submit(&mut bench, JOB, single());
+    assert_eq!(advance(&mut bench, 200).len(), 1, "the worker is empty");
+}
