Keeps the end of leases when a worker's renewer changes

Cause: Links::release took each former renewer to have extended the lease just then, under a grant that had just begun. The leader's own renewals know when they last extended it, and another instance's grant has mostly ended when its workers are taken back.

Change: own renewals share the end of the lease, the leader keeps until when it has granted each instance to extend leases, and what is left is computed when a change is sent. An instance that has restarted extends no lease of before.

--- a/crates/server/src/cluster/links.rs
+++ b/crates/server/src/cluster/links.rs
@@ -11,6 +11,7 @@
 use azurepath_decide::batch::carrier::{Capacity, Carriers};
 use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::name::{Map, Name};
+use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
 use azurepath_wire::batch::{self as wire, News, Orders, RelayChange};
 use tokio::sync::{mpsc, watch};
@@ -23,8 +24,7 @@
 use self::relay::{IdleCall, Outbox};
 use super::Context;
 use super::clock::{self, Authority};
-use super::relay::MAX_GRANT;
-use super::renewal::{self, Event, Renewer};
+use super::renewal::{self, Event, LeaseEnd, Renewer};
 
 pub(super) use self::order::Started;
 
@@ -41,7 +41,8 @@
     lease: Duration,
     authority: Arc<Authority>,
     begun: Instant,
-    inherited_lease: Duration,
+    /// Until when leases may last that earlier leaders have renewed.
+    inherited_until: Time,
     events: mpsc::UnboundedSender<Event>,
     started: mpsc::UnboundedSender<Started>,
     tasks: JoinSet<()>,
@@ -54,6 +55,8 @@
     outboxes: BTreeMap<Name, Outbox>,
     /// The calls of instances without workers.
     idle_calls: BTreeMap<Name, IdleCall>,
+    /// Until when each instance may extend leases.
+    grants: BTreeMap<Name, Time>,
     /// The last call of each instance that renews workers.
     last_calls: BTreeMap<Name, wire::Sequence>,
     polls: BTreeMap<Name, Poll>,
@@ -81,7 +84,7 @@
             lease,
             authority,
             begun: Instant::now(),
-            inherited_lease,
+            inherited_until: clock::now().after(inherited_lease),
             events,
             started,
             tasks: JoinSet::new(),
@@ -92,6 +95,7 @@
             carriers: Carriers::default(),
             outboxes: BTreeMap::new(),
             idle_calls: BTreeMap::new(),
+            grants: BTreeMap::new(),
             last_calls: BTreeMap::new(),
             polls: BTreeMap::new(),
             queued: BTreeMap::new(),
@@ -129,7 +133,7 @@
             renewal: Renewal::None,
             acknowledged: 0,
             clock: None,
-            inherited_until: self.begun + self.inherited_lease,
+            inherited_until: self.inherited_until,
             ordered: None,
         };
         self.workers.insert(worker, link);
@@ -149,18 +153,24 @@
             return;
         };
         self.by_serial.remove(&link.serial);
-        match std::mem::replace(&mut link.renewal, Renewal::None) {
+        let until = match std::mem::replace(&mut link.renewal, Renewal::None) {
             Renewal::None => return,
-            Renewal::Own { stop, .. } => stop.cancel(),
+            Renewal::Own {
+                stop, lease_end, ..
+            } => {
+                stop.cancel();
+                lease_end.get()
+            }
             Renewal::Carried(instance) => {
                 self.carriers.unassign(&instance);
                 if let Some(outbox) = self.outboxes.get_mut(&instance) {
                     outbox.push(RelayChange::Detach(link.serial));
                 }
+                // It may extend the lease until its grant ends.
+                let grant_end = self.grants.get(&instance).copied().unwrap_or_default();
+                grant_end.after(renewal::expiry_bound(self.lease))
             }
-        }
-        // The former renewer may have extended the lease until its grant ended.
-        let until = Instant::now() + MAX_GRANT + renewal::expiry_bound(self.lease);
+        };
         link.inherited_until = link.inherited_until.max(until);
         self.unattached.insert(worker);
     }
@@ -281,9 +291,7 @@
             worker: link.endpoint.id.clone(),
             address: link.endpoint.address,
             born_ms: link.endpoint.born_ms,
-            inherited_lease: link
-                .inherited_until
-                .saturating_duration_since(Instant::now()),
+            inherited_lease: link.inherited_lease(),
             acknowledged: link.acknowledged,
         };
         let outbox = self.outboxes.entry(instance.clone()).or_default();
@@ -299,6 +307,7 @@
         };
         link.begin(serial);
         let (acknowledged, receiver) = watch::channel(link.acknowledged);
+        let lease_end = Arc::new(LeaseEnd::new(link.inherited_until));
         let stop = CancellationToken::new();
         let renewer = Renewer {
             serial,
@@ -306,9 +315,7 @@
             workers: self.context.workers.clone(),
             epoch: self.epoch,
             lease: self.lease,
-            inherited_lease: link
-                .inherited_until
-                .saturating_duration_since(Instant::now()),
+            lease_end: lease_end.clone(),
             authority: self.authority.clone(),
             store_wait: renewal::STORE_WAIT,
             acknowledged: receiver,
@@ -316,6 +323,10 @@
             sent: 0,
         };
         self.tasks.spawn(renewer.run(stop.clone()));
-        link.renewal = Renewal::Own { stop, acknowledged };
+        link.renewal = Renewal::Own {
+            stop,
+            acknowledged,
+            lease_end,
+        };
     }
 }
--- a/crates/server/src/cluster/links/link.rs
+++ b/crates/server/src/cluster/links/link.rs
@@ -1,5 +1,8 @@
 //! What the leader knows of one worker and of who renews it.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::worker::Endpoint;
@@ -8,7 +11,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::order::ORDER_VALIDITY;
-use crate::cluster::renewal::{self, MAX_CLOCK_DRIFT};
+use crate::cluster::clock;
+use crate::cluster::renewal::{self, LeaseEnd, MAX_CLOCK_DRIFT};
 
 /// A worker whose lease is renewed.
 pub(super) struct Link {
@@ -24,7 +28,7 @@
     /// The worker's clock in milliseconds, and when it was read.
     pub(super) clock: Option<(u64, Instant)>,
     /// Until when leases may last that others have renewed before.
-    pub(super) inherited_until: Instant,
+    pub(super) inherited_until: Time,
     /// When an order to start was last sent, or handed to another instance.
     pub(super) ordered: Option<Time>,
 }
@@ -38,6 +42,11 @@
             .is_none_or(|ordered| ordered.after(bound) <= at)
     }
 
+    /// Returns how long leases may last that others have renewed before.
+    pub(super) fn inherited_lease(&self) -> Duration {
+        self.inherited_until.since(clock::now())
+    }
+
     /// Begins a renewal under a new number.
     pub(super) fn begin(&mut self, serial: u64) {
         self.serial = serial;
@@ -69,6 +78,7 @@
     Own {
         stop: CancellationToken,
         acknowledged: watch::Sender<u64>,
+        lease_end: Arc<LeaseEnd>,
     },
     /// Another instance.
     Carried(Name),
--- a/crates/server/src/cluster/links/relay.rs
+++ b/crates/server/src/cluster/links/relay.rs
@@ -66,7 +66,7 @@
         };
         let due: Vec<(Name, IdleCall)> = self.idle_calls.extract_if(.., is_due).collect();
         for (instance, call) in due {
-            let relay = self.relay_reply(self.wants_carriers(), self.changes_for(&instance));
+            let relay = self.relay_reply(&instance, self.changes_for(&instance));
             let _ = call.reply.send(Reply::Relay(relay));
         }
     }
@@ -74,9 +74,25 @@
     /// Returns the changes that an instance has not confirmed.
     fn changes_for(&self, instance: &Name) -> Vec<(u64, RelayChange)> {
         let outbox = self.outboxes.get(instance).into_iter();
-        outbox
+        let mut changes: Vec<(u64, RelayChange)> = outbox
             .flat_map(|outbox| outbox.changes.iter().cloned())
-            .collect()
+            .collect();
+        for (_, change) in &mut changes {
+            if let RelayChange::Attach {
+                serial,
+                inherited_lease,
+                ..
+            } = change
+                && let Some(link) = self
+                    .by_serial
+                    .get(serial)
+                    .and_then(|worker| self.workers.get(worker))
+            {
+                // The change may have waited for this call.
+                *inherited_lease = link.inherited_lease();
+            }
+        }
+        changes
     }
 
     /// Handles the call of an instance that renews workers: its events go to the leader, and the
@@ -90,24 +106,27 @@
         (epoch, seen): (u64, u64),
         events: Vec<wire::Event>,
     ) -> Relay {
-        let wanted = self.wants_carriers();
         let last = self.last_calls.get(instance).copied();
         if last
             .is_some_and(|last| last.process == sequence.process && sequence.number <= last.number)
         {
             // The later call that came first told all that this one tells.
-            return self.relay_reply(wanted, Vec::new());
+            return self.relay_reply(instance, Vec::new());
         }
         self.last_calls.insert(instance.clone(), sequence);
         if last.is_some_and(|last| last.process != sequence.process) {
-            // A process that has restarted knows nothing of what it was given.
+            // A process that has restarted knows nothing of what it was given, and the one before it
+            // extends no lease any more.
+            if let Some(grant_end) = self.grants.get_mut(instance) {
+                *grant_end = clock::now().min(*grant_end);
+            }
             self.take_back(instance);
             if let Some(outbox) = self.outboxes.get_mut(instance) {
                 outbox.changes.clear();
             }
         }
         // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
-        if wanted && *instance != self.context.name {
+        if self.wants_carriers() && *instance != self.context.name {
             self.carriers
                 .hear(instance, failure_domain, capacity, clock::now());
         }
@@ -133,15 +152,19 @@
         {
             outbox.changes.pop_front();
         }
-        self.relay_reply(wanted, self.changes_for(instance))
+        self.relay_reply(instance, self.changes_for(instance))
     }
 
-    fn relay_reply(&self, wanted: bool, changes: Vec<(u64, RelayChange)>) -> Relay {
+    fn relay_reply(&mut self, instance: &Name, changes: Vec<(u64, RelayChange)>) -> Relay {
+        let grant = self.authority.remaining().min(MAX_GRANT);
+        // The instance counts from when it sent the call, which was earlier.
+        let grant_end = self.grants.entry(instance.clone()).or_default();
+        *grant_end = clock::now().after(grant).max(*grant_end);
         Relay {
             epoch: self.epoch,
-            grant: self.authority.remaining().min(MAX_GRANT),
+            grant,
             lease: self.lease,
-            wanted,
+            wanted: self.wants_carriers(),
             changes,
         }
     }
--- a/crates/server/src/cluster/relay.rs
+++ b/crates/server/src/cluster/relay.rs
@@ -20,7 +20,7 @@
 
 use super::Context;
 use super::clock::{self, Authority};
-use super::renewal::{self, Event, Renewer};
+use super::renewal::{self, Event, LeaseEnd, Renewer};
 
 /// The longest time that the leader lets others extend leases after one of their calls.
 pub(super) const MAX_GRANT: Duration = Duration::from_millis(2_000);
@@ -289,7 +289,7 @@
             workers: self.context.workers.clone(),
             epoch: self.duty.epoch,
             lease: self.duty.lease,
-            inherited_lease,
+            lease_end: Arc::new(LeaseEnd::new(clock::now().after(inherited_lease))),
             authority: self.duty.authority.clone(),
             store_wait: STORE_WAIT,
             acknowledged: receiver,
--- a/crates/server/src/cluster/renewal.rs
+++ b/crates/server/src/cluster/renewal.rs
@@ -1,6 +1,7 @@
 //! Claims one worker, renews the lease of its tasks and receives its reports.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use azurepath_decide::batch::report::Report;
@@ -68,6 +69,26 @@
     }
 }
 
+/// The time until which tasks may run on a worker by the leases that it was given.
+#[derive(Debug)]
+pub(super) struct LeaseEnd(AtomicU64);
+
+impl LeaseEnd {
+    /// Creates the end of leases that others have given.
+    pub(super) fn new(until: Time) -> LeaseEnd {
+        LeaseEnd(AtomicU64::new(until.0))
+    }
+
+    /// Returns the time.
+    pub(super) fn get(&self) -> Time {
+        Time(self.0.load(Ordering::Relaxed))
+    }
+
+    fn extend(&self, until: Time) {
+        self.0.fetch_max(until.0, Ordering::Relaxed);
+    }
+}
+
 /// The task that claims and renews one worker.
 pub(super) struct Renewer {
     pub(super) serial: u64,
@@ -75,8 +96,8 @@
     pub(super) workers: Workers,
     pub(super) epoch: u64,
     pub(super) lease: Duration,
-    /// How long tasks may run on the worker whose lease an earlier leader renewed.
-    pub(super) inherited_lease: Duration,
+    /// Until when tasks may run on the worker.
+    pub(super) lease_end: Arc<LeaseEnd>,
     pub(super) authority: Arc<Authority>,
     /// How long the next renewal waits until new ends are stored.
     pub(super) store_wait: Duration,
@@ -96,7 +117,6 @@
     /// Renews the worker until `halt` is cancelled or another worker has replaced it.
     pub(super) async fn run(mut self, halt: CancellationToken) {
         let mut clock: Option<(u64, Instant)> = None;
-        let mut lease_end = clock::now().after(self.inherited_lease);
         let mut failures = 0;
         let mut lapse_reported = None;
         let mut idle = false;
@@ -107,7 +127,9 @@
                 now + u64::try_from(self.lease.as_millis()).unwrap_or(0)
             });
             if expires_ms.is_some() {
-                lease_end = lease_end.max(clock::now().after(expiry_bound(self.lease)));
+                // Before the call, which may take effect without an answer.
+                self.lease_end
+                    .extend(clock::now().after(expiry_bound(self.lease)));
             }
             let acknowledged = *self.acknowledged.borrow_and_update();
             let renewal = Renewal {
@@ -150,7 +172,7 @@
                 }
             }
             failures += 1;
-            let now = clock::now();
+            let (now, lease_end) = (clock::now(), self.lease_end.get());
             let is_reported = lapse_reported.is_some_and(|at| now.since(at) < LAPSE_INTERVAL);
             if !is_reported && now >= lease_end {
                 lapse_reported = Some(now);
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -13,6 +13,7 @@
 use azurepath_decide::batch::carrier::Capacity;
 use azurepath_decide::batch::report::{Report, Running};
 use azurepath_standin::cluster::worker;
+use azurepath_standin::fault::Injection;
 use azurepath_wire::batch::{Call, Event, News, Relay, RelayChange, Reply, Sequence};
 use azurepath_wire::codec;
 use azurepath_wire::frame::Frame;
@@ -30,6 +31,10 @@
 /// The number of a leader's first change, which gives the instance a worker.
 const FIRST_CHANGE: u64 = 1;
 
+/// How long tasks may run on a worker after the last call that has extended their lease: 4 s by a clock
+/// that is 2% slow, and 150 ms for late timers.
+const LEASE_BOUND: Duration = Duration::from_millis(4_230);
+
 /// The path of calls between instances.
 const PATH: &str = "/azurepath";
 
@@ -49,10 +54,21 @@
     epoch: u64,
     seen: u64,
     events: &[Event],
+) -> Result<Relay> {
+    relay_from("x", sequence, leader, epoch, seen, events).await
+}
+
+async fn relay_from(
+    instance: &str,
+    sequence: Sequence,
+    leader: SocketAddr,
+    epoch: u64,
+    seen: u64,
+    events: &[Event],
 ) -> Result<Relay> {
     let call = Call::Relay {
         sequence,
-        instance: "x".to_owned(),
+        instance: instance.to_owned(),
         failure_domain: "a".to_owned(),
         capacity: Capacity {
             millicores: 1_000,
@@ -262,3 +278,55 @@
     assert_eq!(attached(&reply), WORKERS);
     Ok(())
 }
+
+/// Returns how long tasks may run on the workers that an instance is told to renew.
+fn inherited_leases(relay: &Relay) -> Vec<Duration> {
+    let lease = |change: &(u64, RelayChange)| match change.1 {
+        RelayChange::Attach {
+            inherited_lease, ..
+        } => Some(inherited_lease),
+        _ => None,
+    };
+    relay.changes.iter().filter_map(lease).collect()
+}
+
+/// The instance's right to extend leases ends before the leader takes its workers back.
+#[tokio::test]
+async fn silent_instance_prolongs_leases() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let leader = Leader::start(&cluster).await?;
+    let claimed = News::Report(report(&cluster.fleet.workers[0]).await?);
+    leader.relay(1, &[claimed]).await?;
+    let mut number = 0;
+    let mut leases = Vec::new();
+    until(async || {
+        number += 1;
+        let sequence = Sequence { process: 7, number };
+        let call = relay_from("y", sequence, leader.peers, leader.epoch, 0, &[]).await;
+        leases = call.as_ref().map(inherited_leases).unwrap_or_default();
+        !leases.is_empty()
+    })
+    .await;
+    assert!(leases[0] <= LEASE_BOUND, "{leases:?}");
+    Ok(())
+}
+
+/// The leader has had no answer of the worker for seconds when another instance comes to renew it.
+#[tokio::test]
+async fn change_of_renewer_prolongs_leases() -> Result<()> {
+    let cluster = Cluster::start(1)?;
+    let process = cluster.instance_with("a", SMALL).await?;
+    until(async || count(&process, "worker claimed") == 1).await;
+    cluster.fleet.workers[0].set_faults(Injection {
+        silent: true,
+        ..Injection::default()
+    });
+    until(async || count(&process, "worker silent") == 1).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let reply = relay(address(&process, "peers")?, 0, 0, &[]).await?;
+    let left = LEASE_BOUND - Duration::from_secs(2);
+    let leases = inherited_leases(&reply);
+    assert!(leases.iter().all(|lease| *lease <= left), "{leases:?}");
+    assert_eq!(leases.len(), 1);
+    Ok(())
+}
