Hears instances that have workers, wanted or not

Cause: a leader that no longer needs others for its workers ignored their calls, so that all of them counted as silent 2.2 s later and all their workers were taken back at once.

Evidence: with the logs kept, "workers taken back" 30 and 30 two seconds after the 90th of 95 workers was left. relayed_events.rs, fewer_workers_end_all_renewals, failed before with one instance taken back.

Change: the calls of an instance that has workers are heard, and it keeps them.

--- a/crates/decide/src/batch/carrier.rs
+++ b/crates/decide/src/batch/carrier.rs
@@ -151,6 +151,12 @@
         Some(name.clone())
     }
 
+    /// Tells whether an instance has workers.
+    pub fn has_workers(&self, instance: &Name) -> bool {
+        let carrier = self.instances.get(instance);
+        carrier.is_some_and(|carrier| carrier.workers > 0)
+    }
+
     /// Tells whether an instance may be given workers and has none.
     pub fn is_idle(&self, instance: &Name) -> bool {
         let carrier = self.instances.get(instance);
--- a/crates/server/src/cluster/links/relay.rs
+++ b/crates/server/src/cluster/links/relay.rs
@@ -125,8 +125,10 @@
                 outbox.changes.clear();
             }
         }
-        // Calls of this process save nothing, and an instance that is not wanted reports too seldom.
-        if self.wants_carriers() && *instance != self.context.name {
+        // Calls of this process save nothing. An instance that is not wanted reports too seldom, unless
+        // it has workers from before.
+        let has_workers = self.carriers.has_workers(instance);
+        if (self.wants_carriers() || has_workers) && *instance != self.context.name {
             self.carriers
                 .hear(instance, failure_domain, capacity, clock::now());
         }
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
 use azurepath_decide::batch::Attempt;
@@ -290,6 +290,49 @@
     relay.changes.iter().filter_map(lease).collect()
 }
 
+/// The instance goes on calling, as one does that has workers.
+#[tokio::test]
+async fn fewer_workers_end_all_renewals() -> Result<()> {
+    let cluster = Cluster::start(WORKERS + 1)?;
+    // Needs others for more than three workers.
+    let leader = cluster.instance_with("a", "cores = 0.004\n").await?;
+    let peers = address(&leader, "peers")?;
+    let mut given = None;
+    until(async || {
+        let reply = relay(peers, 0, 0, &[]).await.ok();
+        given = reply.filter(|reply| attached(reply) == WORKERS + 1);
+        given.is_some()
+    })
+    .await;
+    let given = given.context("all workers were given")?;
+    let seen = given.changes.last().map_or(0, |(number, _)| *number);
+    let serials = given.changes.iter().filter_map(|(_, change)| match change {
+        RelayChange::Attach { serial, worker, .. } if **worker == *"w0" => Some(*serial),
+        _ => None,
+    });
+    let serial = serials.last().context("w0 was given")?;
+    cluster.fleet.store.remove("servers", "w0");
+    let begun = Instant::now();
+    let mut number = 1;
+    while begun.elapsed() < Duration::from_secs(8) {
+        let gone = events(serial, number, [silent(), News::Lapsed]);
+        let reply = relay(peers, given.epoch, seen, &gone).await?;
+        if number > 1 && !reply.wanted {
+            break;
+        }
+        number += 2;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let fewer = Instant::now();
+    while fewer.elapsed() < Duration::from_secs(4) {
+        let reply = relay(peers, given.epoch, seen, &[]).await?;
+        assert!(!reply.wanted, "the worker has gone");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(count(&leader, "workers taken back"), 0);
+    Ok(())
+}
+
 /// The instance's right to extend leases ends before the leader takes its workers back.
 #[tokio::test]
 async fn silent_instance_prolongs_leases() -> Result<()> {
