Shortens the rounds of skipped steps, and names things by what they do

A step that is skipped after a round has begun waits for the next one too, so a round of two seconds could keep it for four.

--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -206,7 +206,7 @@
         };
         if out_of_reach {
             // It doesn't count as a failure, since it would in each pass.
-            self.prepare(&candidate);
+            self.handle_out_of_reach(&candidate);
             return;
         }
         let placed = if too_large && !candidate.step.gang {
@@ -220,9 +220,9 @@
         }
     }
 
-    /// Asks for advice about a gang that is too wide for the present workers, so that it starts as soon
-    /// as there are enough.
-    fn prepare(&mut self, candidate: &Candidate<'_>) {
+    /// Logs that a step is out of reach. A gang that is too wide for the present workers asks for advice
+    /// all the same, so that it starts as soon as there are enough.
+    fn handle_out_of_reach(&mut self, candidate: &Candidate<'_>) {
         self.log_cause(candidate.id, Cause::Capacity, 0);
         if candidate.queue.advice.is_none() || !candidate.step.gang {
             return;
--- a/crates/decide/src/batch/scheduler/ranking.rs
+++ b/crates/decide/src/batch/scheduler/ranking.rs
@@ -163,7 +163,8 @@
         let (Some(step), Some(queue)) = (step, self.queues.get(&job.queue)) else {
             return false;
         };
-        self.reaches.exclude(&self.workers, self.now, queue, step)
+        self.reaches
+            .is_out_of_reach(&self.workers, self.now, queue, step)
     }
 
     fn rank(&mut self, id: JobId, number: usize) -> Option<Rank> {
--- a/crates/decide/src/batch/scheduler/reach.rs
+++ b/crates/decide/src/batch/scheduler/reach.rs
@@ -32,7 +32,7 @@
     }
 
     /// Tells whether a step could not be placed even if nothing ran on any worker.
-    pub(super) fn exclude(
+    pub(super) fn is_out_of_reach(
         &mut self,
         workers: &[Worker],
         now: Time,
--- a/crates/decide/src/batch/scheduler/rotation.rs
+++ b/crates/decide/src/batch/scheduler/rotation.rs
@@ -9,8 +9,9 @@
 use super::super::StepId;
 use super::super::order::Rank;
 
-/// In how many full passes each skipped step is visited once.
-const ROTATION_PASSES: usize = 20;
+/// In how many full passes each skipped step is visited once. A step that is skipped during a round
+/// waits for the next one, so its turn comes after two rounds at the latest.
+const ROUND_PASSES: usize = 10;
 
 /// The least number of skipped steps that a full pass visits.
 const MIN_VISITS: usize = 16;
@@ -33,7 +34,7 @@
             self.waiting = skipped.iter().map(|rank| rank.step).collect();
             turns = skipped.to_vec();
         }
-        let visits = (skipped.len() / ROTATION_PASSES).clamp(MIN_VISITS, MAX_VISITS);
+        let visits = (skipped.len() / ROUND_PASSES).clamp(MIN_VISITS, MAX_VISITS);
         turns.truncate(visits);
         for rank in &turns {
             self.waiting.remove(&rank.step);
--- a/crates/server/tests/relayed_events.rs
+++ b/crates/server/tests/relayed_events.rs
@@ -306,11 +306,11 @@
     .await;
     let given = given.context("all workers were given")?;
     let seen = given.changes.last().map_or(0, |(number, _)| *number);
-    let serials = given.changes.iter().filter_map(|(_, change)| match change {
+    let mut serials = given.changes.iter().filter_map(|(_, change)| match change {
         RelayChange::Attach { serial, worker, .. } if **worker == *"w0" => Some(*serial),
         _ => None,
     });
-    let serial = serials.last().context("w0 was given")?;
+    let serial = serials.next_back().context("w0 was given")?;
     cluster.fleet.store.remove("servers", "w0");
     let begun = Instant::now();
     let mut number = 1;
