Keeps the expiry of unanswered orders when a repetition is not sent

Cause: a repetition that is not sent since the leader's authority has ended comes back as refused with an expiry of 0, which was taken for the time until which the first order may start the task.

Change: an ordered task keeps the latest expiry of its unanswered orders, and a refused repetition leaves it as it is.

--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -144,8 +144,14 @@
 /// What is known of a task that was ordered to start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// The order to start was sent this many times and is not answered yet.
-    Ordered(u32),
+    /// The order to start is not answered yet.
+    Ordered {
+        /// How many times it was sent.
+        sent: u32,
+        /// The time of the worker's clock, in milliseconds, at which the unanswered ones before the last
+        /// expire.
+        expires_ms: u64,
+    },
     /// It runs.
     Running,
     /// The orders to start were not answered. They expire at this time of the worker's clock, in
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -51,7 +51,10 @@
             task.place = Place::On {
                 worker,
                 run,
-                phase: Phase::Ordered(1),
+                phase: Phase::Ordered {
+                    sent: 1,
+                    expires_ms: 0,
+                },
                 since: self.now,
             };
             let checkpoint = if gang {
@@ -127,7 +130,11 @@
         else {
             return;
         };
-        let Phase::Ordered(orders) = *phase else {
+        let Phase::Ordered {
+            sent,
+            expires_ms: earlier_ms,
+        } = *phase
+        else {
             return;
         };
         if *on != worker || *run != attempt.run {
@@ -139,17 +146,20 @@
                 self.note_gang_start(id);
             }
             StartOutcome::Lost
-                if orders < MAX_START_ORDERS
+                if sent < MAX_START_ORDERS
                     && !job_ended
                     && !self.stopping.contains_key(&attempt) =>
             {
-                *phase = Phase::Ordered(orders + 1);
+                *phase = Phase::Ordered {
+                    sent: sent + 1,
+                    expires_ms: earlier_ms.max(expires_ms),
+                };
                 self.resend_order(worker, attempt, checkpoint);
             }
-            // An earlier order that stayed unanswered may have started the task.
-            StartOutcome::Lost => *phase = Phase::Unconfirmed(expires_ms),
-            StartOutcome::Refused(refusal) if orders > 1 => {
-                *phase = Phase::Unconfirmed(expires_ms);
+            StartOutcome::Lost => *phase = Phase::Unconfirmed(earlier_ms.max(expires_ms)),
+            // The last order never starts the task, but an earlier one that stayed unanswered may.
+            StartOutcome::Refused(refusal) if sent > 1 => {
+                *phase = Phase::Unconfirmed(earlier_ms);
                 if refusal.proves_absence() {
                     self.stop_gang(id);
                 }
