--- a/crates/decide/tests/pass_cost.rs
+++ b/crates/decide/tests/pass_cost.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::JobId;
-use azurepath_decide::batch::advice::Advice;
-use azurepath_decide::batch::config::{Account, AdviceTiming, Queue};
+use azurepath_decide::batch::config::Account;
 use azurepath_decide::batch::{Action, StepId};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
-use bench::{Bench, queue, single};
+use bench::{Bench, advised, approve, queue, single};
 
 /// The account of the jobs that wait, whose limit is used up.
 const TEAM: &str = "team";
@@ -20,25 +19,11 @@
 const ROUNDS: usize = 40;
 const FULL_PASSES: u64 = 4;
 
-fn advised_queue() -> Queue {
-    Queue {
-        advice: Some(AdviceTiming {
-            base: Duration::from_millis(10),
-            per_worker: Duration::from_millis(1),
-            validity: Duration::from_secs(60),
-        }),
-        ..queue()
-    }
-}
-
 /// Answers all open questions: every worker is eligible.
 fn advise(bench: &mut Bench, actions: &[Action]) {
     for action in actions {
         if let Action::Ask(question) = action {
-            let ticket = |worker: &Name| (worker.clone(), Name::from("ticket"));
-            let tickets = question.workers.iter().map(ticket).collect();
-            let advice = Advice { tickets };
-            bench.scheduler.handle_advice(question.step, Some(&advice));
+            approve(&mut bench.scheduler, question);
         }
     }
 }
@@ -60,7 +45,7 @@
             ..Size::MAX
         },
     };
-    let mut bench = Bench::with(vec![advised_queue()], vec![account]);
+    let mut bench = Bench::with(vec![advised(queue())], vec![account]);
     for id in 0..jobs {
         submit(&mut bench, JobId(100 + id));
     }
@@ -94,7 +79,7 @@
 /// Returns the passes in a second in which each advance takes `took` and something always changes.
 fn passes_in_a_second(took: Duration) -> u64 {
     const ROUNDS: u64 = 100;
-    let mut bench = Bench::with_queue(advised_queue());
+    let mut bench = Bench::with_queue(advised(queue()));
     bench.scheduler.take_effort();
     for round in 0..ROUNDS {
         submit(&mut bench, JobId(100 + round));
--- a/crates/decide/tests/skipped_steps.rs
+++ b/crates/decide/tests/skipped_steps.rs
@@ -5,14 +5,13 @@
 
 use std::time::Duration;
 
-use azurepath_decide::batch::advice::Advice;
-use azurepath_decide::batch::config::{Account, AdviceTiming, Queue};
+use azurepath_decide::batch::config::{Account, Queue};
 use azurepath_decide::batch::report::{End, Outcome};
 use azurepath_decide::batch::spec::{Purpose, Spec};
 use azurepath_decide::batch::{Action, Attempt, JobId, StartOutcome};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
-use bench::{Bench, JOB, entry, gang, queue, single};
+use bench::{Bench, JOB, advised, approve, entry, gang, queue, single};
 
 /// How many steps wait that can't be placed, more than a pass visits.
 const WAITING: u64 = 40;
@@ -66,10 +65,7 @@
                     started.push(attempt);
                 }
                 Action::Ask(question) => {
-                    let ticket = |worker: &Name| (worker.clone(), Name::from("ticket"));
-                    let tickets = question.workers.iter().map(ticket).collect();
-                    let advice = Advice { tickets };
-                    bench.scheduler.handle_advice(question.step, Some(&advice));
+                    approve(&mut bench.scheduler, &question);
                 }
                 _ => {}
             }
@@ -116,35 +112,24 @@
     }
 }
 
-fn advised_queue() -> Queue {
-    Queue {
-        advice: Some(AdviceTiming {
-            base: Duration::from_millis(10),
-            per_worker: Duration::from_millis(1),
-            validity: Duration::from_secs(60),
-        }),
-        ..patient_queue()
-    }
-}
-
 #[test]
 fn lost_kind_holds_back_queue() {
     let mut lasting = labelled(single());
     lasting.steps[0].purpose = Purpose::Serve;
     expect_start_behind(patient_queue(), &lasting);
-    expect_start_behind(advised_queue(), &lasting);
+    expect_start_behind(advised(patient_queue()), &lasting);
 }
 
 #[test]
 fn too_large_tasks_hold_back_queue() {
     expect_start_behind(patient_queue(), &of_size(9_000));
-    expect_start_behind(advised_queue(), &of_size(9_000));
+    expect_start_behind(advised(patient_queue()), &of_size(9_000));
 }
 
 #[test]
 fn tasks_that_need_more_room_hold_back_queue() {
     expect_start_behind(patient_queue(), &of_size(6_000));
-    expect_start_behind(advised_queue(), &of_size(6_000));
+    expect_start_behind(advised(patient_queue()), &of_size(6_000));
 }
 
 /// Each of the gangs needs the whole limit of the account.
@@ -152,7 +137,7 @@
 fn gangs_of_lost_kind_hold_back_account() {
     let wide = labelled(gang(2, 8_000));
     expect_start_behind(patient_queue(), &wide);
-    expect_start_behind(advised_queue(), &wide);
+    expect_start_behind(advised(patient_queue()), &wide);
 }
 
 #[test]
@@ -160,7 +145,7 @@
     let wide = gang(2, 8_000);
     assert!(wide.steps[0].size.times(2).fits(&account().limit));
     expect_start_behind(patient_queue(), &wide);
-    expect_start_behind(advised_queue(), &wide);
+    expect_start_behind(advised(patient_queue()), &wide);
 }
 
 /// A step that nothing could run is placed as soon as a worker that can run it has joined.
--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurepath_decide::batch::config::{Account, Config, Queue};
+use azurepath_decide::batch::advice::{Advice, Question};
+use azurepath_decide::batch::config::{Account, AdviceTiming, Config, Queue};
 use azurepath_decide::batch::fleet::{Entry, Status};
 use azurepath_decide::batch::record::{Fit, Stored};
 use azurepath_decide::batch::report::{End, Report};
@@ -64,6 +65,25 @@
     }
 }
 
+/// Returns a queue whose jobs need advice, with tickets that last for the whole of a test.
+pub fn advised(queue: Queue) -> Queue {
+    Queue {
+        advice: Some(AdviceTiming {
+            base: Duration::from_millis(10),
+            per_worker: Duration::from_millis(1),
+            validity: Duration::from_secs(60),
+        }),
+        ..queue
+    }
+}
+
+/// Answers a question to the advice service: every worker is eligible.
+pub fn approve(scheduler: &mut Scheduler, question: &Question) {
+    let ticket = |worker: &Name| (worker.clone(), Name::from("ticket"));
+    let tickets = question.workers.iter().map(ticket).collect();
+    scheduler.handle_advice(question.step, Some(&Advice { tickets }));
+}
+
 /// Returns a job with one task that needs one core.
 pub fn single() -> Spec {
     let step = Step {
