Tells on what evidence a run is given up, and when the leadership is unconfirmed

Now `task lost` has its `evidence`, it and `tasks started` and `worker leases expired` have `confirmed_ms`, and the leader logs `leadership unconfirmed` and `leadership confirmed`. Starts are counted by `confirmed`. No decision changes.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -107,6 +107,20 @@
     Capacity,
 }
 
+/// What shows that a run does not run although its end was not reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Evidence {
+    /// The worker is silent, and its leases have expired.
+    LeaseExpired,
+    /// This incarnation of the worker has ended.
+    WorkerGone,
+    /// A report does not show the run, and the order to start it has expired.
+    OrderExpired,
+    /// The order to start it was refused.
+    OrderRefused,
+}
+
 /// A decision and its reasons, for the log and the metrics.
 #[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -184,6 +198,8 @@
         attempt: Attempt,
         /// Its worker.
         worker: Name,
+        /// What shows that it does not run.
+        evidence: Evidence,
     },
     /// A gang is stopped because a member does not run or has not started in time.
     GangStopped {
--- a/crates/decide/src/batch/scheduler/assembly.rs
+++ b/crates/decide/src/batch/scheduler/assembly.rs
@@ -8,7 +8,7 @@
 
 use crate::time::Time;
 
-use super::super::event::Decision;
+use super::super::event::{Decision, Evidence};
 use super::super::job::{Phase, Place};
 use super::super::report::{End, Outcome, Running};
 use super::super::{Attempt, StepId};
@@ -154,9 +154,14 @@
     }
 
     /// Marks attempts on a worker as lost and stops the gangs that they belong to.
-    pub(super) fn drop_attempts(&mut self, index: usize, attempts: &[Attempt]) {
+    pub(super) fn drop_attempts(
+        &mut self,
+        index: usize,
+        attempts: &[Attempt],
+        evidence: Evidence,
+    ) {
         for attempt in attempts {
-            self.mark_lost(index, *attempt);
+            self.mark_lost(index, *attempt, evidence);
         }
         let steps: BTreeSet<StepId> = attempts.iter().map(|attempt| attempt.task.step).collect();
         for id in steps {
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,6 +1,6 @@
 //! Ends of attempts and their effect on tasks and jobs.
 
-use super::super::event::Decision;
+use super::super::event::{Decision, Evidence};
 use super::super::fleet::Worker;
 use super::super::job::Place;
 use super::super::journal::Deferred;
@@ -216,7 +216,7 @@
     }
 
     /// Releases an attempt that does not run and never will, without counting it as ended.
-    pub(super) fn mark_lost(&mut self, index: usize, attempt: Attempt) {
+    pub(super) fn mark_lost(&mut self, index: usize, attempt: Attempt, evidence: Evidence) {
         self.stopping.remove(&attempt);
         let id = attempt.task.step.job;
         let requirements = self.requirements_of(&attempt);
@@ -241,7 +241,11 @@
         }
         self.mark_capacity_freed(index);
         let worker = self.workers[index].entry.id.clone();
-        self.log(Decision::Lost { attempt, worker });
+        self.log(Decision::Lost {
+            attempt,
+            worker,
+            evidence,
+        });
     }
 
     /// Tells whether tasks of inherited jobs may still run on workers that have not reported yet.
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -4,7 +4,7 @@
 
 use crate::name::Name;
 
-use super::super::event::{Action, Decision, Refusal, StartOutcome};
+use super::super::event::{Action, Decision, Evidence, Refusal, StartOutcome};
 use super::super::fleet::Contact;
 use super::super::job::{Phase, Place};
 use super::super::{Attempt, State, StepId, TaskId};
@@ -194,7 +194,7 @@
 
     fn handle_refusal(&mut self, worker: usize, attempt: Attempt, refusal: Refusal) {
         let id = attempt.task.step;
-        self.mark_lost(worker, attempt);
+        self.mark_lost(worker, attempt, Evidence::OrderRefused);
         match refusal {
             Refusal::Superseded => self.actions.push(Action::Resign),
             Refusal::Ticket => {
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::super::event::{Action, Decision};
+use super::super::event::{Action, Decision, Evidence};
 use super::super::fleet::{Contact, Entry, Worker};
 use super::super::job::{Phase, Place};
 use super::super::record::Row;
@@ -108,7 +108,11 @@
     /// silent worker as unclaimed.
     pub fn expire_leases(&mut self, index: usize) {
         let attempts: Vec<Attempt> = self.workers[index].attempts.keys().copied().collect();
-        self.drop_attempts(index, &attempts);
+        let evidence = match self.workers[index].contact {
+            Contact::Gone => Evidence::WorkerGone,
+            Contact::Unclaimed | Contact::Claimed | Contact::Silent => Evidence::LeaseExpired,
+        };
+        self.drop_attempts(index, &attempts, evidence);
         if self.workers[index].contact == Contact::Silent {
             self.workers[index].contact = Contact::Unclaimed;
         }
@@ -175,7 +179,7 @@
             .filter(|attempt| !runs(attempt))
             .copied()
             .collect();
-        self.drop_attempts(index, &expired);
+        self.drop_attempts(index, &expired, Evidence::OrderExpired);
     }
 
     /// Handles the report that an attempt runs on a worker.
--- a/crates/server/src/cluster/clock.rs
+++ b/crates/server/src/cluster/clock.rs
@@ -55,6 +55,12 @@
         Time(self.until.load(Ordering::Relaxed)).since(now())
     }
 
+    /// Returns how long ago the write was sent that confirmed this instance as the leader last.
+    pub(super) fn unconfirmed_for(&self) -> Duration {
+        let until = Time(self.until.load(Ordering::Relaxed));
+        now().since(until.before(self.duration))
+    }
+
     /// Tells whether orders may be given now.
     pub(super) fn holds(&self) -> bool {
         now().0 < self.until.load(Ordering::Relaxed)
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -1,16 +1,27 @@
 //! Writes the scheduler's decisions to the log and the metrics.
 
+use std::time::Duration;
+
 use azurepath_decide::batch::Decision;
 use opentelemetry::KeyValue;
 use slog::{Logger, info, warn};
 
+use super::election::LEADER_TIMEOUT;
 use crate::metrics::Cluster;
 
 /// The maximum number of tasks of a step that a log line lists.
 const MAX_LISTED_TASKS: usize = 40;
 
-/// Logs a decision and updates the metrics.
-pub(super) fn log(log: &Logger, metrics: &Cluster, epoch: u64, decision: &Decision) {
+/// Logs a decision and updates the metrics. `unconfirmed_for` is how long ago the write was sent that
+/// confirmed this instance as the leader last.
+pub(super) fn log(
+    log: &Logger,
+    metrics: &Cluster,
+    epoch: u64,
+    unconfirmed_for: Duration,
+    decision: &Decision,
+) {
+    let confirmed_ms = unconfirmed_for.as_millis() as u64;
     let name: &'static str = decision.into();
     let kind = |text: String| KeyValue::new("kind", text);
     match decision {
@@ -59,14 +70,16 @@
             tasks,
             age,
         } => {
-            metrics.starts.add(tasks.len() as u64, &[]);
+            let confirmed = KeyValue::new("confirmed", unconfirmed_for < LEADER_TIMEOUT);
+            metrics.starts.add(tasks.len() as u64, &[confirmed]);
             metrics.start_age.record(age.as_secs_f64(), &[]);
             let listed = tasks.iter().take(MAX_LISTED_TASKS);
             let listed: Vec<String> = listed
                 .map(|(index, worker)| format!("{index}@{worker}"))
                 .collect();
             info!(log, "tasks started"; "step" => %step, "run" => run, "tasks" => tasks.len(),
-                "at" => listed.join(" "), "age_ms" => age.as_millis() as u64, "epoch" => epoch);
+                "at" => listed.join(" "), "age_ms" => age.as_millis() as u64,
+                "confirmed_ms" => confirmed_ms, "epoch" => epoch);
         }
         Decision::Ended {
             attempt,
@@ -78,10 +91,15 @@
             info!(log, "task ended"; "task" => %attempt.task, "run" => attempt.run,
                 "worker" => %worker, "how" => %outcome, "failures" => failures, "epoch" => epoch);
         }
-        Decision::Lost { attempt, worker } => {
+        Decision::Lost {
+            attempt,
+            worker,
+            evidence,
+        } => {
             metrics.ends.add(1, &[kind(name.to_owned())]);
             info!(log, "task lost"; "task" => %attempt.task, "run" => attempt.run,
-                "worker" => %worker, "epoch" => epoch);
+                "worker" => %worker, "evidence" => %evidence,
+                "confirmed_ms" => confirmed_ms, "epoch" => epoch);
         }
         Decision::GangStopped { step, members } => {
             info!(log, "gang stopped"; "step" => %step, "members" => members, "epoch" => epoch);
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -29,7 +29,7 @@
 
 /// How long the leader's row may stay unchanged before the leader counts as dead: several of its
 /// heartbeats.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(1_400);
+pub(super) const LEADER_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// The same if the leader can't be reached over the network either: one of its heartbeats. A leader
 /// that is deposed by mistake loses only the leadership.
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -31,6 +31,7 @@
 pub(super) use self::handle::{Handle, Message};
 use self::stopwatch::Stopwatch;
 use super::clock::{self, Authority};
+use super::election::LEADER_TIMEOUT;
 use super::links::{Links, Started};
 use super::peer::Pending;
 use super::renewal;
@@ -107,6 +108,8 @@
     store_pace: StorePace,
     epoch: u64,
     resigned: bool,
+    /// Whether it was logged that another instance may lead by now.
+    unconfirmed: bool,
     stopwatch: Stopwatch,
     tenure: Tenure,
     /// When another instance last called.
@@ -173,6 +176,7 @@
             store_pace: StorePace::default(),
             epoch,
             resigned: false,
+            unconfirmed: false,
             stopwatch: Stopwatch::new(context.clone()),
             tenure,
             peer_called: None,
@@ -265,6 +269,7 @@
                         let rows = self.scheduler.unstored_rows();
                         self.stopwatch.report(self.epoch, effort, rows);
                     }
+                    self.observe_confirmation();
                     self.expire_polls();
                     self.links.tick();
                 }
@@ -310,6 +315,24 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
+    /// Logs when another instance may lead by now, since no write has been confirmed for a while, and
+    /// when a write shows that this one still does.
+    fn observe_confirmation(&mut self) {
+        let unconfirmed_for = self.authority.unconfirmed_for();
+        let unconfirmed = unconfirmed_for >= LEADER_TIMEOUT;
+        if unconfirmed == self.unconfirmed {
+            return;
+        }
+        self.unconfirmed = unconfirmed;
+        if unconfirmed {
+            warn!(self.context.log, "leadership unconfirmed"; "epoch" => self.epoch,
+                "confirmed_ms" => unconfirmed_for.as_millis() as u64,
+                "authority_ms" => self.authority.remaining().as_millis() as u64);
+        } else {
+            info!(self.context.log, "leadership confirmed"; "epoch" => self.epoch);
+        }
+    }
+
     /// Tells whether there are other instances that may lead.
     fn has_peers(&self) -> bool {
         self.peer_called
@@ -359,6 +382,7 @@
                     warn!(self.context.log, "worker leases expired";
                         "worker" => %self.scheduler.worker(worker).entry.id,
                         "attempts" => attempts,
+                        "confirmed_ms" => self.authority.unconfirmed_for().as_millis() as u64,
                         "age_ms" => clock::now().since(event.at).as_millis() as u64);
                 }
                 self.scheduler.expire_leases(worker);
@@ -445,6 +469,7 @@
                     &self.context.log,
                     &self.context.counts,
                     self.epoch,
+                    self.authority.unconfirmed_for(),
                     &decision,
                 );
             }
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -48,7 +48,7 @@
 pub struct Cluster {
     /// Job events: accepted, refused, completed, failed, cancelled.
     pub jobs: Counter<u64>,
-    /// Orders to start a task.
+    /// Orders to start a task, by whether the leader was confirmed recently.
     pub starts: Counter<u64>,
     /// Task runs that ended without completing their work, by outcome.
     pub ends: Counter<u64>,
