--- a/crates/server/tests/platform_path.rs
+++ b/crates/server/tests/platform_path.rs
@@ -7,7 +7,7 @@
 use azurepath_standin::fault::Injection;
 use http::Method;
 use support::cluster::{
-    Cluster, address, cancel, id, job_body, state, status, submit, submit_until,
+    Cluster, address, cancel, id, job_body, leader, state, status, submit, submit_until,
 };
 use support::{Process, call, get, until};
 
@@ -20,19 +20,6 @@
 /// How long the store stays down after the leader's authority has ended.
 const OUTAGE_PAST_AUTHORITY: std::time::Duration = std::time::Duration::from_secs(3);
 
-/// Returns the index of the leading instance.
-fn leader(instances: &[Process]) -> usize {
-    let leads = |process: &Process| {
-        let events = process.log();
-        let last = events.iter().rfind(|event| {
-            let message = event["msg"].as_str().unwrap_or_default();
-            ["leading", "leading no more"].contains(&message)
-        });
-        last.is_some_and(|event| event["msg"] == "leading")
-    };
-    instances.iter().position(leads).unwrap_or_default()
-}
-
 async fn start_three(cluster: &Cluster) -> Result<Vec<Process>> {
     Ok(vec![
         cluster.instance("a").await?,
--- a/crates/server/tests/support/cluster.rs
+++ b/crates/server/tests/support/cluster.rs
@@ -113,6 +113,22 @@
     }
 }
 
+/// Returns the epoch under which an instance leads, as far as it knows.
+pub fn leading_epoch(process: &Process) -> Option<u64> {
+    let events = process.log();
+    let last = events.iter().rfind(|event| {
+        let message = event["msg"].as_str().unwrap_or_default();
+        ["leading", "leading no more"].contains(&message)
+    })?;
+    (last["msg"] == "leading").then(|| last["epoch"].as_u64())?
+}
+
+/// Returns the index of the leading instance.
+pub fn leader(instances: &[Process]) -> usize {
+    let leads = |process: &Process| leading_epoch(process).is_some();
+    instances.iter().position(leads).unwrap_or_default()
+}
+
 /// Returns an address that a process has logged at its start.
 pub fn address(process: &Process, key: &str) -> Result<SocketAddr> {
     let event = process
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -41,6 +42,8 @@
     started: Instant,
     born_ms: u64,
     faults: Injection,
+    /// The epochs of the leaders whose calls arrive.
+    reachable_epochs: RangeInclusive<u64>,
     fence: u64,
     lease_ms: u64,
     running: BTreeMap<String, (u64, Instant)>,
@@ -87,6 +90,7 @@
             started: Instant::now(),
             born_ms: unix_time.map_or(1, |unix_time| unix_time.as_millis() as u64),
             faults: Injection::default(),
+            reachable_epochs: 0..=u64::MAX,
             fence: 0,
             lease_ms: 0,
             running: BTreeMap::new(),
@@ -150,6 +154,7 @@
                 silence_open: self.faults.silence_open + 1,
                 ..self.faults
             },
+            reachable_epochs: self.reachable_epochs.clone(),
             runs: std::mem::take(&mut self.runs),
             overcommits: self.overcommits,
             renewals: self.renewals,
@@ -283,8 +288,24 @@
         }
     }
 
+    /// Waits forever if the leader of an epoch is cut off from this worker.
+    async fn require_reachable(&self, epoch: u64) {
+        let is_reachable = lock(&self.state).reachable_epochs.contains(&epoch);
+        if !is_reachable {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn order(&self, call: &Call) -> Result<Reply, Reply> {
         let order: Order = call.json()?;
+        let epoch = order.fence;
+        self.require_reachable(epoch).await;
+        let reply = self.carry_out(&call.path, order).await?;
+        self.require_reachable(epoch).await;
+        Ok(reply)
+    }
+
+    async fn carry_out(&self, path: &str, order: Order) -> Result<Reply, Reply> {
         {
             let mut state = lock(&self.state);
             if order.fence < state.fence {
@@ -293,7 +314,7 @@
             state.fence = order.fence;
             state.advance();
         }
-        match call.path.as_str() {
+        match path {
             "/api/run-start" => {
                 let mut state = lock(&self.state);
                 let reply = state.start(order);
@@ -382,6 +403,12 @@
         lock(&self.shared.state).faults = faults;
     }
 
+    /// Cuts the worker off from the leaders of all but these epochs, and from the instances that call
+    /// it for them: their calls have no effect and no answer. Calls that wait lose their answers.
+    pub fn set_reachable_epochs(&self, epochs: RangeInclusive<u64>) {
+        lock(&self.shared.state).reachable_epochs = epochs;
+    }
+
     /// Returns how many starts exceeded the worker's capacity.
     pub fn overcommits(&self) -> usize {
         lock(&self.shared.state).overcommits
