Simulates leaders that live on beside their successors

The simulation of faults never showed it.

Cause: its world had one leader at a time. A dead leader took its scheduler along, its writes were stored without a condition, and renewals took 5 ms, so that leases and the leader's authority ended at about the same time.

Now several leaders may live at once. A write is stored only while no other leader has claimed, is repeated until it is answered, and serves as a heartbeat every 400 ms. A leader has authority for 4 s after the sending of its last stored write; its successor's wait covers what is left of that and a lease, computed from the stored row instead of a constant 10.5 s. The fault `cut` takes the store and a random part of the workers from the present leader.

A renewal to another incarnation of a worker than its own acknowledges nothing and extends nothing, and an acknowledgement that a worker refuses counts for nothing in the check.

`check` runs all seeds before it fails, and says how many of them failed.

--- a/crates/decide/tests/batch_faults.rs
+++ b/crates/decide/tests/batch_faults.rs
@@ -1,5 +1,5 @@
-//! The batch scheduler under random faults: delayed and lost orders, dead leaders, restarted and
-//! unreachable workers.
+//! The batch scheduler under random faults: delayed and lost orders, dead and cut-off leaders,
+//! restarted and unreachable workers.
 
 #[path = "support/batch/mod.rs"]
 mod batch;
@@ -29,10 +29,13 @@
 
 /// Asserts that a simulation with each of the seeds has no violations.
 fn check(seeds: std::ops::Range<u64>, faults: Faults) {
-    for seed in seeds {
-        let violations = simulate(seed, faults);
-        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
-    }
+    let total = seeds.clone().count();
+    let results = seeds.map(|seed| (seed, simulate(seed, faults)));
+    let failed: Vec<(u64, Vec<String>)> = results
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    let count = failed.len();
+    assert!(count == 0, "{count} of {total} seeds failed: {failed:#?}");
 }
 
 #[test]
@@ -97,6 +100,7 @@
         restarted: 0.0003,
         unlisted: 0.001,
         partitioned: 0.001,
+        ..Faults::default()
     };
     check(0..60, faults);
 }
@@ -111,3 +115,48 @@
     };
     check(0..40, faults);
 }
+
+/// A leader that is cut off lives on beside its successor.
+#[test]
+fn cut_off_leaders() {
+    let faults = Faults {
+        cut: 0.003,
+        ..Faults::default()
+    };
+    check(0..60, faults);
+}
+
+/// Successors are cut off while they wait for their predecessor's workers.
+#[test]
+fn cut_off_successors() {
+    let faults = Faults {
+        cut: 0.02,
+        ..Faults::default()
+    };
+    check(0..40, faults);
+}
+
+#[test]
+fn cuts_and_restarts() {
+    let faults = Faults {
+        cut: 0.003,
+        restarted: 0.001,
+        unlisted: 0.001,
+        ..Faults::default()
+    };
+    check(0..40, faults);
+}
+
+#[test]
+fn cuts_and_all_faults() {
+    let faults = Faults {
+        late: 0.05,
+        lost: 0.05,
+        death: 0.002,
+        restarted: 0.0003,
+        unlisted: 0.001,
+        partitioned: 0.001,
+        cut: 0.003,
+    };
+    check(0..60, faults);
+}
--- a/crates/decide/tests/support/batch/worker.rs
+++ b/crates/decide/tests/support/batch/worker.rs
@@ -158,6 +158,11 @@
         if let Some(until) = until_ms {
             self.extend(now, until);
         }
+        Some(self.report(now))
+    }
+
+    /// Returns what a renewal is answered with.
+    pub fn report(&self, now: Time) -> Report {
         let running = self.running.iter().map(|(id, task)| Running {
             attempt: Attempt {
                 task: *id,
@@ -166,12 +171,12 @@
             checkpoint: None,
             progress: 0.0,
         });
-        Some(Report {
+        Report {
             clock_ms: self.clock_ms(now),
             born_ms: self.born.0 / 1_000 + 1,
             running: running.collect(),
             ended: self.ended.clone(),
-        })
+        }
     }
 
     /// Extends the lease, at most by the longest lease from now.
--- a/crates/decide/tests/support/batch/world.rs
+++ b/crates/decide/tests/support/batch/world.rs
@@ -1,12 +1,16 @@
-//! The simulation: successive leaders, workers, a store, and faults between them.
+//! The simulation: leaders, of which several may live at once, workers, a store, and faults between
+//! them.
 
 mod calendar;
+mod cut;
 mod faults;
 mod leader;
 mod links;
+mod renewal;
 mod store;
 mod workers;
 mod workload;
+mod write;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,7 +26,9 @@
 use super::check::Check;
 use super::worker::Worker;
 use calendar::{Calendar, Event};
+use cut::Cut;
 use leader::Leader;
+use renewal::Waiting;
 use store::Store;
 
 const WORKERS: usize = 6;
@@ -33,9 +39,6 @@
 /// How long a member of a gang waits for the others.
 const GANG_WAIT: Duration = Duration::from_secs(3);
 
-/// How long a successor waits for the silent workers of its predecessor.
-const TAKEOVER_GRACE: Duration = Duration::from_millis(10_500);
-
 /// The time until the first leader claims, and until the first tick.
 const FIRST_TAKEOVER: Duration = Duration::ZERO;
 const FIRST_TICK: Duration = Duration::from_millis(1);
@@ -58,11 +61,12 @@
     partitioned: BTreeMap<usize, Time>,
     specs: BTreeMap<JobId, Spec>,
     store: Store,
-    leader: Option<Leader>,
-    /// The epoch of the last leader.
-    epoch: u64,
-    /// The submissions that the leader has not answered.
-    calls: BTreeMap<u64, JobId>,
+    /// The leaders by epoch. All but the last have been deposed and don't know it yet.
+    leaders: BTreeMap<u64, Leader>,
+    /// The leaders that are cut off, by epoch.
+    cuts: BTreeMap<u64, Cut>,
+    /// The renewals that wait for an end.
+    waiting: Vec<Waiting>,
 }
 
 impl World {
@@ -84,11 +88,11 @@
             partitioned: BTreeMap::new(),
             specs: BTreeMap::new(),
             store: Store::default(),
-            leader: None,
-            epoch: 0,
-            calls: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            waiting: Vec::new(),
         };
-        world.schedule(FIRST_TAKEOVER, Event::Takeover);
+        world.schedule(FIRST_TAKEOVER, Event::Takeover(0));
         world.schedule(FIRST_TICK, Event::Tick);
         world
     }
@@ -107,7 +111,8 @@
             }
             self.handle(event);
             self.assemble_gangs();
-            self.advance_leader();
+            self.answer_renewals();
+            self.advance_leaders();
         }
         let store = &self.store;
         self.check.ended(&self.accepted, |id| store.is_final(id));
@@ -121,7 +126,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::Submit(id) => self.submit_now(id),
-            Event::Takeover => self.take_over(),
+            Event::Takeover(epoch) => self.take_over(epoch),
             Event::Start(order) => self.deliver_start(&order),
             Event::Stop(epoch, node, born, attempt) => {
                 self.deliver_stop(epoch, node, born, attempt);
@@ -134,8 +139,10 @@
                 self.deliver_report(epoch, worker, sent, &report);
             }
             Event::Silent(epoch, worker) => self.deliver_silence(epoch, worker),
-            Event::Stored(batch) => self.store.write(batch),
-            Event::Written(epoch) => self.deliver_written(epoch),
+            Event::Superseded(epoch) => self.end_leader(epoch),
+            Event::Stored(write) => self.deliver_write(&write),
+            Event::Written(epoch, number, sent) => self.deliver_written(epoch, number, sent),
+            Event::Unwritten(epoch, number) => self.repeat_write(epoch, number),
         }
     }
 }
--- a/crates/decide/tests/support/batch/world/calendar.rs
+++ b/crates/decide/tests/support/batch/world/calendar.rs
@@ -3,11 +3,12 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use azurepath_decide::batch::record::Change;
 use azurepath_decide::batch::report::Report;
 use azurepath_decide::batch::{Attempt, JobId, StartOutcome};
 use azurepath_decide::time::Time;
 
+use super::write::Write;
+
 /// What happens to the cluster. A `worker` is the scheduler's number of a worker, a `node` the
 /// simulation's.
 #[derive(Debug)]
@@ -29,12 +30,17 @@
     Report(u64, usize, Time, Report),
     /// The leader gets no answer to a renewal: epoch and worker.
     Silent(u64, usize),
-    /// A batch of changes reaches the store.
-    Stored(Vec<Change>),
-    /// The leader learns that its last batch is stored: epoch.
-    Written(u64),
-    /// The next leader claims.
-    Takeover,
+    /// The leader learns that another one leads, from a worker or the store: epoch.
+    Superseded(u64),
+    /// A write reaches the store.
+    Stored(Write),
+    /// The leader learns that its write is stored: epoch, the number of the write, and a time at
+    /// which it was sent and no other leader had claimed.
+    Written(u64, u64, Time),
+    /// The leader gets no answer to a write: epoch and the number of the write.
+    Unwritten(u64, u64),
+    /// The next leader claims if the leader of this epoch leads no more.
+    Takeover(u64),
 }
 
 /// An order to start a task.
--- a/crates/decide/tests/support/batch/world/faults.rs
+++ b/crates/decide/tests/support/batch/world/faults.rs
@@ -38,12 +38,21 @@
     pub unlisted: f64,
     /// A worker can't be reached for a while; drawn at each tick.
     pub partitioned: f64,
+    /// The leader is cut off from the store and some workers for a while; drawn at each tick.
+    pub cut: f64,
 }
 
 impl Faults {
     /// Tells whether leader and workers stay up and reach each other.
     pub(super) fn only_orders(&self) -> bool {
-        [self.death, self.restarted, self.unlisted, self.partitioned] == [0.0; 4]
+        let between = [
+            self.death,
+            self.restarted,
+            self.unlisted,
+            self.partitioned,
+            self.cut,
+        ];
+        between == [0.0; 5]
     }
 }
 
@@ -61,19 +70,25 @@
     /// Draws the faults of this tick, and shows the registry to the leader.
     pub(super) fn tick(&mut self) {
         self.schedule(TICK, Event::Tick);
-        if self.chance(self.faults.death) && self.leader.is_some() {
-            self.leader = None;
-            self.calls.clear();
+        let epoch = self.store.epoch;
+        if self.chance(self.faults.death) && self.leaders.contains_key(&epoch) {
+            self.end_leader(epoch);
             let pause = self.span(PAUSE_MS);
-            self.schedule(pause, Event::Takeover);
+            self.schedule(pause, Event::Takeover(epoch));
+        }
+        if self.chance(self.faults.cut) {
+            self.cut_leader();
         }
         (0..WORKERS).for_each(|node| self.tick_worker(node));
         let now = self.now;
         self.unlisted.retain(|_, until| *until > now);
         self.partitioned.retain(|_, until| *until > now);
+        self.cuts.retain(|_, cut| cut.until > now);
         let entries = self.entries();
-        if let Some(leader) = &mut self.leader {
-            leader.scheduler.update_registry(entries);
+        for (epoch, leader) in &mut self.leaders {
+            if self.cuts.get(epoch).is_none_or(|cut| cut.sees_registry) {
+                leader.scheduler.update_registry(entries.clone());
+            }
         }
     }
 
--- a/crates/decide/tests/support/batch/world/workers.rs
+++ b/crates/decide/tests/support/batch/world/workers.rs
@@ -103,13 +103,17 @@
             self.check
                 .start(&context, &before, node, attempt.task, &size, ATTEMPTS);
         }
-        self.answer_start(order, DELIVERY, outcome);
+        if self.is_cut(epoch, node) {
+            self.answer_start(order, TIMEOUT, StartOutcome::Lost);
+        } else {
+            self.answer_start(order, DELIVERY, outcome);
+        }
     }
 
     /// Lets the leader learn the outcome of an order, unless the order is not answered or the
     /// leader is no longer attached to the incarnation that it was sent to.
     fn answer_start(&mut self, order: &Order, after: Duration, outcome: StartOutcome) {
-        let worker = self.leader.as_ref().and_then(|leader| {
+        let worker = self.leaders.get(&order.epoch).and_then(|leader| {
             let mut links = leader.links.iter();
             links
                 .find(|(_, link)| link.node == order.node && link.born == order.born)
@@ -152,7 +156,7 @@
     }
 
     pub(super) fn deliver_stop(&mut self, epoch: u64, node: usize, born: Time, attempt: Attempt) {
-        if self.workers[node].born == born {
+        if self.workers[node].born == born && !self.is_cut(epoch, node) {
             self.workers[node].stop(self.now, epoch, attempt);
         }
     }
--- a/crates/decide/tests/support/batch/world/workload.rs
+++ b/crates/decide/tests/support/batch/world/workload.rs
@@ -16,6 +16,9 @@
 /// How often a task may fail.
 pub(super) const ATTEMPTS: u32 = 3;
 
+/// The probability that a client calls a former leader if one lives.
+const FORMER_LEADER: f64 = 0.15;
+
 /// The time until a client submits its job again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -88,7 +91,15 @@
         self.schedule(after, Event::Submit(id));
     }
 
-    /// Submits a job to the leader, again and again until it is accepted.
+    /// Returns the epoch of the leader that a client calls: the newest, or sometimes a former one.
+    fn called_leader(&mut self) -> Option<u64> {
+        let (&newest, _) = self.leaders.last_key_value()?;
+        let (&oldest, _) = self.leaders.first_key_value()?;
+        let former = oldest < newest && self.rng.random_bool(FORMER_LEADER);
+        Some(if former { oldest } else { newest })
+    }
+
+    /// Submits a job to a leader, again and again until it is accepted.
     pub(super) fn submit_now(&mut self, id: JobId) {
         if self.accepted.contains(&id) {
             return;
@@ -96,10 +107,11 @@
         self.schedule(RETRY_INTERVAL, Event::Submit(id));
         let call = self.calendar.new_id();
         let spec = self.specs[&id].clone();
-        if let Some(leader) = &mut self.leader {
+        let epoch = self.called_leader();
+        if let Some(leader) = epoch.and_then(|epoch| self.leaders.get_mut(&epoch)) {
             let account = Some(Name::from(ACCOUNT));
             let queue = Name::from(QUEUE);
-            self.calls.insert(call, id);
+            leader.calls.insert(call, id);
             leader.scheduler.submit(call, id, &queue, account, spec);
         }
     }
