Gives up what ran on a silent worker only once no successor can exist

Cause: a leader that reaches neither the store nor some workers took its leases there for expired 4.23 s after it had last extended them. Its authority lasts 4 s after its last confirmed write, a successor claims after 0.45 to 1.4 s. So for up to 3.5 s both exist, and the successor may extend the same leases or acknowledge the ends of the same runs. The former leader started the tasks anew on workers of its side, which had not heard of the new epoch. Two more conclusions had the same premise: that a worker has gone or started again, so that its runs are lost, and that nothing runs on the workers that have not answered until the end of a takeover.

The former leader's log: `leadership unconfirmed`, 2 s later `worker leases expired` with `attempts` 18 and 6 and `confirmed_ms` 3,300 to 3,796, `task lost` with the evidence `lease_expired`, `tasks started`, and 6.3 s later `leading no more` (`deposed`). No other evidence was logged.

Change: such runs stay booked until a write is stored that was sent after the conclusion was drawn: it shows that no other instance had claimed by then. The leader sends it at once, so without a fault this takes a write's time. A worker that answers meanwhile tells itself what became of its runs.

The tests of the scheduler whose leader writes confirm what the scheduler awaits, as the leader does; what they check stays. takeover_limits.rs drives a scheduler without that support and confirms by itself.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -3,6 +3,7 @@
 mod account;
 mod admission;
 mod assembly;
+mod confirmation;
 mod dump;
 mod end;
 mod gang;
@@ -97,6 +98,11 @@
     now: Time,
     /// Until when tasks of inherited jobs may run on workers that have not reported yet.
     takeover_ends_at: Time,
+    /// Until when no other scheduler has led.
+    confirmed_until: Time,
+    /// The workers whose leases have expired unless a successor has extended them, and when that was
+    /// found; `None` if since the last advance.
+    expired: BTreeMap<usize, Option<Time>>,
     config: Arc<Config>,
     /// The configured queues by name.
     queues: Map<Name, Arc<Queue>>,
@@ -168,6 +174,8 @@
             setup,
             now,
             takeover_ends_at: now.after(setup.takeover_grace),
+            confirmed_until: now,
+            expired: BTreeMap::new(),
             queues: queues_by_name(&config),
             config,
             jobs: BTreeMap::new(),
@@ -255,6 +263,7 @@
     pub fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         self.drop_expired_jobs();
+        self.drop_expired_attempts();
         self.repeat_stops();
         self.stop_incomplete_gangs();
         self.update_unreported_capacity();
--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -72,12 +72,9 @@
     }
 
     pub(super) fn update_unreported_capacity(&mut self) {
-        self.unreported_capacity = if self.now < self.takeover_ends_at {
-            let unreported = self.workers.iter().filter(|worker| worker.is_unreported());
-            unreported.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity))
-        } else {
-            Size::ZERO
-        };
+        let unreported = self.unreported_workers();
+        self.unreported_capacity =
+            unreported.fold(Size::ZERO, |sum, worker| sum.plus(&worker.entry.capacity));
     }
 
     /// Returns a gang's account and the part of the account's limit that it needs, or `None` if the
--- a/crates/decide/src/batch/scheduler/assembly.rs
+++ b/crates/decide/src/batch/scheduler/assembly.rs
@@ -154,12 +154,7 @@
     }
 
     /// Marks attempts on a worker as lost and stops the gangs that they belong to.
-    pub(super) fn drop_attempts(
-        &mut self,
-        index: usize,
-        attempts: &[Attempt],
-        evidence: Evidence,
-    ) {
+    pub(super) fn drop_attempts(&mut self, index: usize, attempts: &[Attempt], evidence: Evidence) {
         for attempt in attempts {
             self.mark_lost(index, *attempt, evidence);
         }
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,7 +1,6 @@
 //! Ends of attempts and their effect on tasks and jobs.
 
 use super::super::event::{Decision, Evidence};
-use super::super::fleet::Worker;
 use super::super::job::Place;
 use super::super::journal::Deferred;
 use super::super::record::Row;
@@ -247,9 +246,4 @@
             evidence,
         });
     }
-
-    /// Tells whether tasks of inherited jobs may still run on workers that have not reported yet.
-    pub(super) fn may_have_unreported_tasks(&self) -> bool {
-        self.now < self.takeover_ends_at && self.workers.iter().any(Worker::is_unreported)
-    }
 }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -104,20 +104,6 @@
         }
     }
 
-    /// Marks all attempts on a worker as lost, since their leases have certainly expired, and a
-    /// silent worker as unclaimed.
-    pub fn expire_leases(&mut self, index: usize) {
-        let attempts: Vec<Attempt> = self.workers[index].attempts.keys().copied().collect();
-        let evidence = match self.workers[index].contact {
-            Contact::Gone => Evidence::WorkerGone,
-            Contact::Unclaimed | Contact::Claimed | Contact::Silent => Evidence::LeaseExpired,
-        };
-        self.drop_attempts(index, &attempts, evidence);
-        if self.workers[index].contact == Contact::Silent {
-            self.workers[index].contact = Contact::Unclaimed;
-        }
-    }
-
     /// Tells whether a worker can be removed: it is not in the registry, does not answer and has no
     /// attempts.
     pub fn is_abandoned(&self, index: usize) -> bool {
@@ -140,6 +126,8 @@
             worker.contact = Contact::Claimed;
             self.ranking.invalidate();
         }
+        // It shows what became of the attempts.
+        self.expired.remove(&index);
         let orphans = !std::mem::take(&mut self.workers[index].orphans).is_empty();
         for running in &report.running {
             self.handle_running(index, running);
--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -26,6 +26,8 @@
 /// A scheduler with one worker, and the simulated time.
 pub struct Bench {
     pub scheduler: Scheduler,
+    /// Whether no write is stored that would show that there is no successor.
+    pub is_cut_off: bool,
     millis: u64,
 }
 
@@ -168,6 +170,7 @@
         let now = Time::from_millis(1_000);
         let mut bench = Bench {
             scheduler: Scheduler::new(setup, now, config, Stored::default()),
+            is_cut_off: false,
             millis: 1_000,
         };
         bench.scheduler.update_registry(vec![entry()]);
@@ -181,6 +184,10 @@
         let mut actions = Vec::new();
         let now = Time::from_millis(self.millis);
         self.scheduler.advance(now, &mut actions);
+        if self.scheduler.awaits_confirmation() && !self.is_cut_off {
+            self.scheduler.confirm(now);
+            self.scheduler.advance(now, &mut actions);
+        }
         actions
     }
 
--- a/crates/decide/tests/support/batch/world/write.rs
+++ b/crates/decide/tests/support/batch/world/write.rs
@@ -42,7 +42,8 @@
 }
 
 impl World {
-    /// Begins a leader's write if rows have changed or a heartbeat is due.
+    /// Begins a leader's write if rows have changed, a heartbeat is due or the scheduler awaits a
+    /// confirmation.
     pub(super) fn begin_write(&mut self, epoch: u64) {
         let Some(leader) = self.leaders.get_mut(&epoch) else {
             return;
@@ -58,7 +59,9 @@
             batch.push(change.clone());
             Fit::Taken
         });
-        if !changed && self.now.since(leader.write_begun) < HEARTBEAT_INTERVAL {
+        let is_due = leader.scheduler.awaits_confirmation()
+            || self.now.since(leader.write_begun) >= HEARTBEAT_INTERVAL;
+        if !changed && !is_due {
             return;
         }
         leader.write_begun = self.now;
@@ -122,6 +125,7 @@
             return;
         };
         leader.confirmed = leader.confirmed.max(sent);
+        leader.scheduler.confirm(sent);
         if !write.batch.is_empty() {
             leader.scheduler.batch_stored();
         }
--- a/crates/decide/tests/takeover_limits.rs
+++ b/crates/decide/tests/takeover_limits.rs
@@ -94,6 +94,7 @@
         scheduler.batch_stored();
     }
     let mut actions = Vec::new();
+    scheduler.confirm(Time::from_millis(now_ms));
     scheduler.advance(Time::from_millis(now_ms), &mut actions);
     let is_new = |action: &&Action| matches!(action, Action::Start { attempt, .. } if attempt.task.step.job == JobId(99));
     actions.iter().filter(is_new).count()
--- a/crates/server/src/cluster/leader/write.rs
+++ b/crates/server/src/cluster/leader/write.rs
@@ -10,7 +10,7 @@
 use crate::cluster::writer::{Batch, Limits, Outcome, Writer};
 
 impl Leader {
-    /// Starts the next write if rows have changed or a heartbeat is due.
+    /// Starts the next write if rows have changed, a heartbeat is due or the scheduler awaits one.
     pub(super) fn begin_write(&mut self) {
         if self.writer.is_none() {
             return;
@@ -24,7 +24,8 @@
         let changed = self
             .scheduler
             .next_batch(|change| batch.add(change, limits));
-        if !changed && self.write_begun.elapsed() < HEARTBEAT_INTERVAL {
+        let is_due = self.write_begun.elapsed() >= HEARTBEAT_INTERVAL;
+        if !changed && !is_due && !self.scheduler.awaits_confirmation() {
             return;
         }
         if let Some(writer) = self.writer.take() {
@@ -39,6 +40,7 @@
         match written {
             Ok((writer, Outcome::Stored(sent))) => {
                 self.authority.extend(sent);
+                self.scheduler.confirm(sent);
                 let took = self.write_begun.elapsed();
                 self.context.counts.writes.record(took.as_secs_f64(), &[]);
                 let (rows, full) = self.write_rows;
