Reproduces 410 from a cut-off leader for an accepted job

Callers would see: a job that was answered 200 by one instance is answered 410 by another one, to GET as well as to DELETE; the cancel counts as done and the job runs on.

Cause, as far as this shows: a leader answers for jobs that it does not know while its authority of 4 s after its last write holds. A successor may have accepted the job by then, since the leader's row counts as abandoned after 1.4 s.

Test: the store is silent for the leader alone. As soon as a successor leads it accepts a job, and the former leader is asked about it until 4 s after the cut.

That a healthy leader answers 410 for a job that nobody submitted is guarded by invalid_calls and cancelled_job in platform_path.rs.

--- a/crates/server/tests/cut_off_leader.rs
+++ b/crates/server/tests/cut_off_leader.rs
@@ -8,10 +8,13 @@
 
 use anyhow::{Context, Result};
 use azurepath_standin::cluster::worker::Standin;
+use azurepath_standin::cluster::{KEY, PATH_PREFIX};
 use futures::future::join_all;
+use http::{Method, StatusCode};
 use proxy::{Fault, Proxy};
 use support::cluster::{Cluster, id, job_body, leader, leading_epoch, submit_until};
-use support::{Process, until};
+use support::{Process, call, until};
+use tokio::time::Instant;
 
 /// The number of workers.
 const WORKERS: usize = 12;
@@ -32,6 +35,15 @@
 /// last extended their leases so long ago.
 const IDLE_TIME: Duration = Duration::from_millis(800);
 
+/// How long a leader may give orders after its last write.
+const AUTHORITY: Duration = Duration::from_secs(4);
+
+/// The number of the job that a successor accepts.
+const SUCCESSORS_JOB: u64 = 1;
+
+/// The time between two calls to a former leader.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long the leader is cut off.
 const CUT_DURATION: Duration = Duration::from_secs(10);
 
@@ -65,6 +77,15 @@
         self.instances.iter().collect()
     }
 
+    /// Waits until another instance than the former leader leads, and returns it.
+    async fn successor(&self, former: &Process) -> &Process {
+        let leads =
+            |instance: &&Process| instance.id() != former.id() && leading_epoch(instance).is_some();
+        until(async || self.instances.iter().any(|instance| leads(&instance))).await;
+        let successor = self.instances.iter().find(leads);
+        successor.expect("an instance leads")
+    }
+
     /// Submits jobs to an instance at the same time, and returns their ids.
     async fn submit_jobs(&self, instance: &Process, first: usize, task_ms: u64) -> Vec<String> {
         let ids: Vec<String> = (first..first + JOBS)
@@ -138,3 +159,41 @@
     assert_eq!(duplicate_runs(LONG_TASK_MS).await?, 0);
     Ok(())
 }
+
+/// Cuts a leader off from the store alone, and calls it about a job that its successor has accepted
+/// until its authority ends. Returns the answers.
+async fn call_former_leader(method: Method) -> Result<Vec<StatusCode>> {
+    let site = Site::start(WORKERS).await?;
+    let former = leader(&site.instances);
+    site.stores[former].set_fault(Fault::Silence);
+    let cut_at = Instant::now();
+    let (former, job) = (&site.instances[former], id(SUCCESSORS_JOB));
+    let successor = site.successor(former).await;
+    submit_until(&[successor], &job, &job_body(1, SHORT_TASK_MS, false)).await;
+    assert!(cut_at.elapsed() < AUTHORITY, "the authority has ended");
+    let path = format!("{PATH_PREFIX}{job}");
+    let mut answers = Vec::new();
+    while cut_at.elapsed() < AUTHORITY {
+        let headers = [("credential", KEY)];
+        let answer = call(former.http, method.clone(), &path, "", &headers).await?;
+        answers.push(answer.status);
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    site.heal();
+    site.cluster.wait_until_completed(&site.all(), &[job]).await;
+    Ok(answers)
+}
+
+#[tokio::test]
+async fn cut_off_leader_denies_accepted_job() -> Result<()> {
+    let answers = call_former_leader(Method::GET).await?;
+    assert!(!answers.contains(&StatusCode::GONE), "{answers:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn cut_off_leader_confirms_cancel_of_accepted_job() -> Result<()> {
+    let answers = call_former_leader(Method::DELETE).await?;
+    assert!(!answers.contains(&StatusCode::GONE), "{answers:?}");
+    Ok(())
+}
