Answers 410 only while no other instance can have claimed the leadership

Callers would see: GET and DELETE of a job that a successor has accepted were answered 410 by an instance whose leader is cut off from the store. A cancel counted as done, and the job ran on.

A leader answered for jobs that it does not know while its authority of 4 s held; others may claim the leadership 0.45 s after its last stored write.

Change: it answers so within 0.45 s of the sending of that write. Heartbeats come each 0.4 s, so a leader that reaches the store still does. Later the call is answered as if no instance led: the instance that took it asks again, for up to 1.2 s.

--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -33,7 +33,7 @@
 
 /// The same if the leader can't be reached over the network either: one of its heartbeats. A leader
 /// that is deposed by mistake loses only the leadership.
-const UNREACHABLE_LEADER_TIMEOUT: Duration = Duration::from_millis(450);
+pub(super) const UNREACHABLE_LEADER_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// How often the leader's row is read while the leader can't be reached or its heartbeat is overdue.
 const FAST_READ_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/server/src/cluster/leader/call.rs
+++ b/crates/server/src/cluster/leader/call.rs
@@ -13,6 +13,7 @@
 
 use super::Leader;
 use crate::cluster::clock;
+use crate::cluster::election::UNREACHABLE_LEADER_TIMEOUT;
 
 /// How long the leader holds a poll for a question.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -132,10 +133,10 @@
         }
     }
 
-    /// Returns the reply about a job that the scheduler does not know. Without its authority, this
-    /// instance does not know what a successor has accepted.
+    /// Returns the reply about a job that the scheduler does not know. A successor may have accepted
+    /// it, so this instance must be confirmed more recently than for its orders.
     fn unknown(&self) -> Reply {
-        if self.authority.holds() {
+        if self.authority.unconfirmed_for() < UNREACHABLE_LEADER_TIMEOUT {
             Reply::Unknown
         } else {
             Reply::NotLeading
