Prints the logs of a task that ran twice in the soak

Change: it prints the instances' log lines about the job of the first such task, as it does for a job that is not finished at the end. The check is the same.

--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -408,6 +408,12 @@
             sleep(millis(10)).await;
         }
     }
+    let duplicates = soak.fleet.duplicated_tasks();
+    if let Some(task) = duplicates.first() {
+        violations.push(format!("{} tasks ran twice", duplicates.len()));
+        let job = task.split('.').next().unwrap_or_default();
+        soak.print_diagnostics(job).await;
+    }
     let responses = responses.lock().expect("the lock is not poisoned");
     let runs: Vec<_> = soak
         .fleet
@@ -424,10 +430,6 @@
             ));
         }
     }
-    let duplicate_runs = soak.fleet.duplicate_runs();
-    if duplicate_runs > 0 {
-        violations.push(format!("{duplicate_runs} tasks ran twice"));
-    }
     let overcommits: usize = soak
         .fleet
         .workers
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -57,6 +57,11 @@
     /// Returns how many runs started although their task was still running or had already
     /// completed.
     pub fn duplicate_runs(&self) -> usize {
+        self.duplicated_tasks().len()
+    }
+
+    /// Returns the task of each of these runs.
+    pub fn duplicated_tasks(&self) -> Vec<String> {
         let mut runs: Vec<worker::Run> = self
             .workers
             .iter()
@@ -70,7 +75,8 @@
             first.task == second.task
                 && (first.done || first.ended.is_none_or(|ended| ended > second.started))
         };
-        runs.windows(2).filter(is_duplicate).count()
+        let duplicates = runs.windows(2).filter(is_duplicate);
+        duplicates.map(|pair| pair[0].task.clone()).collect()
     }
 
     /// Returns how many runs have started on all workers.
