Cuts the leader off with some workers in the soak

Callers saw: tasks that ran twice (rule TWICE). No fault of the soak cut the leader with some of the workers from the rest, so it never showed that.

Change: once in each run, beside the other faults, a random share of the workers hears only the leader and the others only its successors; up to 1.5 s later the store goes silent for the leader. Both heal after 4.5 to 6 s more.

--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -13,19 +13,22 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use azurepath_standin::cluster::worker::Standin;
 use azurepath_standin::cluster::{Fleet, KEY, configuration};
 use azurepath_standin::fault::Injection;
 use proxy::{Fault, Proxy};
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::Process;
-use support::cluster::{address, cancel, id, state, submit};
+use support::cluster::{address, cancel, id, leading_epoch, state, submit};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 /// The default seeds. Add each seed that has failed, with the cause.
 ///
+/// 1: a leader that was cut off from the store and from some workers started their tasks again.
+///
 /// 38 and 42 (and 26 before): a gang waited forever, because the stand-in for the advice service
 /// returned a single worker for it, which lacked the capacity. Whether a seed produces such a gang
 /// depends on timing.
@@ -229,6 +232,55 @@
         Ok(())
     }
 
+    /// Returns the index of the leading instance and its epoch.
+    fn leader(&self) -> Option<(usize, u64)> {
+        self.slots.iter().enumerate().find_map(|(index, slot)| {
+            let slot = slot.lock().expect("the lock is not poisoned");
+            Some((index, leading_epoch(slot.as_ref()?)?))
+        })
+    }
+
+    /// Cuts the leader and some of the workers off from the other workers, and soon after from the
+    /// store, and heals both.
+    async fn cut_off_leader(&self, rng: &mut ChaCha8Rng, end: Instant) {
+        sleep(millis(rng.random_range(0..2_000))).await;
+        let mut workers: Vec<&Standin> = self.fleet.workers.iter().collect();
+        workers.shuffle(rng);
+        let (near, far) = workers.split_at(rng.random_range(1..WORKERS));
+        let store_delay = millis(rng.random_range(0..1_500));
+        let duration = millis(rng.random_range(4_500..6_000));
+        let (leader, epoch) = loop {
+            match self.leader() {
+                Some(leader) => break leader,
+                None if Instant::now() > end => return,
+                None => sleep(millis(10)).await,
+            }
+        };
+        for worker in near {
+            worker.set_reachable_epochs(0..=epoch);
+        }
+        for worker in far {
+            worker.set_reachable_epochs(epoch + 1..=u64::MAX);
+        }
+        sleep(store_delay).await;
+        self.stores[leader].set_fault(Fault::Silence);
+        sleep(duration).await;
+        self.stores[leader].set_fault(Fault::None);
+        for worker in workers {
+            worker.set_reachable_epochs(0..=u64::MAX);
+        }
+    }
+
+    /// Injects one random fault after another.
+    async fn inject_faults(&self, rng: &mut ChaCha8Rng, end: Instant) -> Result<()> {
+        let mut version = 1;
+        while Instant::now() < end {
+            self.inject_fault(rng, &mut version).await?;
+            sleep(millis(rng.random_range(0..300))).await;
+        }
+        Ok(())
+    }
+
     /// Clears all faults.
     fn clear_faults(&self) {
         for proxy in self.stores.iter().chain(&self.workers) {
@@ -365,11 +417,11 @@
         ));
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut version = 1;
-    while Instant::now() < end {
-        soak.inject_fault(&mut rng, &mut version).await?;
-        sleep(millis(rng.random_range(0..300))).await;
-    }
+    let mut cut_rng = ChaCha8Rng::seed_from_u64(seed);
+    cut_rng.set_stream(1);
+    let cut = soak.cut_off_leader(&mut cut_rng, end);
+    let ((), injected) = tokio::join!(cut, soak.inject_faults(&mut rng, end));
+    injected?;
     soak.clear_faults();
     while clients.join_next().await.transpose()?.is_some() {}
 
