Repeats no order to a worker whose leases were found expired

Callers could see: a task runs twice.

Change: such an outcome leaves the order unconfirmed. It is dropped with the worker's other attempts, or by the worker's next report.

Measured: lost_order_is_repeated_after_expiry failed before and passes now.

--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -146,8 +146,10 @@
                 self.note_gang_start(id);
             }
             StartOutcome::Lost
+                // An order that is repeated now would outlast the confirmation of the worker's expiry.
                 if sent < MAX_START_ORDERS
                     && !job_ended
+                    && !self.expired.contains_key(&worker)
                     && !self.stopping.contains_key(&attempt) =>
             {
                 *phase = Phase::Ordered {
--- a/crates/decide/tests/cut_off_leader.rs
+++ b/crates/decide/tests/cut_off_leader.rs
@@ -208,3 +208,30 @@
     scheduler.advance(Time::from_millis(2_200), &mut actions);
     assert!(start(&actions).is_some());
 }
+
+/// An order that is given once more may start the run after the worker's leases were found expired.
+#[test]
+fn lost_order_is_repeated_after_expiry() {
+    let mut bench = Bench::new();
+    bench.scheduler.update_registry(vec![entry(), numbered(1)]);
+    bench.store();
+    bench.report_idle(1);
+    bench.submit(single());
+    let (worker, attempt) = start(&bench.advance()).expect("the task starts");
+    bench.is_cut_off = true;
+    bench.scheduler.mark_silent(worker);
+    bench.scheduler.expire_leases(worker);
+    bench.advance();
+    // The outcome of the first order comes only now.
+    let expires_ms = bench.clock_ms() + 1_000;
+    bench
+        .scheduler
+        .handle_start(worker, attempt, StartOutcome::Lost, expires_ms);
+    let repeated = start(&bench.advance());
+    bench.is_cut_off = false;
+    let anew = start(&bench.advance());
+    assert!(
+        repeated.is_none() || anew.is_none(),
+        "{repeated:?} may still be carried out, and {anew:?} starts"
+    );
+}
