Takes a full list of ends for an incomplete one

Callers could see: a task that had ended as done runs again. Workers list at most 500 ends in a report. A new leader took an inherited task for one that nobody had started if a report of its worker showed it neither as running nor as ended, though its end was the 501st; so did a leader with an order that was not answered.

Change: a report with 500 ends neither claims its worker nor says anything of what it doesn't show. The next ones do, once these ends are acknowledged.

Measured: full_list_of_ends_repeats_inherited_task failed before and passes now.

--- a/crates/decide/src/batch/report.rs
+++ b/crates/decide/src/batch/report.rs
@@ -6,6 +6,9 @@
 
 use super::Attempt;
 
+/// The most ends that a worker lists in a report; the others follow once these are acknowledged.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// A report of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -19,6 +22,13 @@
     pub ended: Vec<End>,
 }
 
+impl Report {
+    /// Tells whether an attempt that it doesn't show neither runs nor has ended.
+    pub fn is_complete(&self) -> bool {
+        self.ended.len() < MAX_LISTED_ENDS
+    }
+}
+
 /// A running task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Running {
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -122,12 +122,14 @@
             self.remove_worker(index);
             return;
         }
-        if worker.contact != Contact::Claimed {
-            worker.contact = Contact::Claimed;
-            self.ranking.invalidate();
+        if report.is_complete() {
+            if worker.contact != Contact::Claimed {
+                worker.contact = Contact::Claimed;
+                self.ranking.invalidate();
+            }
+            // It shows what became of the attempts.
+            self.expired.remove(&index);
         }
-        // It shows what became of the attempts.
-        self.expired.remove(&index);
         let orphans = !std::mem::take(&mut self.workers[index].orphans).is_empty();
         for running in &report.running {
             self.handle_running(index, running);
@@ -140,7 +142,9 @@
         if orphans && self.workers[index].orphans.is_empty() {
             self.mark_capacity_freed(index);
         }
-        self.drop_expired_orders(index, report);
+        if report.is_complete() {
+            self.drop_expired_orders(index, report);
+        }
         self.acknowledge(index);
     }
 
--- a/crates/decide/tests/cut_off_leader.rs
+++ b/crates/decide/tests/cut_off_leader.rs
@@ -8,8 +8,9 @@
 use azurepath_decide::batch::config::Account;
 use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::batch::record::{Fit, Record, Stored, Submission};
-use azurepath_decide::batch::report::{End, Outcome, Report};
-use azurepath_decide::batch::{Action, Attempt, JobId, StartOutcome, State};
+use azurepath_decide::batch::report::{End, MAX_LISTED_ENDS, Outcome, Report};
+use azurepath_decide::batch::scheduler::Scheduler;
+use azurepath_decide::batch::{Action, Attempt, JobId, StartOutcome, State, StepId, TaskId};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
 use azurepath_decide::time::Time;
@@ -157,7 +158,7 @@
 }
 
 /// A successor that is cut off itself, with one worker that has answered and one that has not.
-fn cut_off_successor(silent: Entry) -> azurepath_decide::batch::scheduler::Scheduler {
+fn cut_off_successor(silent: Entry) -> Scheduler {
     let record = Record::Open(Submission {
         queue: Name::from("checks"),
         account: None,
@@ -235,3 +236,44 @@
         "{repeated:?} may still be carried out, and {anew:?} starts"
     );
 }
+
+/// Workers list at most 500 ends at a time, so a task that a full list does not show may have ended.
+#[test]
+fn full_list_of_ends_repeats_inherited_task() {
+    let listed = MAX_LISTED_ENDS as u32;
+    let mut spec = single();
+    spec.steps[0].count = listed + 1;
+    let record = Record::Open(Submission {
+        queue: Name::from("checks"),
+        account: None,
+        accepted_ms: 0,
+        spec,
+    });
+    let stored = Stored {
+        jobs: vec![(JOB, record)],
+        blocks: Vec::new(),
+        roster: vec![numbered(0)],
+    };
+    let mut scheduler = successor(Time::from_millis(1_000), GRACE, Vec::new(), stored);
+    scheduler.update_registry(vec![numbered(0)]);
+    let step = StepId { job: JOB, step: 0 };
+    let end = |index: u32| End {
+        number: u64::from(index) + 1,
+        attempt: Attempt {
+            task: TaskId { step, index },
+            run: 1,
+        },
+        outcome: Outcome::Done,
+        checkpoint: None,
+    };
+    let report = Report {
+        clock_ms: 1_000,
+        born_ms: 1,
+        running: Vec::new(),
+        ended: (0..listed).map(end).collect(),
+    };
+    scheduler.report(0, &report);
+    let mut actions = Vec::new();
+    scheduler.advance(Time::from_millis(1_010), &mut actions);
+    assert_eq!(start(&actions), None);
+}
