Counts all steps of inherited jobs against their account's limit

Callers could see: an account runs more than its limit after a takeover. The tasks of an inherited job that may run on workers which have not answered were counted only for steps that are due by what is stored. A leader that was cut off from the store, or died, may have read the end of a step and started the next one without having stored it.

Change: the waiting tasks of all its steps count, up to the capacity of these workers, until they have answered or their leases are over.

Measured: unstored_progress_counts failed before and passes now.

--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -50,9 +50,8 @@
         let (Some(name), Some(spec)) = (&job.account, &job.spec) else {
             return;
         };
-        let wall_ms = self.wall_ms();
-        let due = (0..job.steps.len()).filter(|&step| job.is_due(step, wall_ms));
-        for number in due {
+        // Also of steps that are not due by what is stored: an end may have been read and not stored.
+        for number in 0..job.steps.len() {
             let Some(step) = spec.step(number) else {
                 continue;
             };
--- a/crates/decide/tests/takeover_limits.rs
+++ b/crates/decide/tests/takeover_limits.rs
@@ -11,6 +11,7 @@
 use azurepath_decide::batch::record::{Fit, Record, Stored, Submission};
 use azurepath_decide::batch::report::{Report, Running};
 use azurepath_decide::batch::scheduler::Scheduler;
+use azurepath_decide::batch::spec::Spec;
 use azurepath_decide::batch::{Action, Attempt, JobId, StepId, TaskId};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
@@ -39,8 +40,13 @@
 /// A successor of a scheduler that has started a job of six tasks on three workers. The account may
 /// run eight such tasks.
 fn take_over() -> Scheduler {
+    take_over_with(|_| {})
+}
+
+fn take_over_with(change: impl FnOnce(&mut Spec)) -> Scheduler {
     let mut spec = single();
     spec.steps[0].count = 6;
+    change(&mut spec);
     let team = Name::from("team");
     let record = Record::Open(Submission {
         queue: Name::from("checks"),
@@ -140,3 +146,23 @@
     let started = start_more(&mut scheduler, 1_000 + GRACE_MS);
     assert!(started > 0);
 }
+
+/// The predecessor may have read the end of the first step and started the second one, and may have
+/// been cut off from the store before it stored that.
+#[test]
+fn unstored_progress_counts() {
+    let mut scheduler = take_over_with(|spec| {
+        let mut second = spec.steps[0].clone();
+        spec.steps[0].count = 1;
+        second.after = vec![0];
+        spec.steps.push(second);
+    });
+    let idle = Report {
+        clock_ms: 1_000,
+        born_ms: 1,
+        ..Report::default()
+    };
+    scheduler.report(0, &idle);
+    // The six tasks of the second step may run on the other workers.
+    assert!(start_more(&mut scheduler, 1_010) <= 2);
+}
