Stores a late failure before its end is acknowledged

A successor counts a run of a silent worker that has failed although the task runs again by then. It acknowledged the end at once, and stored the failure with a later write. If it died in between, the next leader knew nothing of the failure and started the task once more than its attempts allow (BUDGET). If the failure was the last that the job had, the row that was written was that of a block, which is of no use then. The end now waits for the row like any other, for the job's if the job has failed.

Found by reading, while it was checked what a second end of a gang's run does. batch_acks.rs::late_failure_is_lost fails without the change.

--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -130,11 +130,22 @@
 
     fn count_late_failure(&mut self, index: usize, end: &End) {
         let id = end.attempt.task.step.job;
-        if self.jobs.get(&id).is_some_and(|job| !job.state.is_final()) {
-            self.record_failure(index, &end.attempt);
-            let row = Scheduler::block_of(end.attempt.task);
-            self.journal.record(row, None);
+        if self.jobs.get(&id).is_none_or(|job| job.state.is_final()) {
+            return;
         }
+        self.record_failure(index, &end.attempt);
+        let has_failed = self.jobs.get(&id).is_none_or(|job| job.state.is_final());
+        let row = if has_failed {
+            Row::Job(id)
+        } else {
+            Scheduler::block_of(end.attempt.task)
+        };
+        self.workers[index].unstored.insert(end.number);
+        let deferred = Deferred::End {
+            worker: index,
+            number: end.number,
+        };
+        self.journal.record(row, Some(deferred));
     }
 
     fn record_duration(&mut self, attempt: &Attempt, ran: std::time::Duration) {
--- a/crates/decide/tests/batch_acks.rs
+++ b/crates/decide/tests/batch_acks.rs
@@ -3,10 +3,17 @@
 #[path = "support/batch/bench.rs"]
 mod bench;
 
-use azurepath_decide::batch::record::Fit;
-use azurepath_decide::batch::report::{End, Outcome};
+use std::time::Duration;
+
+use azurepath_decide::batch::record::{Fit, Record, Stored, Submission};
+use azurepath_decide::batch::report::{End, Outcome, Report};
 use azurepath_decide::batch::{Action, Answer, Attempt, State};
-use bench::{Bench, JOB};
+use azurepath_decide::name::Name;
+use azurepath_decide::time::Time;
+use bench::{Bench, JOB, numbered, single, successor};
+
+/// How long after a takeover tasks may run on workers that have not reported.
+const GRACE: Duration = Duration::from_secs(8);
 
 fn end(attempt: Attempt, outcome: Outcome) -> End {
     End {
@@ -65,3 +72,48 @@
     };
     assert!(actions.contains(&acknowledged));
 }
+
+/// A failure that comes once the task runs again counts, so it must not be forgotten before it is stored.
+#[test]
+fn late_failure_is_lost() {
+    let submission = Submission {
+        queue: Name::from("checks"),
+        account: None,
+        accepted_ms: 0,
+        spec: single(),
+    };
+    let stored = Stored {
+        jobs: vec![(JOB, Record::Open(submission))],
+        blocks: Vec::new(),
+        roster: vec![numbered(0), numbered(1)],
+    };
+    let mut scheduler = successor(Time::from_millis(1_000), GRACE, Vec::new(), stored);
+    scheduler.update_registry(vec![numbered(0), numbered(1)]);
+    let report = |ended: Vec<End>| Report {
+        clock_ms: 1_000,
+        born_ms: 1,
+        running: Vec::new(),
+        ended,
+    };
+    scheduler.report(0, &report(Vec::new()));
+    let after = Time::from_millis(1_010).after(GRACE);
+    scheduler.confirm(after);
+    let mut actions = Vec::new();
+    scheduler.advance(after, &mut actions);
+    let start = actions.iter().find_map(|action| match action {
+        Action::Start { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let mut attempt = start.expect("the task starts on the other worker");
+    attempt.run = 5;
+    scheduler.report(1, &report(vec![end(attempt, Outcome::Failed)]));
+    actions.clear();
+    scheduler.advance(after.after(GRACE), &mut actions);
+    let acknowledged = |number| Action::Acknowledge { worker: 1, number };
+    assert!(!actions.contains(&acknowledged(1)));
+    while scheduler.next_batch(|_| Fit::Taken) {
+        scheduler.batch_stored();
+    }
+    scheduler.advance(after.after(GRACE), &mut actions);
+    assert!(actions.contains(&acknowledged(1)));
+}
