Releases reserved capacity of steps that can't start any more

A reservation ended only when its step was visited and got past its account's limit. A gang over the limit returned before that, and a step whose queue was removed is not visited at all. Each full pass now releases reservations whose time is up and whose question is closed, whatever became of the step; a gang over the limit gives its own up at once.

--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -140,6 +140,8 @@
     stopping: BTreeMap<Attempt, (usize, Time)>,
     /// Runs whose start order may have reached a later incarnation of their worker.
     unsettled: BTreeMap<Attempt, Unsettled>,
+    /// The steps for which capacity is reserved.
+    reservations: BTreeSet<StepId>,
     /// Gangs that were ordered to start and may still be incomplete.
     assembling: BTreeMap<StepId, Assembly>,
     /// Number of instances that query the advice service.
@@ -202,6 +204,7 @@
             max_rows: usize::MAX,
             stopping: BTreeMap::new(),
             unsettled: BTreeMap::new(),
+            reservations: BTreeSet::new(),
             assembling: BTreeMap::new(),
             advice_instances: 1,
             eligible_fraction: Map::default(),
--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -20,6 +20,7 @@
         }
         let allowed = self.allowed_tasks(id.job, &candidate.step.size, &candidate.reserved_limit);
         if allowed < count {
+            self.unreserve(id.job, usize::from(id.step));
             self.note_limited(id);
             self.log_cause(id, Cause::Limit, allowed);
             return true;
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -128,6 +128,7 @@
         let now = self.now;
         self.questions.retain(|_, (until, _)| *until > now);
         self.slow_questions.retain(|_, until| *until > now);
+        self.release_overdue();
         self.visits.begin_full_pass();
         self.reaches.clear();
         self.rebuild_ranking();
--- a/crates/decide/src/batch/scheduler/reservation.rs
+++ b/crates/decide/src/batch/scheduler/reservation.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use super::super::JobId;
 use super::super::spec;
+use super::super::{JobId, StepId};
 use super::Scheduler;
 use super::target::Candidate;
 
@@ -32,11 +32,41 @@
             let step = &mut job.steps[usize::from(id.step)];
             step.reserved = workers;
             step.reserved_until = until;
+            self.reservations.insert(id);
+        }
+    }
+
+    /// Releases the capacity of steps that have not started in time. A step may not be visited any more,
+    /// since its account has used up its limit or its queue has gone.
+    pub(super) fn release_overdue(&mut self) {
+        let now = self.now;
+        let is_overdue = |id: &&StepId| {
+            let step = self
+                .jobs
+                .get(&id.job)
+                .map(|job| &job.steps[usize::from(id.step)]);
+            step.is_none_or(|step| {
+                step.reserved_until <= now && !step.advice.has_open_question(now)
+            })
+        };
+        let overdue: Vec<StepId> = self
+            .reservations
+            .iter()
+            .filter(is_overdue)
+            .copied()
+            .collect();
+        for id in overdue {
+            self.unreserve(id.job, usize::from(id.step));
+            self.ranking.mark_changed(id.job);
         }
     }
 
     /// Releases the capacity that is reserved for a step.
     pub(super) fn unreserve(&mut self, id: JobId, number: usize) {
+        self.reservations.remove(&StepId {
+            job: id,
+            step: number as u16,
+        });
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
