Lets no gang that lacks a worker hold the others of its kind

Whether a gang fits on the fleet at all was judged by the sum of the workers' capacities. It is now judged by how many of its tasks each worker takes, at most as many as the step allows on one. So it also holds for tasks that are larger than half of a worker, without any antiAffinity. The same figure decides how many workers are reserved for a gang.

Open: a gang that does fit on the fleet, and waits behind tasks that last on it, still holds workers until it is late.

--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -121,7 +121,8 @@
             if left == 0 || chosen.len() > self.worker_reservations_left {
                 break;
             }
-            left = left.saturating_sub(size.times_within(&self.workers[index].entry.capacity));
+            let capacity = &self.workers[index].entry.capacity;
+            left = left.saturating_sub(candidate.step.most_within(capacity));
             chosen.push(index);
         }
         if left == 0 && chosen.len() <= self.worker_reservations_left {
--- a/crates/decide/src/batch/scheduler/reach.rs
+++ b/crates/decide/src/batch/scheduler/reach.rs
@@ -12,23 +12,23 @@
 use super::super::spec::Step;
 use super::target::suits;
 
-/// The capacity of the schedulable workers of one pool and label.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reach {
-    /// The largest amount of each resource that any of them has.
-    largest: Size,
-    /// What they have together.
-    total: Size,
-}
+/// The pool and the label of workers.
+type Kind = (Name, Option<Name>);
 
-/// The capacity of the schedulable workers, by pool and label.
+/// What the schedulable workers have room for while nothing runs on them.
 #[derive(Debug, Default)]
-pub(super) struct Reaches(Map<(Name, Option<Name>), Reach>);
+pub(super) struct Reaches {
+    /// The largest amount of each resource that any of a kind has.
+    largest: Map<Kind, Size>,
+    /// How many tasks of a size fit on those of a kind, at most this many on each.
+    rooms: Map<(Kind, Size, u64), u64>,
+}
 
 impl Reaches {
     /// Forgets the capacities, since workers may have changed.
     pub(super) fn clear(&mut self) {
-        self.0.clear();
+        self.largest.clear();
+        self.rooms.clear();
     }
 
     /// Tells whether a step could not be placed even if nothing ran on any worker.
@@ -39,18 +39,24 @@
         queue: &Queue,
         step: &Step,
     ) -> bool {
-        let key = (queue.pool.clone(), step.label.clone());
-        let reach = self.0.entry(key).or_insert_with(|| {
-            let suitable = workers
-                .iter()
-                .filter(|worker| worker.is_schedulable(now) && suits(worker, queue, step));
-            suitable.fold(Reach::default(), |reach, worker| Reach {
-                largest: Size::max(&reach.largest, &worker.entry.capacity),
-                total: reach.total.plus(&worker.entry.capacity),
+        let kind = (queue.pool.clone(), step.label.clone());
+        let suitable = workers
+            .iter()
+            .filter(|worker| worker.is_schedulable(now) && suits(worker, queue, step));
+        let size = step.booked();
+        if step.gang {
+            let room = self.rooms.entry((kind, size, step.worker_limit()));
+            let room = room.or_insert_with(|| {
+                let rooms = suitable.map(|worker| step.most_within(&worker.entry.capacity));
+                rooms.fold(0, u64::saturating_add)
+            });
+            return *room < u64::from(step.count);
+        }
+        let largest = self.largest.entry(kind).or_insert_with(|| {
+            suitable.fold(Size::ZERO, |largest, worker| {
+                Size::max(&largest, &worker.entry.capacity)
             })
         });
-        let size = step.booked();
-        let all = size.times(u64::from(step.count));
-        !size.fits(&reach.largest) || (step.gang && !all.fits(&reach.total))
+        !size.fits(largest)
     }
 }
--- a/crates/decide/src/batch/spec.rs
+++ b/crates/decide/src/batch/spec.rs
@@ -123,6 +123,18 @@
             self.size
         }
     }
+
+    /// Returns the maximum number of its tasks on one worker.
+    pub fn worker_limit(&self) -> u64 {
+        self.most_on_worker.map_or(u64::MAX, u64::from)
+    }
+
+    /// Returns how many of its tasks run on a worker with this capacity if nothing else does.
+    pub fn most_within(&self, capacity: &Size) -> u64 {
+        self.booked()
+            .times_within(capacity)
+            .min(self.worker_limit())
+    }
 }
 
 impl Spec {
--- a/crates/decide/tests/skipped_steps.rs
+++ b/crates/decide/tests/skipped_steps.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use azurepath_decide::batch::config::{Account, Queue};
+use azurepath_decide::batch::fleet::Entry;
 use azurepath_decide::batch::report::{End, Outcome};
 use azurepath_decide::batch::spec::{Purpose, Spec};
 use azurepath_decide::batch::{Action, Attempt, JobId, StartOutcome};
 use azurepath_decide::name::Name;
 use azurepath_decide::size::Size;
-use bench::{Bench, JOB, advised, approve, entry, gang, queue, single};
+use bench::{Bench, JOB, advised, approve, entry, gang, numbered, queue, single};
 
 /// How many steps wait that can't be placed, more than a pass visits.
 const WAITING: u64 = 40;
@@ -175,3 +176,58 @@
     submit(&mut bench, JOB, single());
     assert_eq!(advance(&mut bench, 200).len(), 1, "the worker is empty");
 }
+
+/// The workers of a fleet of which few are of the gang's kind.
+const FLEET: usize = 12;
+
+/// A queue of lower priority.
+const LOWER: &str = "lower";
+
+/// A job that could use the workers that a gang waits for.
+const LATER: JobId = JobId(500);
+
+/// Submits a gang that lacks a worker of its kind, although the two that there are have room for it
+/// together. Returns whether a job of lower priority starts on them.
+fn starts_beside(mut gang: Spec) -> bool {
+    // It is not late while the test runs.
+    gang.steps[0].estimate = Duration::from_secs(60);
+    let lower = Queue {
+        name: Name::from(LOWER),
+        priority: 1,
+        ..queue()
+    };
+    let mut bench = Bench::with(vec![advised(queue()), lower], vec![account()]);
+    let labels = |number: usize| match number {
+        0 | 1 => vec![Name::from("lost")],
+        _ => Vec::new(),
+    };
+    let worker = |number| Entry {
+        labels: labels(number),
+        ..numbered(number)
+    };
+    let workers = (0..FLEET).map(worker).collect();
+    bench.scheduler.update_registry(workers);
+    bench.store();
+    (0..=FLEET).for_each(|worker| bench.report_idle(worker));
+    submit(&mut bench, JOB, labelled(gang));
+    advance(&mut bench, 100);
+    let lower = Name::from(LOWER);
+    let later = labelled(of_size(8_000));
+    bench.scheduler.submit(2, LATER, &lower, None, later);
+    bench.store();
+    let started = advance(&mut bench, START_MS);
+    started.iter().any(|attempt| attempt.task.step.job == LATER)
+}
+
+#[test]
+fn gang_spread_over_missing_worker() {
+    let mut spread = gang(3, 1_000);
+    spread.steps[0].most_on_worker = Some(1);
+    assert!(starts_beside(spread));
+}
+
+#[test]
+fn gang_of_large_tasks_lacks_worker() {
+    // Two workers of eight cores have enough for three such tasks together, and room for one each.
+    assert!(starts_beside(gang(3, 5_000)));
+}
