Counts a job as waiting until a task of it has started

The state changed with the order, and nothing set it back. It changes now once an answer, a report or an end shows that a task has started.

--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -73,6 +73,7 @@
             self.journal.record(Row::Job(id), Some(deferred));
             return;
         }
+        self.note_begun(id);
         self.log_abnormal_end(index, end);
         match end.outcome {
             _ if until_cancelled => {}
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -7,7 +7,7 @@
 use super::super::event::{Action, Decision, Evidence, Refusal, StartOutcome};
 use super::super::fleet::Contact;
 use super::super::job::{Phase, Place};
-use super::super::{Attempt, State, StepId, TaskId};
+use super::super::{Attempt, JobId, State, StepId, TaskId};
 use super::Scheduler;
 
 /// How many times a start order is sent in all if no answer comes.
@@ -31,7 +31,6 @@
         };
         let (payload, size, booked) = (spec.payload.clone(), step.size, step.booked());
         let (gang, purpose) = (step.gang, step.purpose);
-        job.state = State::Running;
         let account = job.account.clone();
         let age = self.now.since(job.accepted);
         let step = &mut job.steps[number];
@@ -144,6 +143,7 @@
         match outcome {
             StartOutcome::Running => {
                 *phase = Phase::Answered;
+                self.note_begun(id.job);
                 self.note_gang_start(id);
             }
             StartOutcome::Lost
@@ -172,6 +172,15 @@
         }
     }
 
+    /// Notes that a task of a job has started. An order alone may be refused.
+    pub(super) fn note_begun(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.state == State::Queued
+        {
+            job.state = State::Running;
+        }
+    }
+
     fn resend_order(&mut self, worker: usize, attempt: Attempt, checkpoint: Option<Name>) {
         let id = attempt.task.step;
         let Some(job) = self.jobs.get(&id.job) else {
--- a/crates/decide/src/batch/scheduler/succession.rs
+++ b/crates/decide/src/batch/scheduler/succession.rs
@@ -196,6 +196,7 @@
                 self.workers[index].book(attempt, &booked, purpose);
             }
         }
+        self.note_begun(attempt.task.step.job);
         if former.is_unwanted {
             self.stop(index, attempt);
         }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -187,8 +187,8 @@
     fn handle_running(&mut self, index: usize, running: &Running) {
         let attempt = running.attempt;
         self.move_to_next(index, attempt);
-        let id = attempt.task.step.job;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let id = attempt.task.step;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
             self.stop_orphan(index, attempt);
             return;
         };
@@ -206,6 +206,7 @@
                 worker, run, phase, ..
             } if *worker == index && *run == attempt.run => {
                 *phase = Phase::Running;
+                self.note_begun(id.job);
                 self.note_gang_progress(running);
             }
             Place::Waiting
