Lets a service start beside fillers if no other worker has room

Services and fillers were kept apart without exception, and nothing moves or stops a filler that lasts. A worker with fillers is now the last choice of a service and no longer out of the question. Fillers still don't start beside services.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -227,7 +227,7 @@
     }
 
     /// Tells whether a task with this purpose and the tasks on the worker would slow each other
-    /// down. Fillers are kept apart from services.
+    /// down. Fillers are kept apart from services, and services from fillers where there is room.
     pub fn interferes_with(&self, purpose: Purpose) -> bool {
         let mut others = self.attempts.values();
         match purpose {
--- a/crates/decide/src/batch/scheduler/target.rs
+++ b/crates/decide/src/batch/scheduler/target.rs
@@ -23,6 +23,10 @@
 /// Added to the score of a worker outside the rack with the step's data.
 const OTHER_RACK_PENALTY: f64 = 2.0;
 
+/// Added to the score of a worker on which fillers would slow a service down. The service starts there only
+/// if no other worker has room: it has users of its own, and the fillers may run for ever.
+const INTERFERENCE_PENALTY: f64 = 100.0;
+
 /// A step to be placed.
 pub(super) struct Candidate<'a> {
     pub(super) id: StepId,
@@ -146,10 +150,11 @@
         let worker = &self.workers[number];
         let step = candidate.step;
         let size = step.booked();
-        if !size.fits(&worker.free)
-            || !worker.is_schedulable(self.now)
-            || worker.interferes_with(step.purpose)
-        {
+        if !size.fits(&worker.free) || !worker.is_schedulable(self.now) {
+            return None;
+        }
+        let interferes = worker.interferes_with(step.purpose);
+        if interferes && step.purpose.is_filler() {
             return None;
         }
         let reserved_for_other = worker
@@ -173,6 +178,9 @@
         if avoid {
             score += PAST_FAILURE_PENALTY;
         }
+        if interferes {
+            score += INTERFERENCE_PENALTY;
+        }
         let near = step.near.as_ref();
         if near.is_some_and(|near| *near != worker.entry.rack) {
             score += OTHER_RACK_PENALTY;
