Stores the progress of tasks whose checkpoints are too long for a row

A job whose workers report checkpoints of 200 bytes was shown as `failed` although no run had failed (LOST): the row of a block of 256 tasks outgrew the limit of the store, and a job whose progress can't be stored is given up.

A row that is too long is now stored without the checkpoints of its tasks, and a warning tells so once. They stay in the leader's memory and in the workers' reports; after a change of the leader a task that waits starts from its beginning.

store_rows.rs::{long_checkpoints_fail_job, rejected_checkpoints_fail_job}, both red before: the size is known beforehand, or the store rejects the write.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -7,7 +7,7 @@
 use crate::name::Name;
 
 use super::advice::Question;
-use super::record::Row;
+use super::record::{BlockId, Row};
 use super::report::Outcome;
 use super::{Attempt, JobId, StepId};
 
@@ -225,6 +225,11 @@
         /// How many jobs in a row have failed on it.
         failures: usize,
     },
+    /// The checkpoints of a block are left out of its row, which would be too long with them.
+    CheckpointsOmitted {
+        /// The block.
+        block: BlockId,
+    },
     /// The store accepts no row like this.
     Unstorable {
         /// The row.
--- a/crates/decide/src/batch/record.rs
+++ b/crates/decide/src/batch/record.rs
@@ -136,6 +136,18 @@
     pub failed_runs: Vec<(u32, Vec<u64>)>,
 }
 
+impl Progress {
+    /// Returns the progress without checkpoints. A successor then runs the tasks from their beginning, unless
+    /// their workers report them.
+    #[must_use]
+    pub fn without_checkpoints(mut self) -> Progress {
+        for (_, task) in &mut self.tasks {
+            task.checkpoint = None;
+        }
+        self
+    }
+}
+
 /// The progress of a block as builds stored it that did not tell the failed runs of gangs apart.
 #[derive(Debug, Deserialize)]
 pub struct EarlierProgress {
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -37,7 +37,7 @@
 use super::job::{Advice, Job};
 use super::journal::Journal;
 use super::order::Durations;
-use super::record::{Row, Stored};
+use super::record::{BlockId, Row, Stored};
 use super::spec::Purpose;
 use super::{Attempt, JobId, State, StepId};
 
@@ -134,6 +134,8 @@
     /// task.
     step_durations: Map<Name, Durations>,
     journal: Journal,
+    /// The blocks whose rows would be too long with the checkpoints of their tasks.
+    long_blocks: BTreeSet<BlockId>,
     /// The most rows that the next write may hold; lowered after the store has rejected a write.
     max_rows: usize,
     /// Attempts that were ordered to stop, with their worker and the time of the next repetition.
@@ -201,6 +203,7 @@
             task_durations: Map::default(),
             step_durations: Map::default(),
             journal: Journal::default(),
+            long_blocks: BTreeSet::new(),
             max_rows: usize::MAX,
             stopping: BTreeMap::new(),
             unsettled: BTreeMap::new(),
--- a/crates/decide/src/batch/scheduler/store.rs
+++ b/crates/decide/src/batch/scheduler/store.rs
@@ -64,7 +64,11 @@
         while self.journal.writing() < self.max_rows
             && let Some(row) = self.journal.first().cloned()
         {
-            match stage(&self.change(&row)) {
+            let mut fit = stage(&self.change(&row));
+            if fit == Fit::TooLarge && self.omit_checkpoints(&row) {
+                fit = stage(&self.change(&row));
+            }
+            match fit {
                 Fit::Taken => {
                     self.journal.begin_first();
                     if let Row::Block(block) = row {
@@ -116,8 +120,25 @@
             return;
         }
         for (row, deferred) in self.journal.written() {
-            self.give_up(&row, &deferred);
+            if self.omit_checkpoints(&row) {
+                self.journal.record(row, deferred);
+            } else {
+                self.give_up(&row, &deferred);
+            }
+        }
+    }
+
+    /// Leaves the checkpoints out of a block's row from now on. Returns `false` if they are left out
+    /// already or the row is of another kind.
+    fn omit_checkpoints(&mut self, row: &Row) -> bool {
+        let Row::Block(block) = *row else {
+            return false;
+        };
+        let is_new = self.long_blocks.insert(block);
+        if is_new {
+            self.log(Decision::CheckpointsOmitted { block });
         }
+        is_new
     }
 
     fn change(&self, row: &Row) -> Change {
@@ -135,7 +156,12 @@
             Row::Block(id) => {
                 let job = self.jobs.get(&id.step.job);
                 let open = job.filter(|job| !job.state.is_final());
-                Change::Block(*id, open.and_then(|job| job.progress(*id)))
+                let progress = open.and_then(|job| job.progress(*id));
+                let progress = match self.long_blocks.contains(id) {
+                    true => progress.map(Progress::without_checkpoints),
+                    false => progress,
+                };
+                Change::Block(*id, progress)
             }
         }
     }
@@ -160,6 +186,7 @@
         }
         if job.state.is_final() && job.final_state_stored {
             for block in std::mem::take(&mut job.blocks) {
+                self.long_blocks.remove(&block);
                 self.journal.record(Row::Block(block), None);
             }
         }
--- a/crates/decide/tests/store_rows.rs
+++ b/crates/decide/tests/store_rows.rs
@@ -389,3 +389,78 @@
     rows.write(&mut second, 98);
     assert_eq!(second.state(JOB), Some(State::Completed));
 }
+
+/// The length of checkpoints of which a row has no room for one of each task, in bytes.
+const LONG_CHECKPOINT: usize = 4_000;
+
+/// The most bytes of checkpoints that the store accepts in a row.
+const ROW_BYTES: usize = 48 * 1_024;
+
+/// Long checkpoints must not end a job of which no run has failed.
+#[test]
+fn long_checkpoints_fail_job() {
+    let mut rows = Rows::default();
+    let mut first = scheduler(1, Stored::default());
+    let attempts = start_wide(&mut first, &mut rows);
+    let stopped = |(number, attempt): (usize, &Attempt)| End {
+        checkpoint: Some(Name::from("c".repeat(LONG_CHECKPOINT))),
+        ..end(number as u64 + 1, *attempt, Outcome::Stopped)
+    };
+    let ends = attempts.iter().enumerate().map(stopped).collect();
+    first.report(0, &report(ends, Vec::new()));
+    let fits = |change: &Change| match change {
+        Change::Block(_, Some(progress)) => {
+            let checkpoints = progress
+                .tasks
+                .iter()
+                .filter_map(|(_, task)| task.checkpoint.as_ref());
+            let bytes: usize = checkpoints.map(|checkpoint| checkpoint.len()).sum();
+            bytes <= ROW_BYTES
+        }
+        _ => true,
+    };
+    while first.next_batch(|change| {
+        if fits(change) {
+            Fit::Taken
+        } else {
+            Fit::TooLarge
+        }
+    }) {
+        first.batch_stored();
+    }
+    assert_eq!(first.state(JOB), Some(State::Running));
+}
+
+/// The store says only that it rejects a write, not for which row.
+#[test]
+fn rejected_checkpoints_fail_job() {
+    let mut bench = Bench::with_queue(azurepath_decide::batch::config::Queue {
+        attempts: 5,
+        ..queue()
+    });
+    let attempt = bench.start();
+    let stopped = End {
+        checkpoint: Some(Name::from("c")),
+        ..end(1, attempt, Outcome::Stopped)
+    };
+    bench.report(vec![stopped]);
+    loop {
+        let mut holds_checkpoint = false;
+        let changed = bench.scheduler.next_batch(|change| {
+            if let Change::Block(_, Some(progress)) = change {
+                holds_checkpoint |= progress
+                    .tasks
+                    .iter()
+                    .any(|(_, task)| task.checkpoint.is_some());
+            }
+            Fit::Taken
+        });
+        match (changed, holds_checkpoint) {
+            (false, _) => break,
+            (true, true) => bench.scheduler.batch_rejected(),
+            (true, false) => bench.scheduler.batch_stored(),
+        }
+    }
+    assert_eq!(bench.acknowledged(), 1);
+    assert_eq!(bench.scheduler.state(JOB), Some(State::Running));
+}
