Uses a worker whose clock was set back and that has moved

A worker that starts again with an earlier start time at another address was not used until the leader changed. Its entry was taken for that of a former incarnation, and nothing answered at the address of the one that was known.

Such an entry counts once the leases on the known incarnation have expired and nothing of it is left; during a takeover, when runs are not known yet, it has to wait. At the same address the worker's answer tells at once.

next_incarnation.rs::earlier_start_time_elsewhere_is_attached, red before (the entry was ignored for good).

--- a/crates/decide/src/batch/scheduler/confirmation.rs
+++ b/crates/decide/src/batch/scheduler/confirmation.rs
@@ -62,7 +62,7 @@
     }
 
     /// Tells whether tasks of inherited jobs may run on workers that have not reported.
-    fn is_taking_over(&self) -> bool {
+    pub(super) fn is_taking_over(&self) -> bool {
         self.now.min(self.confirmed_until) < self.takeover_ends_at
     }
 
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -35,14 +35,19 @@
     }
 
     fn update_entry(&mut self, entry: Entry) {
+        let taking_over = self.is_taking_over();
         if let Some(&index) = self.by_id.get(&entry.id) {
             let worker = &mut self.workers[index];
             if worker.entry.born_ms == entry.born_ms && worker.entry.address == entry.address {
                 worker.entry.status = entry.status;
                 return;
             }
+            // The clock of a worker may have been set back. Otherwise an earlier start time is that of a former
+            // incarnation, or comes from another writer.
             let answers = worker.restarted_as == Some(entry.born_ms);
-            if worker.entry.born_ms > entry.born_ms && !answers {
+            let has_ended = worker.contact == Contact::Unclaimed && worker.attempts.is_empty();
+            let replaces = answers || (has_ended && !taking_over);
+            if worker.entry.born_ms > entry.born_ms && !replaces {
                 return;
             }
             let follows_roster = worker.in_roster || worker.follows_roster;
--- a/crates/decide/tests/next_incarnation.rs
+++ b/crates/decide/tests/next_incarnation.rs
@@ -164,3 +164,27 @@
     let attaches = |action: &Action| matches!(action, Action::Attach { .. });
     assert!(!bench.advance().iter().any(attaches));
 }
+
+/// The same at another address, so that nothing answers for the former one.
+#[test]
+fn earlier_start_time_elsewhere_is_attached() {
+    let mut bench = Bench::new();
+    bench.scheduler.update_registry(vec![incarnation(9)]);
+    bench.advance();
+    let former = report(&bench, 9, &[]);
+    bench.scheduler.report(1, &former);
+    let moved = Entry {
+        address: ([127, 0, 0, 1], 2).into(),
+        ..incarnation(4)
+    };
+    let attached = Action::Attach { worker: 2 };
+    bench.scheduler.update_registry(vec![moved.clone()]);
+    assert!(
+        !bench.advance().contains(&attached),
+        "the former one answers"
+    );
+    bench.scheduler.mark_silent(1);
+    bench.scheduler.expire_leases(1);
+    bench.scheduler.update_registry(vec![moved]);
+    assert!(bench.advance().contains(&attached));
+}
