--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -226,17 +226,23 @@
         }
     }
 
-    /// Tells whether a task with this purpose and the tasks on the worker would slow each other
-    /// down. Fillers are kept apart from services, and services from fillers where there is room.
+    /// Tells whether a task with this purpose must not run beside the tasks on the worker. Fillers are kept
+    /// apart from services, which they slow down, and services from fillers that end.
     pub fn interferes_with(&self, purpose: Purpose) -> bool {
         let mut others = self.attempts.values();
         match purpose {
             Purpose::Work => false,
-            Purpose::Serve => others.any(|other| other.is_filler()),
+            Purpose::Serve => others.any(|other| *other == Purpose::Fill),
             Purpose::Fill | Purpose::Background => others.any(|other| *other == Purpose::Serve),
         }
     }
 
+    /// Tells whether a filler runs on it that lasts until its job is cancelled.
+    pub fn has_lasting_filler(&self) -> bool {
+        let mut others = self.attempts.values();
+        others.any(|other| *other == Purpose::Background)
+    }
+
     /// Books an attempt.
     pub fn book(&mut self, attempt: Attempt, size: &Size, purpose: Purpose) {
         if self.attempts.insert(attempt, purpose).is_none() {
--- a/crates/decide/src/batch/scheduler/target.rs
+++ b/crates/decide/src/batch/scheduler/target.rs
@@ -11,7 +11,7 @@
 use super::super::fleet::Worker;
 use super::super::job::{self, Place};
 use super::super::order::{Lateness, Rank};
-use super::super::spec;
+use super::super::spec::{self, Purpose};
 use super::Scheduler;
 
 /// Added to the score of a worker that is reserved for another job's gang.
@@ -23,9 +23,9 @@
 /// Added to the score of a worker outside the rack with the step's data.
 const OTHER_RACK_PENALTY: f64 = 2.0;
 
-/// Added to the score of a worker on which fillers would slow a service down. The service starts there only
-/// if no other worker has room: it has users of its own, and the fillers may run for ever.
-const INTERFERENCE_PENALTY: f64 = 100.0;
+/// Added to the score of a worker on which a filler that lasts would slow a service down. The service starts
+/// there only if no other worker has room, since the filler may never end.
+const LASTING_FILLER_PENALTY: f64 = 100.0;
 
 /// A step to be placed.
 pub(super) struct Candidate<'a> {
@@ -150,11 +150,10 @@
         let worker = &self.workers[number];
         let step = candidate.step;
         let size = step.booked();
-        if !size.fits(&worker.free) || !worker.is_schedulable(self.now) {
-            return None;
-        }
-        let interferes = worker.interferes_with(step.purpose);
-        if interferes && step.purpose.is_filler() {
+        if !size.fits(&worker.free)
+            || !worker.is_schedulable(self.now)
+            || worker.interferes_with(step.purpose)
+        {
             return None;
         }
         let reserved_for_other = worker
@@ -178,8 +177,8 @@
         if avoid {
             score += PAST_FAILURE_PENALTY;
         }
-        if interferes {
-            score += INTERFERENCE_PENALTY;
+        if step.purpose == Purpose::Serve && worker.has_lasting_filler() {
+            score += LASTING_FILLER_PENALTY;
         }
         let near = step.near.as_ref();
         if near.is_some_and(|near| *near != worker.entry.rack) {
