Answers the first call of a connection that is opened as a server stops

Two causes, both in the server's stop: connections that the kernel had accepted, and the server not yet, were dropped with the listener; and the HTTP library closes a connection at once on which nothing has arrived, although the call may be on its way. The server now takes in what the kernel has accepted, and gives connections that were opened within 150 ms until then to bring their first call. Idle connections are closed right after that, as before.

--- a/crates/server/src/process/http.rs
+++ b/crates/server/src/process/http.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use futures::FutureExt as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +28,10 @@
 /// The pause after an accept has failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long the first call of a connection may take that is opened just before the server stops: a few round
+/// trips between two regions.
+const FIRST_CALL_TIME: Duration = Duration::from_millis(150);
+
 /// The HTTP server as a task.
 ///
 /// The server of `volo-http` closes idle connections only 3 s after it was told to stop, serves new
@@ -62,7 +67,7 @@
     }
 
     /// Accepts no more connections, closes those that are idle, and waits until the others have got
-    /// the answer to their present call. At `deadline` the rest is cut.
+    /// the answer to their present call, new ones to their first. At `deadline` the rest is cut.
     ///
     /// # Errors
     ///
@@ -83,18 +88,21 @@
 ) {
     let graceful = GracefulShutdown::new();
     let mut connections = JoinSet::new();
+    let mut last_opened = None;
+    let mut open_connection = |connections: &mut JoinSet<()>, socket, peer| {
+        last_opened = Some(Instant::now());
+        let guard = open.enter(name);
+        let connection = service.clone().connection(socket, peer, graceful.watcher());
+        connections.spawn(async move {
+            let _guard = guard;
+            connection.await;
+        });
+    };
     let deadline = loop {
         tokio::select! {
             stopped = &mut stopped => break stopped,
             accepted = listener.accept() => match accepted {
-                Ok((socket, peer)) => {
-                    let guard = open.enter(name);
-                    let connection = service.clone().connection(socket, peer, graceful.watcher());
-                    connections.spawn(async move {
-                        let _guard = guard;
-                        connection.await;
-                    });
-                }
+                Ok((socket, peer)) => open_connection(&mut connections, socket, peer),
                 Err(error) => {
                     debug!(service.log, "accept failed"; "error" => %error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -107,9 +115,17 @@
             }
         }
     };
+    // Those that the kernel has accepted may hold calls already.
+    while let Some(Ok((socket, peer))) = listener.accept().now_or_never() {
+        open_connection(&mut connections, socket, peer);
+    }
     drop(listener);
     // Without a sender nobody waits for the answers.
     let deadline = deadline.unwrap_or_else(|_| Instant::now());
+    if let Some(opened) = last_opened {
+        // The library closes connections at once on which nothing has arrived yet.
+        tokio::time::sleep_until(deadline.min(opened + FIRST_CALL_TIME)).await;
+    }
     if tokio::time::timeout_at(deadline, graceful.shutdown())
         .await
         .is_err()
