Starts nothing on workers of evacuated failure domains

Every instance now follows these rows with the configuration, a new leader reads them itself before it takes calls, and the scheduler leaves the workers of these domains out: no starts, no repeated orders, no reservations or holds, and no capacity for admission. What runs there continues. A lost history is read anew, and an unreachable store leaves the last known set in force. The lines `evacuation applied` and `evacuation can't be read` and the gauge `azurepath_evacuated_domains` tell the state.

With only the release of reservations, the stop of repeated orders or the clearing of the set after a lost history taken out, the test of that rule fails.

--- a/crates/decide/src/batch/fleet.rs
+++ b/crates/decide/src/batch/fleet.rs
@@ -132,6 +132,9 @@
     pub contact: Contact,
     /// Whether the registry lists it.
     pub listed: bool,
+    /// Whether its failure domain is evacuated. Nothing is started on it meanwhile; what runs there
+    /// continues.
+    pub evacuated: bool,
     /// Whether it is in the stored roster. Nothing is started on a worker that is not, because a
     /// successor would not look for tasks on it.
     pub in_roster: bool,
@@ -176,6 +179,7 @@
             entry,
             contact: Contact::Unclaimed,
             listed: true,
+            evacuated: false,
             in_roster: false,
             follows_roster: false,
             restarted_as: None,
@@ -196,6 +200,7 @@
     pub fn is_schedulable(&self, now: Time) -> bool {
         self.contact == Contact::Claimed
             && self.listed
+            && !self.evacuated
             && self.in_roster
             && self.orphans.is_empty()
             && self.unsettled.is_empty()
@@ -210,7 +215,7 @@
 
     /// Tells whether it has not answered this scheduler yet and takes new tasks once it has.
     pub fn may_answer(&self) -> bool {
-        self.is_unreported() && self.listed && self.entry.status == Status::Ready
+        self.is_unreported() && self.listed && !self.evacuated && self.entry.status == Status::Ready
     }
 
     /// Tells whether its capacity is held for a gang, or a gang waits for advice about it.
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -6,6 +6,7 @@
 mod confirmation;
 mod dump;
 mod end;
+mod evacuation;
 mod gang;
 mod intake;
 mod place;
@@ -122,6 +123,8 @@
     rotation: Rotation,
     reaches: Reaches,
     by_id: BTreeMap<Name, usize>,
+    /// The failure domains that are evacuated.
+    evacuated: BTreeSet<Name>,
     accounts: BTreeMap<Name, Account>,
     /// The total size of the tasks of inherited jobs that may run on workers that have not reported
     /// yet, by account.
@@ -197,6 +200,7 @@
             rotation: Rotation::default(),
             reaches: Reaches::default(),
             by_id: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             accounts: BTreeMap::new(),
             unreported_tasks: BTreeMap::new(),
             unreported_capacity: Size::ZERO,
--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -87,7 +87,8 @@
             if self.holds_left == 0 {
                 break;
             }
-            if !self.workers[worker].held_for_gang {
+            let is_useful = !self.workers[worker].evacuated;
+            if is_useful && !self.workers[worker].held_for_gang {
                 self.workers[worker].held_for_gang = true;
                 self.holds_left -= 1;
             }
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -152,7 +152,8 @@
                     && !job_ended
                     && !self.unsettled.contains_key(&attempt)
                     && !self.expired.contains_key(&worker)
-                    && !self.stopping.contains_key(&attempt) =>
+                    && !self.stopping.contains_key(&attempt)
+                    && !self.workers[worker].evacuated =>
             {
                 *phase = Phase::Ordered {
                     sent: sent + 1,
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -76,6 +76,7 @@
     fn attach(&mut self, mut worker: Worker) {
         let index = self.workers.len();
         worker.unsettled = self.unsettled_runs(&worker.entry.id);
+        worker.evacuated = self.evacuated.contains(&worker.entry.failure_domain);
         self.by_id.insert(worker.entry.id.clone(), index);
         self.workers.push(worker);
         self.actions.push(Action::Attach { worker: index });
--- a/crates/server/src/cluster.rs
+++ b/crates/server/src/cluster.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod decision;
 mod election;
+mod evacuation;
 mod leader;
 mod limiter;
 mod link_usage;
@@ -63,6 +64,7 @@
     carried_workers: Workers,
     advisor: Option<Advisor>,
     config: tokio_watch::Receiver<Option<Arc<Config>>>,
+    evacuation: tokio_watch::Receiver<Arc<evacuation::Evacuation>>,
     phase: tokio_watch::Receiver<Phase>,
     /// The time by which all calls of clients are answered, once the process stops.
     answer_deadline: tokio_watch::Receiver<Option<Instant>>,
@@ -95,6 +97,7 @@
     let log = logs::logger(&settings.server, logs::Output::Stdout);
     let listeners = listen::Listeners::bind(&settings).await?;
     let (config_sender, config) = tokio_watch::channel(None);
+    let (evacuation_sender, evacuation) = tokio_watch::channel(Arc::default());
     let (phase_sender, phase) = tokio_watch::channel(Phase::Serving);
     let (deadline_sender, answer_deadline) = tokio_watch::channel(None);
     let (leadership_sender, leadership) = tokio_watch::channel(peer::Leadership::Unknown);
@@ -127,6 +130,7 @@
             .advice
             .map(|address| Advisor::new(pool.clone(), address)),
         config,
+        evacuation,
         phase,
         answer_deadline,
         route,
@@ -139,8 +143,13 @@
     let servers = listeners.serve(&context, &halt, &mut tasks)?;
     let limiting = limiter::run(limiter, permits, context.route.clone(), halt.clone());
     tasks.spawn("limiter", limiting);
-    let configuration = watch::configuration(context.clone(), config_sender, halt.clone());
-    tasks.spawn("configuration", configuration);
+    let operator = watch::operator(
+        context.clone(),
+        config_sender,
+        evacuation_sender,
+        halt.clone(),
+    );
+    tasks.spawn("configuration", operator);
     tasks.spawn("advice", advice::run(context.clone(), halt.clone()));
     tasks.spawn("carrier", carrier::run(context.clone(), halt.clone()));
     tasks.spawn("relay", relay::run(context.clone(), halt.clone()));
--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -305,7 +305,7 @@
         leaving: &CancellationToken,
     ) -> EndReason {
         let recovery = Recovery::new(&self.context);
-        let (stored, announced) = match recovery.run(&mut writer, leaving).await {
+        let (recovered, announced) = match recovery.run(&mut writer, leaving).await {
             Ok(recovered) => recovered,
             Err(reason) => {
                 if reason != EndReason::Deposed {
@@ -315,7 +315,7 @@
             }
         };
         info!(self.context.log, "leading"; "epoch" => writer.row().epoch,
-            "jobs" => stored.jobs.len(), "workers" => stored.roster.len());
+            "jobs" => recovered.stored.jobs.len(), "workers" => recovered.stored.roster.len());
         self.context.counts.leads.add(1, &[]);
         let context = self.context.clone();
         let leadership = self.leadership.clone();
@@ -333,7 +333,7 @@
                     .saturating_sub(clock::now().since(sent)),
                 Tenure::new(clock::now(), predecessor.was_slow),
                 config,
-                stored,
+                recovered,
             );
             leadership.send_replace(Leadership::Local(handle));
             leader.run(receiver, leaving, max_term).await
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -12,7 +12,6 @@
 use azurepath_decide::batch::advice::Dispatcher;
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::batch::fleet::Contact;
-use azurepath_decide::batch::record::Stored;
 use azurepath_decide::batch::scheduler::{Scheduler, Setup};
 use azurepath_decide::batch::store_pace::StorePace;
 use azurepath_decide::batch::tenure::Tenure;
@@ -32,8 +31,10 @@
 use self::stopwatch::Stopwatch;
 use super::clock::{self, Authority};
 use super::election::LEADER_TIMEOUT;
+use super::evacuation::Evacuation;
 use super::links::{Links, OrderOutcome, Started};
 use super::peer::Pending;
+use super::recovery::Recovered;
 use super::renewal;
 use super::writer::{Outcome, Writer};
 use super::{Context, decision, watch as feed};
@@ -90,6 +91,8 @@
 pub(super) struct Leader {
     context: Context,
     scheduler: Scheduler,
+    /// The version of the store up to which the scheduler knows the evacuations.
+    evacuation_version: u64,
     authority: Arc<Authority>,
     sender: mpsc::UnboundedSender<Message>,
     links: Links,
@@ -126,7 +129,7 @@
         authority_left: Duration,
         tenure: Tenure,
         config: Arc<Config>,
-        stored: Stored,
+        recovered: Recovered,
     ) -> (Leader, Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let lease = context.settings().lease.mul_f64(LEASE_FRACTION);
@@ -158,8 +161,12 @@
             event_sender,
             outcome_sender,
         );
+        let Recovered { stored, evacuation } = recovered;
+        let mut scheduler = Scheduler::new(setup, now, config, stored);
+        scheduler.evacuate(&evacuation.domains);
         let leader = Leader {
-            scheduler: Scheduler::new(setup, now, config, stored),
+            scheduler,
+            evacuation_version: evacuation.version,
             authority,
             sender,
             links,
@@ -207,6 +214,7 @@
         };
         tokio::pin!(term_end);
         let mut config = self.context.config.clone();
+        let mut evacuation = self.context.evacuation.clone();
         // The stored workers are attached before other instances ask for them.
         self.step();
         let reason = loop {
@@ -259,6 +267,10 @@
                         self.scheduler.configure(config);
                     }
                 }
+                Ok(()) = evacuation.changed() => {
+                    let evacuation = evacuation.borrow_and_update().clone();
+                    self.evacuate(&evacuation);
+                }
                 due = tick.tick() => {
                     let delay = due.elapsed();
                     self.stopwatch.add_delay(delay);
@@ -334,6 +346,14 @@
         }
     }
 
+    /// Applies evacuations that the feed has read, unless this leader has read later ones itself.
+    fn evacuate(&mut self, evacuation: &Evacuation) {
+        if evacuation.version >= self.evacuation_version {
+            self.evacuation_version = evacuation.version;
+            self.scheduler.evacuate(&evacuation.domains);
+        }
+    }
+
     /// Tells whether there are other instances that may lead.
     fn has_peers(&self) -> bool {
         self.peer_called
--- a/crates/server/src/cluster/recovery.rs
+++ b/crates/server/src/cluster/recovery.rs
@@ -9,11 +9,14 @@
 
 use azurepath_decide::batch::record::Stored;
 use azurepath_decide::time::Time;
-use azurepath_platform::store::{Error, PAGE_ROWS, Row};
+use azurepath_platform::store::{
+    EVACUATION_END, EVACUATION_PREFIX, Error, OPERATOR_TABLE, PAGE_ROWS, Row,
+};
 use futures::{StreamExt, stream};
 use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
 
+use super::evacuation::Evacuation;
 use super::leader::{EndReason, HEARTBEAT_INTERVAL};
 use super::writer::{self, JOBS, Outcome, PROGRESS, ROSTER, Writer};
 use super::{Context, clock};
@@ -77,6 +80,15 @@
         }
     }
 
+    /// The rows with evacuations.
+    fn evacuations() -> Range {
+        Range {
+            table: OPERATOR_TABLE,
+            from: EVACUATION_PREFIX.to_owned(),
+            end: Some(EVACUATION_END.to_owned()),
+        }
+    }
+
     /// Splits a table whose keys begin with hexadecimal digits.
     fn by_digit(table: &'static str) -> impl Iterator<Item = Range> {
         (0..16).map(move |digit| Range {
@@ -87,6 +99,22 @@
     }
 }
 
+/// All rows of a range.
+struct Content {
+    table: &'static str,
+    rows: Vec<Row>,
+    /// The version of the store when the first page was read.
+    version: u64,
+}
+
+/// What a new leader has read.
+pub(super) struct Recovered {
+    /// What earlier leaders have stored.
+    pub(super) stored: Stored,
+    /// The evacuated failure domains.
+    pub(super) evacuation: Evacuation,
+}
+
 /// Reads what earlier leaders have stored.
 pub(super) struct Recovery<'a> {
     context: &'a Context,
@@ -109,9 +137,9 @@
         &self,
         writer: &mut Writer,
         leaving: &CancellationToken,
-    ) -> Result<(Stored, Time), EndReason> {
-        let stored = tokio::select! {
-            stored = self.read() => stored,
+    ) -> Result<(Recovered, Time), EndReason> {
+        let recovered = tokio::select! {
+            recovered = self.read() => recovered,
             () = send_heartbeats(writer) => return Err(EndReason::Deposed),
             () = self.stalled() => return Err(EndReason::Stalled),
             () = leaving.cancelled() => return Err(EndReason::Released),
@@ -119,16 +147,17 @@
         writer.begin_leading();
         tokio::select! {
             written = writer.heartbeat() => match written {
-                Outcome::Stored(sent) => Ok((stored, sent)),
+                Outcome::Stored(sent) => Ok((recovered, sent)),
                 Outcome::Deposed | Outcome::Rejected => Err(EndReason::Deposed),
             },
             () = leaving.cancelled() => Err(EndReason::Released),
         }
     }
 
-    async fn read(&self) -> Stored {
+    async fn read(&self) -> Recovered {
         let begun = clock::now();
         let ranges: Vec<Range> = std::iter::once(Range::all(ROSTER))
+            .chain(std::iter::once(Range::evacuations()))
             .chain(Range::by_digit(JOBS))
             .chain(Range::by_digit(PROGRESS))
             .collect();
@@ -136,13 +165,13 @@
         let reads = ranges
             .into_iter()
             .map(|range| self.range(range, paging.rows));
-        let tables: Vec<(&str, Vec<Row>)> = stream::iter(reads)
+        let contents: Vec<Content> = stream::iter(reads)
             .buffer_unordered(paging.reads)
             .collect()
             .await;
         let of = |name| {
-            let tables = tables.iter().filter(move |(table, _)| *table == name);
-            tables.flat_map(|(_, rows)| rows)
+            let contents = contents.iter().filter(move |content| content.table == name);
+            contents.flat_map(|content| &content.rows)
         };
         let log = &self.context.log;
         let stored = Stored {
@@ -151,19 +180,29 @@
             roster: decode(log, of(ROSTER), writer::decode_worker),
         };
         info!(log, "stored jobs read"; "jobs" => stored.jobs.len(), "blocks" => stored.blocks.len(),
-            "workers" => stored.roster.len(), "bytes" => value_bytes(&tables),
+            "workers" => stored.roster.len(), "bytes" => value_bytes(&contents),
             "micros" => clock::now().since(begun).as_micros() as u64);
-        stored
+        // The instance's own feed may lag behind the store.
+        let evacuations = contents
+            .iter()
+            .find(|content| content.table == OPERATOR_TABLE);
+        Recovered {
+            stored,
+            evacuation: evacuations.map_or_else(Evacuation::default, |content| {
+                Evacuation::new(&content.rows, content.version)
+            }),
+        }
     }
 
     /// Reads all rows of a range, page by page, and a page again until it arrives.
-    async fn range(&self, range: Range, page_rows: usize) -> (&'static str, Vec<Row>) {
+    async fn range(&self, range: Range, page_rows: usize) -> Content {
         let Range {
             table,
             mut from,
             end,
         } = range;
         let mut rows = Vec::new();
+        let mut version = None;
         let mut limit = page_rows;
         let mut failures = 0;
         loop {
@@ -174,11 +213,16 @@
                     failures = 0;
                     limit = (limit * 2).min(page_rows);
                     self.arrived.store(clock::now().0, Ordering::Relaxed);
+                    let version = *version.get_or_insert(page.version);
                     from = page.next_key().unwrap_or(from);
                     let more = page.more && !page.rows.is_empty();
                     rows.extend(page.rows);
                     if !more {
-                        return (table, rows);
+                        return Content {
+                            table,
+                            rows,
+                            version,
+                        };
                     }
                 }
                 Err(error) => {
@@ -237,7 +281,7 @@
     rows.filter_map(decode).collect()
 }
 
-fn value_bytes(tables: &[(&str, Vec<Row>)]) -> usize {
-    let rows = tables.iter().flat_map(|(_, rows)| rows);
+fn value_bytes(contents: &[Content]) -> usize {
+    let rows = contents.iter().flat_map(|content| &content.rows);
     rows.map(|row| row.value.as_ref().map_or(0, Vec::len)).sum()
 }
--- a/crates/server/src/cluster/watch.rs
+++ b/crates/server/src/cluster/watch.rs
@@ -1,4 +1,5 @@
-//! Follows the operator's configuration and the registry of workers.
+//! Follows the operator's rows, which are the configuration and the evacuations, and the registry of
+//! workers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -6,6 +7,7 @@
 
 use azurepath_decide::batch::config::Config;
 use azurepath_decide::batch::fleet::Entry;
+use azurepath_decide::name::Name;
 use azurepath_decide::time::Time;
 use azurepath_platform::store::{
     CONFIGURATION_KEY, Error, OPERATOR_TABLE, PAGE_ROWS, Page, REGISTRY_TABLE, Row, Store,
@@ -15,6 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
+use super::evacuation::{Evacuation, Tracker};
 use super::leader::Message;
 use super::{Context, clock};
 use crate::process::backoff;
@@ -129,13 +132,16 @@
     }
 }
 
-/// Follows the configuration until `halt` is cancelled. An older version never replaces a newer
-/// one.
-pub(super) async fn configuration(
+/// Follows the operator's rows until `halt` is cancelled. An older version of the configuration never
+/// replaces a newer one. While the store can't be read, the last known evacuations stay in force.
+pub(super) async fn operator(
     context: Context,
-    sender: watch::Sender<Option<Arc<Config>>>,
+    config: watch::Sender<Option<Arc<Config>>>,
+    evacuation: watch::Sender<Arc<Evacuation>>,
     halt: CancellationToken,
 ) {
+    context.counts.evacuated_domains.record(0, &[]);
+    let mut tracker = Tracker::default();
     let mut follower = Follower::new(&context.store, OPERATOR_TABLE);
     let mut dependency = Dependency {
         log: context.log.clone(),
@@ -148,10 +154,22 @@
             update = follower.next(FEED_WAIT) => update,
         };
         match update {
-            Ok(Update::All(rows) | Update::Changes(rows)) => {
+            Ok(update) => {
                 dependency.observe(None);
+                let version = follower.version.unwrap_or_default();
+                let (rows, evacuated) = match update {
+                    Update::All(rows) => {
+                        let evacuated = tracker.replace(&rows, version, &context.log);
+                        (rows, evacuated)
+                    }
+                    Update::Changes(rows) => {
+                        let evacuated = tracker.apply(&rows, version, &context.log);
+                        (rows, evacuated)
+                    }
+                };
+                apply_evacuation(&context, &evacuation, evacuated);
                 for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
-                    apply(&context, &sender, row);
+                    apply(&context, &config, row);
                 }
             }
             Err(Error::HistoryGone) => {}
@@ -163,6 +181,34 @@
     }
 }
 
+/// Publishes the evacuated domains. A new version is published even if they are unchanged, since a
+/// leader may know another version in between from its own read.
+fn apply_evacuation(
+    context: &Context,
+    sender: &watch::Sender<Arc<Evacuation>>,
+    evacuation: Evacuation,
+) {
+    let known = sender.borrow().clone();
+    if *known == evacuation {
+        return;
+    }
+    if known.domains != evacuation.domains {
+        context
+            .counts
+            .evacuated_domains
+            .record(evacuation.domains.len() as u64, &[]);
+        info!(context.log, "evacuation applied";
+            "domains" => names(&evacuation.domains), "before" => names(&known.domains),
+            "store_version" => evacuation.version);
+    }
+    sender.send_replace(Arc::new(evacuation));
+}
+
+fn names(domains: &BTreeSet<Name>) -> String {
+    let names: Vec<&str> = domains.iter().map(|domain| &**domain).collect();
+    names.join(" ")
+}
+
 fn apply(context: &Context, sender: &watch::Sender<Option<Arc<Config>>>, row: &Row) {
     let Some(bytes) = &row.value else {
         return;
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Context;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -78,6 +78,8 @@
     pub leader_busy_ms: Counter<u64>,
     /// How often this instance became the leader.
     pub leads: Counter<u64>,
+    /// The failure domains that are evacuated, as far as this instance knows.
+    pub evacuated_domains: Gauge<u64>,
     /// Bytes sent and received, by kind of call and direction.
     pub bytes: Counter<u64>,
     /// The same bytes for the detection of a busy link.
@@ -127,6 +129,7 @@
             abandoned_calls: counter("azurepath.calls.abandoned"),
             leader_busy_ms: counter("azurepath.leader.busy.ms"),
             leads: counter("azurepath.leads"),
+            evacuated_domains: meter.u64_gauge("azurepath.evacuated.domains").build(),
             bytes: counter("azurepath.bytes"),
             link: link::Meter::default(),
         }
--- a/crates/standin/src/cluster/store.rs
+++ b/crates/standin/src/cluster/store.rs
@@ -344,6 +344,15 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Removes a row and drops the change history at once, so that no feed reports the removal.
+    pub fn remove_unseen(&self, table: &str, key: &str) {
+        let mut state = lock(&self.shared.state);
+        state.version += 1;
+        state.compacted_version = state.version;
+        state.rows.remove(&(table.to_owned(), key.to_owned()));
+        self.shared.changed.notify_waiters();
+    }
+
     /// Returns how many transactions have been applied.
     pub fn writes(&self) -> u64 {
         lock(&self.shared.state).writes
