Refuses jobs that the store has not been sent when it stops answering

Callers saw: 504 after 2.7 s for jobs that had come in the 800 ms before it showed that the store did not answer; they did not know whether the jobs run, and came again late. Cause: a new job waits for the write behind the present one, however long that takes. Change: while the present write takes over 800 ms, jobs that have waited for 1.5 s and were in no write are refused with a time to come again. They are in no row, so the refusal is true; jobs in the present write stay.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -155,6 +155,16 @@
         /// The time after which its client may retry.
         pause: Duration,
     },
+    /// A job is refused after all, since the store has stopped answering before it was written.
+    #[strum(serialize = "refused")]
+    Withdrawn {
+        /// The job.
+        job: JobId,
+        /// How long it has waited for a write.
+        waited: Duration,
+        /// The time after which its client may retry.
+        pause: Duration,
+    },
     /// A step has been waiting for a while; reported once for each cause.
     Waits {
         /// The step.
--- a/crates/decide/src/batch/journal.rs
+++ b/crates/decide/src/batch/journal.rs
@@ -122,6 +122,24 @@
         entry.map(|entry| entry.deferred).unwrap_or_default()
     }
 
+    /// Returns the jobs whose rows wait for a write and are not in the current one.
+    pub(super) fn unwritten_jobs(&self) -> Vec<JobId> {
+        let jobs = Row::Job(JobId(0))..=Row::Job(JobId(u64::MAX));
+        let waiting = self.waiting.range(jobs).map(|(row, _)| row);
+        let unwritten = waiting.filter(|row| !self.writing.contains_key(row));
+        let ids = unwritten.filter_map(|row| match row {
+            Row::Job(id) => Some(*id),
+            Row::Worker(_) | Row::Block(_) => None,
+        });
+        ids.collect()
+    }
+
+    /// Removes a row that waits for a write and returns the actions that waited for it.
+    pub(super) fn withdraw(&mut self, row: &Row) -> Vec<Deferred> {
+        let entry = self.remove(row);
+        entry.map(|entry| entry.deferred).unwrap_or_default()
+    }
+
     /// Ends the current write and returns its rows with the actions that waited for it.
     pub(super) fn written(&mut self) -> BTreeMap<Row, Vec<Deferred>> {
         let rows = std::mem::take(&mut self.writing).into_iter();
--- a/crates/decide/src/batch/scheduler/store.rs
+++ b/crates/decide/src/batch/scheduler/store.rs
@@ -251,6 +251,36 @@
         }
     }
 
+    /// Refuses the jobs that have waited for `wait` without having been in any write.
+    ///
+    /// Answers a store that has stopped answering. The clients of these jobs would give up without
+    /// knowing whether the jobs run. Jobs in the present write stay, since the store may still carry it
+    /// out.
+    pub fn refuse_unwritten(&mut self, now: Time, wait: Duration, pause: Duration) {
+        for id in self.journal.unwritten_jobs() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let waited = now.since(job.accepted);
+            if job.stored || job.state.is_final() || waited < wait {
+                continue;
+            }
+            self.jobs.remove(&id);
+            self.ready.remove(&id);
+            self.ranking.mark_changed(id);
+            self.log(Decision::Withdrawn {
+                job: id,
+                waited,
+                pause,
+            });
+            for item in self.journal.withdraw(&Row::Job(id)) {
+                if let Deferred::Answer(call) = item {
+                    self.answer(call, Answer::Refused(pause));
+                }
+            }
+        }
+    }
+
     /// Returns the block of a task.
     pub(super) fn block_of(task: TaskId) -> Row {
         Row::Block(BlockId::of(task.step, task.index))
--- a/crates/decide/src/batch/store_pace.rs
+++ b/crates/decide/src/batch/store_pace.rs
@@ -3,13 +3,18 @@
 //! Answers a store that is slow for seconds while the usual number of jobs, or a burst, is submitted.
 //! A job is accepted once it is stored, behind all rows that have changed before. Without a bound its
 //! client would give up first, not knowing whether the job runs, and the rows of such jobs would delay
-//! all that come after them.
+//! all that come after them. Jobs that came just before the store stopped answering are refused as well
+//! while none of their rows has been sent.
 
 use std::time::Duration;
 
 /// How long a new job may wait to be stored. With more its client might get no answer in time.
 const MAX_STORE_WAIT: Duration = Duration::from_millis(800);
 
+/// How long a new job may wait for its first write while the store answers nothing. Clients wait 3 s, so
+/// the rest is enough for the refusal to reach them.
+const MAX_UNWRITTEN_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The shortest time after which a client is told to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -59,6 +64,12 @@
         Duration::from_secs_f64(write_s * writes)
     }
 
+    /// Returns how long a job may wait unwritten and after which time its client may retry, or `None` while
+    /// the present write may still be a usual one.
+    pub fn outage(&self, writing: Duration) -> Option<(Duration, Duration)> {
+        (writing > MAX_STORE_WAIT).then_some((MAX_UNWRITTEN_WAIT, MAX_RETRY_AFTER))
+    }
+
     /// Returns the time after which a job may be submitted again, or `None` if it can be stored in
     /// time.
     pub fn retry_after(&self, waiting: usize, writing: Duration) -> Option<Duration> {
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -52,6 +52,12 @@
                 "wait_ms" => wait.as_millis() as u64, "fleet_millicores" => fleet_millicores,
                 "retry_after_ms" => pause.as_millis() as u64, "epoch" => epoch);
         }
+        Decision::Withdrawn { job, waited, pause } => {
+            metrics.jobs.add(1, &[kind(name.to_owned())]);
+            info!(log, "job refused unwritten"; "job" => %job,
+                "waited_ms" => waited.as_millis() as u64,
+                "retry_after_ms" => pause.as_millis() as u64, "epoch" => epoch);
+        }
         Decision::Waits {
             step,
             cause,
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -422,6 +422,9 @@
     fn step(&mut self) {
         self.stopwatch.resume();
         self.scheduler.suspend(!self.authority.holds());
+        if let Some((wait, pause)) = self.store_pace.outage(self.writing_time()) {
+            self.scheduler.refuse_unwritten(clock::now(), wait, pause);
+        }
         let mut actions = Vec::new();
         self.scheduler.advance(clock::now(), &mut actions);
         let took = self.stopwatch.lap(Activity::Placement);
