Bounds estimates of run times when they are read

A job whose `estMs` was near the largest number counted as worthless as soon as it was accepted, and started after all others: the time that it was allowed and the time that it needed ended at the same largest value.

Estimates of over 30 days count as 30 days, for submitted jobs as for stored ones; a new leader logs the latter once as `estimates of stored jobs lowered`.

--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -232,6 +232,14 @@
         /// How many jobs in a row have failed on it.
         failures: usize,
     },
+    /// Estimates of stored jobs were longer than any that is used, and are lowered; reported once by a new
+    /// scheduler.
+    EstimatesBounded {
+        /// One of the jobs.
+        job: JobId,
+        /// How many jobs there are.
+        jobs: usize,
+    },
     /// The checkpoints of a block are left out of its row, which would be too long with them.
     CheckpointsOmitted {
         /// The block.
--- a/crates/decide/src/batch/scheduler/intake.rs
+++ b/crates/decide/src/batch/scheduler/intake.rs
@@ -23,7 +23,7 @@
         id: JobId,
         queue: &Name,
         account: Option<Name>,
-        spec: Spec,
+        mut spec: Spec,
     ) {
         if let Some(job) = self.jobs.get(&id) {
             if job.stored {
@@ -34,6 +34,7 @@
             }
             return;
         }
+        spec.bound_estimates();
         let excess = self.exceeds_weight(account.as_ref());
         if let Some(pause) = self.refuse(queue, &spec, excess) {
             self.log(Decision::Refused {
--- a/crates/decide/src/batch/scheduler/store.rs
+++ b/crates/decide/src/batch/scheduler/store.rs
@@ -20,13 +20,23 @@
         for (id, progress) in stored.blocks {
             blocks.entry(id.step.job).or_default().push((id, progress));
         }
-        for (id, record) in stored.jobs {
+        let mut bounded = Vec::new();
+        for (id, mut record) in stored.jobs {
+            if let Record::Open(submission) = &mut record
+                && submission.spec.bound_estimates()
+            {
+                bounded.push(id);
+            }
             let own = match &record {
                 Record::Open(_) => blocks.remove(&id),
                 Record::Ended(..) => None,
             };
             self.restore_job(id, record, &own.unwrap_or_default());
         }
+        if let Some(&job) = bounded.first() {
+            let jobs = bounded.len();
+            self.log(Decision::EstimatesBounded { job, jobs });
+        }
         // The jobs of the remaining blocks have ended.
         for (id, _) in blocks.into_values().flatten() {
             self.journal.record(Row::Block(id), None);
--- a/crates/decide/src/batch/spec.rs
+++ b/crates/decide/src/batch/spec.rs
@@ -16,6 +16,11 @@
 /// The maximum number of occurrences of a job.
 pub const MAX_OCCURRENCES: u16 = u16::MAX / OCCURRENCE_STEPS;
 
+/// The longest estimate of how long a task runs that is used. Estimates near the largest duration
+/// that can be expressed would end the arithmetic of ranks at the same value, and a job in time would count as
+/// worthless.
+pub const MAX_ESTIMATE: Duration = Duration::from_secs(30 * 24 * 60 * 60);
+
 /// Why a job can't be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
@@ -167,6 +172,16 @@
         Ok(())
     }
 
+    /// Lowers estimates that are longer than [`MAX_ESTIMATE`]. Returns whether there were any.
+    pub fn bound_estimates(&mut self) -> bool {
+        let mut bounded = false;
+        for step in &mut self.steps {
+            bounded |= step.estimate > MAX_ESTIMATE;
+            step.estimate = step.estimate.min(MAX_ESTIMATE);
+        }
+        bounded
+    }
+
     /// Returns a step by its number, or `None` if the number is unused. Each occurrence of the job
     /// has its own range of numbers, most of which are unused.
     pub fn step(&self, number: usize) -> Option<&Step> {
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -114,6 +114,10 @@
             info!(log, "worker restarted"; "worker" => %worker, "unsettled" => unsettled,
                 "epoch" => epoch);
         }
+        Decision::EstimatesBounded { job, jobs } => {
+            warn!(log, "estimates of stored jobs lowered"; "job" => %job, "jobs" => jobs,
+                "epoch" => epoch);
+        }
         Decision::CheckpointsOmitted { block } => {
             warn!(log, "checkpoints left out of a row"; "step" => %block.step,
                 "block" => block.number, "epoch" => epoch);
