Hands on the authority of all earlier leaders

After a leader that was cut off, a second one that released its row soon after its claim, and a third one, tasks that the first leader had started could be started again: the third one counted on 2 s, which is what instances may still renew for the second, although the first could give orders for up to 3.5 s more.

The leader's row now states with each write how long the leaders before its own may still give orders, and a successor waits for the longer of the two. No row counts for more than 4 s. Rows of earlier builds are read. `leadership claimed` logs it as `inherited_ms`.

--- a/crates/server/src/cluster/election.rs
+++ b/crates/server/src/cluster/election.rs
@@ -255,11 +255,13 @@
             authority_left: self.authority_left(),
             was_slow: matches!(&self.view.leader, Some(row) if row.term == Term::Yielded),
         };
-        let Some((writer, sent)) = self.claim().await else {
+        let inherited_until = clock::now().after(predecessor.authority_left);
+        let Some((writer, sent)) = self.claim(inherited_until).await else {
             return;
         };
         let epoch = writer.row().epoch;
-        info!(self.context.log, "leadership claimed"; "epoch" => epoch, "before" => version);
+        info!(self.context.log, "leadership claimed"; "epoch" => epoch, "before" => version,
+            "inherited_ms" => predecessor.authority_left.as_millis() as u64);
         self.leadership.send_replace(Leadership::Unknown);
         let reason = self
             .serve_term(writer, sent, predecessor, config, leaving)
@@ -348,18 +350,30 @@
         }
     }
 
-    /// Returns how long the leader in the row as last read may still give orders.
+    /// Returns how long the leader in the row as last read, or one before it, may still give orders.
     fn authority_left(&self) -> Duration {
-        match &self.view.leader {
+        let Some(row) = &self.view.leader else {
+            return Duration::ZERO;
+        };
+        // No leader has more, whatever another writer's row states.
+        let inherited = Duration::from_millis(row.inherited_ms).min(AUTHORITY_DURATION);
+        let inherited = inherited.saturating_sub(clock::now().since(self.view.since));
+        self.own_authority_left(row).max(inherited)
+    }
+
+    /// Returns how long the leader in the row may still give orders.
+    fn own_authority_left(&self, row: &LeaderRow) -> Duration {
+        match row.term {
             // It released its authority, or it was an earlier process of this instance, which is
             // dead. Instances that renew workers for it may still do so for a moment.
-            Some(row) if matches!(row.term, Term::Released | Term::Yielded) => MAX_GRANT,
-            Some(row) if row.term == Term::Leading && self.is_previous_process(row) => MAX_GRANT,
+            Term::Released | Term::Yielded => MAX_GRANT,
+            Term::Leading if self.is_previous_process(row) => MAX_GRANT,
             // A claimant that took no calls says nothing of the leader before it, whose last write is
             // older than this version.
             // Its last write was stored before this version of the row was first seen.
-            Some(_) => AUTHORITY_DURATION.saturating_sub(clock::now().since(self.view.since)),
-            None => Duration::ZERO,
+            Term::Leading | Term::Recovering | Term::Aborted => {
+                AUTHORITY_DURATION.saturating_sub(clock::now().since(self.view.since))
+            }
         }
     }
 
@@ -373,7 +387,7 @@
         (self.store_latency >= REMOTE_LATENCY).then(|| REMOTE_TERM.saturating_mul(factor))
     }
 
-    async fn claim(&self) -> Option<(Writer, Time)> {
+    async fn claim(&self, inherited_until: Time) -> Option<(Writer, Time)> {
         // Each epoch took a write, so no leader before a row that can't be read had a later one than
         // its version.
         let before = self.view.leader.as_ref();
@@ -385,11 +399,13 @@
             epoch: epoch + 1,
             write: 0,
             term: Term::Recovering,
+            inherited_ms: 0,
         };
         Writer::claim(
             &self.context.store,
             row,
             self.view.version,
+            inherited_until,
             &self.context.log,
         )
         .await
--- a/crates/server/src/cluster/writer.rs
+++ b/crates/server/src/cluster/writer.rs
@@ -90,6 +90,33 @@
     pub(super) write: u64,
     /// What the instance does with the leadership.
     pub(super) term: Term,
+    /// How long after this write the leaders before it may still give orders, in milliseconds.
+    pub(super) inherited_ms: u64,
+}
+
+/// The leader's row of earlier builds, which did not tell of the leaders before it.
+#[derive(Deserialize)]
+struct EarlierRow {
+    name: Name,
+    incarnation: u64,
+    address: SocketAddr,
+    epoch: u64,
+    write: u64,
+    term: Term,
+}
+
+impl From<EarlierRow> for LeaderRow {
+    fn from(earlier: EarlierRow) -> LeaderRow {
+        LeaderRow {
+            name: earlier.name,
+            incarnation: earlier.incarnation,
+            address: earlier.address,
+            epoch: earlier.epoch,
+            write: earlier.write,
+            term: earlier.term,
+            inherited_ms: 0,
+        }
+    }
 }
 
 /// The part of its term that a leader is in.
@@ -110,7 +137,8 @@
 impl LeaderRow {
     /// Reads the leader's row. Returns `None` if it is missing or invalid.
     pub(super) fn read(row: &Row) -> Option<LeaderRow> {
-        read(row).ok()
+        let earlier = || Some(read::<EarlierRow>(row).ok()?.into());
+        read(row).ok().or_else(earlier)
     }
 }
 
@@ -208,11 +236,14 @@
     row: LeaderRow,
     /// The version of the leader's row.
     version: u64,
+    /// Until when the leaders before this one may give orders.
+    inherited_until: Time,
     log: Arc<Logger>,
 }
 
 impl Writer {
-    /// Claims the leadership by replacing the given version of the leader's row.
+    /// Claims the leadership by replacing the given version of the leader's row. The leaders before may
+    /// give orders until `inherited_until`.
     ///
     /// Returns the writer and when the write was sent, or `None` if another instance came first or
     /// the outcome is unknown.
@@ -220,12 +251,14 @@
         store: &Store,
         row: LeaderRow,
         version: u64,
+        inherited_until: Time,
         log: &Logger,
     ) -> Option<(Writer, Time)> {
         let mut writer = Writer {
             store: store.clone(),
             row,
             version,
+            inherited_until,
             log: Arc::new(log.clone()),
         };
         let sent = clock::now();
@@ -335,9 +368,15 @@
     }
 
     fn transaction(&self, batch: &Batch) -> Transaction {
+        let inherited = self.inherited_until.since(clock::now());
+        let row = LeaderRow {
+            // Rounded up, so that no authority is cut short.
+            inherited_ms: u64::try_from(inherited.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
+            ..self.row.clone()
+        };
         let mut transaction = Transaction {
             conditions: vec![(TABLE, LEADER.to_owned(), self.version)],
-            puts: vec![(TABLE, LEADER.to_owned(), encode(&self.row))],
+            puts: vec![(TABLE, LEADER.to_owned(), encode(&row))],
             removals: batch.removals.clone(),
         };
         transaction.puts.extend_from_slice(&batch.puts);
