Reads the memory and the file descriptors that a process may use

The settings said nothing of either, so no bound for callers could be derived from them. Nothing uses them yet.

--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -14,6 +14,13 @@
 pub use document::{Error, Fault};
 pub(crate) use unit::duration;
 
+/// The smallest usable memory of a process. Without load a process takes about a third of it.
+const MIN_MEMORY_BYTES: u64 = 32 << 20;
+
+/// The smallest usable number of file descriptors. Connections to the platform, to peers and to workers
+/// may take half of them.
+const MIN_DESCRIPTORS: u64 = 256;
+
 /// All settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -66,6 +73,10 @@
     pub patience: Duration,
     /// The maximum patience; a longer one is reduced to it.
     pub max_patience: Duration,
+    /// The memory that the server may use, in bytes.
+    pub memory: u64,
+    /// How many file descriptors the server may have open.
+    pub descriptors: u64,
 }
 
 /// Intervals and timeouts.
@@ -150,6 +161,8 @@
                     "max_patience",
                     Duration::from_secs(86_400),
                 ),
+                memory: document.bytes("limits", "memory", 2 << 30),
+                descriptors: document.count("limits", "descriptors", 8_192),
             },
             timing: Timing {
                 lease: document.duration("timing", "lease", Duration::from_secs(10)),
@@ -198,6 +211,12 @@
                 document.conflict("timing", key, "give more than zero");
             }
         }
+        if limits.memory < MIN_MEMORY_BYTES {
+            document.conflict("limits", "memory", "give 32MiB or more");
+        }
+        if limits.descriptors < MIN_DESCRIPTORS {
+            document.conflict("limits", "descriptors", "give 256 or more");
+        }
         if limits.body == 0 {
             document.conflict("limits", "body", "give more than zero");
         }
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::Signal;
 
 use super::document::{Document, Error};
-use super::{Server, load_text};
+use super::{MIN_DESCRIPTORS, MIN_MEMORY_BYTES, Server, load_text};
 
 /// The section that only the settings of an instance on the users' platform have.
 const SECTION: &str = "cluster";
@@ -49,6 +49,10 @@
     pub millicores: u64,
     /// The speed of the instance's network link in kbit/s.
     pub link_kbps: u64,
+    /// The memory that the instance may use, in bytes.
+    pub memory_bytes: u64,
+    /// How many file descriptors the instance may have open.
+    pub descriptors: u64,
 }
 
 impl Settings {
@@ -104,6 +108,8 @@
             grace: document.duration(SECTION, "grace", Duration::from_secs(6)),
             millicores: document.millicores(SECTION, "cores", 1_000),
             link_kbps: document.megabits(SECTION, "link", 1_000_000),
+            memory_bytes: document.bytes(SECTION, "memory", 512 << 20),
+            descriptors: document.count(SECTION, "descriptors", 8_192),
         };
         for (key, duration) in [
             ("lease", settings.lease),
@@ -117,6 +123,12 @@
         if settings.row_bytes < MIN_ROW_BYTES {
             document.conflict(SECTION, "row_bytes", "give 16384 or more");
         }
+        if settings.memory_bytes < MIN_MEMORY_BYTES {
+            document.conflict(SECTION, "memory", "give 32MiB or more");
+        }
+        if settings.descriptors < MIN_DESCRIPTORS {
+            document.conflict(SECTION, "descriptors", "give 256 or more");
+        }
         for (key, value) in [("cores", settings.millicores), ("link", settings.link_kbps)] {
             if value == 0 {
                 document.conflict(SECTION, key, "give more than zero");
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -239,6 +239,14 @@
             .unwrap_or(default)
     }
 
+    /// Reads a whole number.
+    pub(super) fn count(&mut self, section: &'static str, key: &'static str, default: u64) -> u64 {
+        self.optional(section, key, "give a whole number", |text| {
+            text.parse().ok()
+        })
+        .unwrap_or(default)
+    }
+
     /// Reports an entry that conflicts with another or is out of range.
     pub(super) fn conflict(&mut self, section: &str, key: &str, remedy: &str) {
         let entry_key = (section.to_owned(), key.to_owned());
--- a/crates/server/tests/settings_file.rs
+++ b/crates/server/tests/settings_file.rs
@@ -77,6 +77,16 @@
     insta::assert_snapshot!(faults, @"e1.ini:11: [cluster] gang_wait: clashes with another setting; give 1s or more");
 }
 
+/// Guards against bounds below what a process needs by itself, which would leave no room for callers.
+#[test]
+fn small_bounds() {
+    let text = VALID.to_owned() + "\n[limits]\nmemory = 16MiB\ndescriptors = 255\n";
+    insta::assert_snapshot!(faults(&text), @r"
+    s1.ini:14: [limits] memory: clashes with another setting; give 32MiB or more
+    s1.ini:15: [limits] descriptors: clashes with another setting; give 256 or more
+    ");
+}
+
 #[test]
 fn duplicate_key() {
     let text = VALID.replace("region = ch-north", "region = ch-north\nregion = ch-west");
