Counts unknown methods and queues under one name, and logs long paths cut

Callers choose the method of a call, the name of a queue and the path. Each method and each queue's name became a value of a metric, which is kept for good, and each path was kept whole in the queue of the log's lines; all may be as long as a head. Methods other than those served are counted and logged as `other`, queues that don't exist as `unknown`, and 256 characters of a path are logged.

methods_in_metrics and queues_in_metrics fail on the code before and pass now.

--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -50,6 +50,9 @@
 /// The length of the head of a call and of an answer without the headers that are counted.
 const HEAD_BYTES: u64 = 150;
 
+/// How much of a path is logged. Lines wait in a queue of 4,096, and a path may be as long as a head.
+const LOGGED_PATH_CHARS: usize = 256;
+
 /// The answer to a client.
 struct Outcome {
     status: StatusCode,
@@ -71,7 +74,8 @@
 }
 
 async fn handle(Extension(context): Extension<Context>, request: Request) -> Response {
-    let _guard = context.pending.calls.enter(kind(request.method()));
+    let method = kind(request.method());
+    let _guard = context.pending.calls.enter(method);
     let begun = Instant::now();
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
@@ -81,7 +85,7 @@
     let sent = HEAD_BYTES + outcome.body.len() as u64;
     context.counts.count_bytes(CLIENT_KIND, sent, received);
     let labels = [
-        KeyValue::new("method", parts.method.to_string()),
+        KeyValue::new("method", method),
         KeyValue::new("status", i64::from(outcome.status.as_u16())),
     ];
     let seconds = begun.elapsed().as_secs_f64();
@@ -93,15 +97,17 @@
             .borrow()
             .as_ref()
             .map(|config| config.version);
+        let path: String = path.chars().take(LOGGED_PATH_CHARS).collect();
         info!(context.log, "call answered";
-            "path" => path, "method" => %parts.method, "status" => outcome.status.as_u16(),
+            "path" => path, "method" => method, "status" => outcome.status.as_u16(),
             "configuration" => version, "micros" => begun.elapsed().as_micros() as u64);
     }
     let leaving = *context.phase.borrow() >= Phase::Leaving;
     respond(outcome, leaving)
 }
 
-/// Returns the kind under which a call counts as in flight.
+/// Returns the method of a call as it is counted. Clients may send any word as a method, and each would
+/// be a value of its own.
 fn kind(method: &Method) -> &'static str {
     match *method {
         Method::GET => "GET",
--- a/crates/server/src/request/http.rs
+++ b/crates/server/src/request/http.rs
@@ -27,6 +27,9 @@
 use crate::process::stop::{Guard, Phase};
 use crate::process::{Process, dump};
 
+/// The queue under which requests to queues that don't exist are counted.
+const UNKNOWN_QUEUE: &str = "unknown";
+
 /// Builds the routes for callers, operators and monitoring.
 pub fn routes(process: Process) -> Router {
     api::routes(Router::new())
@@ -50,12 +53,16 @@
     let outcome = serve(&process, &queue, request).await;
     process.metrics.inflight.add(-1, &[]);
     let ran: &'static str = outcome.ran().into();
+    // Callers may send any name, and each would be a value of its own.
+    let is_known = process.snapshot.borrow().queue(&queue).is_some();
+    let label = if is_known {
+        queue
+    } else {
+        UNKNOWN_QUEUE.to_owned()
+    };
     process.metrics.requests.add(
         1,
-        &[
-            KeyValue::new("queue", queue.clone()),
-            KeyValue::new("ran", ran),
-        ],
+        &[KeyValue::new("queue", label), KeyValue::new("ran", ran)],
     );
     if let Some(task) = &outcome.task {
         let seconds = received_at.elapsed().as_secs_f64();
--- a/crates/server/tests/client_bounds.rs
+++ b/crates/server/tests/client_bounds.rs
@@ -8,7 +8,7 @@
 use anyhow::{Context, Result};
 use azurepath_standin::cluster::{KEY, PATH_PREFIX};
 use support::cluster::{Cluster, address, id, job_body, status, submit_until};
-use support::{Process, TestEnv, until};
+use support::{Process, TestEnv, get, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
@@ -276,3 +276,35 @@
     assert_eq!(&answer, b"HTTP/1.1 200");
     Ok(())
 }
+
+/// Guards against words of callers that become values of a metric, each of which takes memory for good.
+#[tokio::test]
+async fn methods_in_metrics() -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let cluster = Cluster::start(1)?;
+    let instance = cluster.instance("a").await?;
+    let metrics = address(&instance, "metrics")?;
+    let mut stream = TcpStream::connect(instance.http).await?;
+    stream
+        .write_all(b"STRANGE /checks/ HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await?;
+    stream.read_exact(&mut [0; 12]).await?;
+    let text = get(metrics, "/metrics").await?.text();
+    assert!(text.contains("method=\"other\""), "{text}");
+    assert!(!text.contains("STRANGE"), "{text}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn queues_in_metrics() -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let env = TestEnv::start().await?;
+    let server = env.server("s1", "a", "r").await?;
+    server.ready().await?;
+    let answer = server.submit("strange", "x", &[]).await?;
+    assert_eq!(answer.status, 404);
+    let text = get(server.http, "/metrics").await?.text();
+    assert!(text.contains("queue=\"unknown\""), "{text}");
+    assert!(!text.contains("strange"), "{text}");
+    Ok(())
+}
