--- a/crates/server/src/cluster/client.rs
+++ b/crates/server/src/cluster/client.rs
@@ -10,7 +10,6 @@
 use azurepath_platform::{entry, job};
 use azurepath_wire::batch::{Call, Reply};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use opentelemetry::KeyValue;
 use slog::info;
 use tokio::sync::watch;
@@ -23,11 +22,9 @@
 
 use super::Context;
 use crate::connection::call::Failure;
+use crate::process::http::body::{self, Fault};
 use crate::process::stop::Phase;
 
-/// The maximum size of a request body in bytes.
-const MAX_BODY_BYTES: usize = 256 * 1024;
-
 /// How long a client waits for an answer, unless its request says otherwise.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -53,6 +50,9 @@
 /// The length of the head of a call and of an answer without the headers that are counted.
 const HEAD_BYTES: u64 = 150;
 
+/// How much of a path is logged. Lines wait in a queue of 4,096, and a path may be as long as a head.
+const LOGGED_PATH_CHARS: usize = 256;
+
 /// The answer to a client.
 struct Outcome {
     status: StatusCode,
@@ -74,7 +74,8 @@
 }
 
 async fn handle(Extension(context): Extension<Context>, request: Request) -> Response {
-    let _guard = context.pending.calls.enter(kind(request.method()));
+    let method = kind(request.method());
+    let _guard = context.pending.calls.enter(method);
     let begun = Instant::now();
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
@@ -84,7 +85,7 @@
     let sent = HEAD_BYTES + outcome.body.len() as u64;
     context.counts.count_bytes(CLIENT_KIND, sent, received);
     let labels = [
-        KeyValue::new("method", parts.method.to_string()),
+        KeyValue::new("method", method),
         KeyValue::new("status", i64::from(outcome.status.as_u16())),
     ];
     let seconds = begun.elapsed().as_secs_f64();
@@ -96,15 +97,17 @@
             .borrow()
             .as_ref()
             .map(|config| config.version);
+        let path: String = path.chars().take(LOGGED_PATH_CHARS).collect();
         info!(context.log, "call answered";
-            "path" => path, "method" => %parts.method, "status" => outcome.status.as_u16(),
+            "path" => path, "method" => method, "status" => outcome.status.as_u16(),
             "configuration" => version, "micros" => begun.elapsed().as_micros() as u64);
     }
     let leaving = *context.phase.borrow() >= Phase::Leaving;
     respond(outcome, leaving)
 }
 
-/// Returns the kind under which a call counts as in flight.
+/// Returns the method of a call as it is counted. Clients may send any word as a method, and each would
+/// be a value of its own.
 fn kind(method: &Method) -> &'static str {
     match *method {
         Method::GET => "GET",
@@ -171,13 +174,16 @@
 ) -> Result<Outcome, Outcome> {
     let timeout = entry::timeout_ms(headers).map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let deadline = Instant::now() + timeout.mul_f64(TIMEOUT_FRACTION);
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body::read(body, context.gate.limits().body_bytes).await;
+    if body == Err(Fault::Full) {
+        return Err(Outcome::unavailable(RETRY_AFTER_S));
+    }
     let config = context.config.borrow().clone();
     let config = config.ok_or_else(|| Outcome::unavailable(RETRY_AFTER_S))?;
     let (queue, caller) = authorize(&config, path, headers)?;
     let body =
         body.map_err(|_| Outcome::invalid("the body is too long or was cut; send it anew"))?;
-    let command = parse(method, &path[queue.prefix.len()..], &body.to_bytes())?;
+    let command = parse(method, &path[queue.prefix.len()..], &body)?;
     let call = match &command {
         Command::Submit(job, spec) => Call::Submit {
             job: *job,
