Lets steps wait for the rack in which they run faster

Callers whose data are in a busy rack, or whose tasks want one rack, saw their tasks start at once on any worker with room. There they run up to twice as long, miss their time and take the capacity of others for longer.

Placement knew the preference only as an order of workers. With the new setting `remote_slowdown` a step that finds too little room near, and room elsewhere, now waits if enough places are expected near in less time than running elsewhere costs. The wait is bounded by 1.5 s and the latest start, counts from the time at which the step was due, holds no capacity and doesn't begin again. Run times are recorded as those of near tasks, since slow ones made later steps seem to have no time to wait. Questions to the advice service cover the preferred racks first, and tickets there are renewed while a step waits. Without the setting nothing changes.

--- a/crates/decide/src/batch.rs
+++ b/crates/decide/src/batch.rs
@@ -15,6 +15,7 @@
 pub mod id;
 pub mod job;
 mod journal;
+pub mod locality;
 pub mod order;
 pub mod record;
 pub mod report;
--- a/crates/decide/src/batch/event.rs
+++ b/crates/decide/src/batch/event.rs
@@ -7,6 +7,7 @@
 use crate::name::Name;
 
 use super::advice::Question;
+use super::locality::Placement;
 use super::record::{BlockId, Row};
 use super::report::Outcome;
 use super::{Attempt, JobId, StepId};
@@ -105,6 +106,8 @@
     /// The workers that may run the step have too little free capacity.
     #[strum(serialize = "room")]
     Capacity,
+    /// It waits for a rack in which its tasks run faster.
+    Near,
 }
 
 /// What shows that a run does not run although its end was not reported.
@@ -169,6 +172,19 @@
         eligible: usize,
         /// The time since its job was accepted.
         age: Duration,
+        /// How long it waits at most, if that is bounded.
+        at_most: Option<Duration>,
+    },
+    /// Tasks that run faster in some racks were ordered to start.
+    Located {
+        /// The step.
+        step: StepId,
+        /// Where they were started.
+        placement: Placement,
+        /// How many tasks.
+        tasks: usize,
+        /// How long the step has waited for such a rack.
+        waited: Duration,
     },
     /// Tasks of a step were ordered to start.
     Started {
--- a/crates/decide/src/batch/job.rs
+++ b/crates/decide/src/batch/job.rs
@@ -10,6 +10,7 @@
 use super::caller::Caller;
 use super::event::Cause;
 use super::id::OCCURRENCE_STEPS;
+use super::locality::Wait;
 use super::order::Times;
 use super::record::{self, BLOCK_TASKS, BlockId, Progress, Record, Submission, Submitter};
 use super::report::Running;
@@ -78,6 +79,12 @@
     pub reserved: Vec<usize>,
     /// The time until which the capacity is reserved.
     pub reserved_until: Time,
+    /// Its wait for a rack in which its tasks run faster.
+    pub wait: Wait,
+    /// When placement first visited it, if its tasks run faster in some racks.
+    pub visited: Option<Time>,
+    /// Whether tasks were started elsewhere than in the rack in which they run faster.
+    pub spread: bool,
 }
 
 /// The answers of the advice service about a step.
@@ -123,6 +130,8 @@
     pub saved: f64,
     /// The fraction of the work that was done at the last report.
     pub progress: f64,
+    /// When that was reported.
+    pub progress_at: Time,
     /// The worker on which it failed last.
     pub avoid: Option<usize>,
 }
--- a/crates/decide/src/batch/scheduler.rs
+++ b/crates/decide/src/batch/scheduler.rs
@@ -8,6 +8,7 @@
 mod end;
 mod gang;
 mod intake;
+mod locality;
 mod place;
 mod question;
 mod ranking;
@@ -43,6 +44,7 @@
 
 use account::Account;
 use assembly::Assembly;
+use locality::Held;
 use ranking::Ranking;
 use reach::Reaches;
 use restart::Unsettled;
@@ -73,6 +75,9 @@
     pub gang_wait: Duration,
     /// How long tasks run at most on a worker whose lease nobody renews.
     pub longest_lease: Duration,
+    /// The factor on the run time of tasks that run outside the rack with their data, or on several
+    /// racks where one is wanted; without it, nothing waits for such a rack.
+    pub remote_slowdown: Option<f64>,
 }
 
 impl Setup {
@@ -144,6 +149,8 @@
     unsettled: BTreeMap<Attempt, Unsettled>,
     /// The steps for which capacity is reserved.
     reservations: BTreeSet<StepId>,
+    /// The steps with tasks that wait for a rack.
+    held: BTreeMap<StepId, Held>,
     /// Gangs that were ordered to start and may still be incomplete.
     assembling: BTreeMap<StepId, Assembly>,
     /// Number of instances that query the advice service.
@@ -208,6 +215,7 @@
             stopping: BTreeMap::new(),
             unsettled: BTreeMap::new(),
             reservations: BTreeSet::new(),
+            held: BTreeMap::new(),
             assembling: BTreeMap::new(),
             advice_instances: 1,
             eligible_fraction: Map::default(),
--- a/crates/decide/src/batch/scheduler/end.rs
+++ b/crates/decide/src/batch/scheduler/end.rs
@@ -1,8 +1,12 @@
 //! Ends of attempts and their effect on tasks and jobs.
 
+use std::time::Duration;
+
 use super::super::event::{Decision, Evidence};
 use super::super::job::{Place, Task};
 use super::super::journal::Deferred;
+use super::super::locality::Wait;
+use super::super::order;
 use super::super::record::Row;
 use super::super::report::{End, Outcome};
 use super::super::{Attempt, JobId, State};
@@ -81,7 +85,7 @@
                 self.record_outcome(index, id, false);
                 if let Some(since) = since.filter(|_| !inherited) {
                     let ran = self.now.since(since);
-                    self.record_duration(&end.attempt, ran);
+                    self.record_duration(index, &end.attempt, ran);
                 }
                 self.complete_task(&end.attempt);
             }
@@ -149,9 +153,14 @@
         self.journal.record(row, Some(deferred));
     }
 
-    fn record_duration(&mut self, attempt: &Attempt, ran: std::time::Duration) {
+    /// Records the run time of a task. Expected run times are those near the task's data or group.
+    fn record_duration(&mut self, index: usize, attempt: &Attempt, ran: Duration) {
         if let Some(job) = self.jobs.get(&attempt.task.step.job) {
             let queue = job.queue.clone();
+            let ran = match self.slowdown_on(job, attempt, &self.workers[index]) {
+                Some(slowdown) => order::scaled(ran, 1.0 / slowdown),
+                None => ran,
+            };
             self.task_durations.entry(queue).or_default().record(ran);
         }
     }
@@ -187,6 +196,9 @@
         }
         if step.remaining == 0
             && let Some(started) = step.started.take()
+            // Steps that have waited for a rack or have run elsewhere take longer than one that is near.
+            && !step.spread
+            && step.wait == Wait::None
         {
             let queue = job.queue.clone();
             let step_time = self.now.since(started);
--- a/crates/decide/src/batch/scheduler/gang.rs
+++ b/crates/decide/src/batch/scheduler/gang.rs
@@ -31,7 +31,12 @@
             self.start_reserved(candidate, &reserved);
             return true;
         }
-        let targets = self.targets(candidate);
+        let scope = self.scope(candidate, waiting.len());
+        if scope.held > 0 {
+            self.prepare_near(candidate, &waiting);
+            return true;
+        }
+        let targets = self.targets_within(candidate, scope.rack.as_ref());
         if targets.count() < count {
             // Late gangs may reserve workers too, since that holds back only steps of lower rank.
             // Wide gangs would otherwise never fit.
--- a/crates/decide/src/batch/scheduler/place.rs
+++ b/crates/decide/src/batch/scheduler/place.rs
@@ -131,6 +131,7 @@
         self.release_overdue();
         self.visits.begin_full_pass();
         self.reaches.clear();
+        self.clear_held();
         self.rebuild_ranking();
         let schedulable = self.schedulable().count() as f64;
         self.worker_reservations_left = (schedulable * MAX_RESERVED_FRACTION) as usize;
@@ -259,6 +260,7 @@
     /// counts as a failed placement of its queue.
     fn place_step(&mut self, candidate: &Candidate<'_>) -> bool {
         let id = candidate.id;
+        self.note_visit(candidate);
         if candidate.queue.advice.is_some() && !self.has_advice(id) {
             self.log_cause(id, Cause::Advice, 0);
             return self.ask_without_advice(candidate);
@@ -293,12 +295,18 @@
             }
             self.unreserve(id.job, number);
         }
-        let starts = self.targets(candidate).assign(&waiting, true);
+        let scope = self.scope(candidate, waiting.len());
+        let held = waiting.split_off(waiting.len() - scope.held);
+        let targets = self.targets_within(candidate, scope.rack.as_ref());
+        let starts = targets.assign(&waiting, true);
         let started = starts.len();
         if started > 0 {
             self.start(id, &starts);
         }
         if started == waiting.len() {
+            if !held.is_empty() {
+                self.prepare_near(candidate, &held);
+            }
             return true;
         }
         let places = self.targets(candidate).assign(&waiting[started..], false);
@@ -346,6 +354,7 @@
             fitting,
             eligible,
             age,
+            at_most: None,
         });
     }
 
--- a/crates/decide/src/batch/scheduler/question.rs
+++ b/crates/decide/src/batch/scheduler/question.rs
@@ -214,6 +214,7 @@
             .copied()
             .unwrap_or(DEFAULT_ELIGIBLE_FRACTION);
         let needed = f64::from(step.count) * SPARE_CAPACITY_FACTOR / eligible;
+        self.sort_by_rack(step, &mut workers, fitting, needed);
         let mut expected = 0.0;
         let mut count = 0;
         for &worker in &workers {
@@ -415,6 +416,6 @@
     }
 }
 
-fn question_duration(timing: &AdviceTiming, workers: usize) -> Duration {
+pub(super) fn question_duration(timing: &AdviceTiming, workers: usize) -> Duration {
     timing.base + timing.per_worker * u32::try_from(workers).unwrap_or(u32::MAX)
 }
--- a/crates/decide/src/batch/scheduler/ranking.rs
+++ b/crates/decide/src/batch/scheduler/ranking.rs
@@ -191,7 +191,7 @@
 
     /// Returns when a step's occurrence was due: at its scheduled time, or when its job was
     /// accepted if that was later.
-    fn due_time(&self, job: &Job, number: usize) -> Time {
+    pub(super) fn due_time(&self, job: &Job, number: usize) -> Time {
         let due_ms = job.spec.as_ref().map_or(0, |spec| spec.due_ms(number));
         let late = Duration::from_millis(self.wall_ms().saturating_sub(due_ms));
         let late = u64::try_from(late.as_micros()).unwrap_or(u64::MAX);
--- a/crates/decide/src/batch/scheduler/start.rs
+++ b/crates/decide/src/batch/scheduler/start.rs
@@ -31,6 +31,7 @@
         };
         let (payload, size, booked) = (spec.payload.clone(), step.size, step.booked());
         let (gang, purpose) = (step.gang, step.purpose);
+        let spec_step = step.clone();
         let account = job.account.clone();
         let age = self.now.since(job.accepted);
         let step = &mut job.steps[number];
@@ -82,6 +83,8 @@
             age,
         };
         self.log(decision);
+        let workers: Vec<usize> = tasks.iter().map(|(_, worker)| *worker).collect();
+        self.record_placement(id, &spec_step, &workers);
         if gang {
             self.begin_assembly(id, tasks.len(), shared.is_some());
         }
--- a/crates/decide/src/batch/scheduler/target.rs
+++ b/crates/decide/src/batch/scheduler/target.rs
@@ -65,11 +65,11 @@
 pub(super) struct Target {
     pub(super) worker: usize,
     /// How many of the tasks fit.
-    count: u64,
+    pub(super) count: u64,
     /// Lower is better.
     score: f64,
     /// Whether the step has a valid ticket for the worker or needs none.
-    ticket_valid: bool,
+    pub(super) ticket_valid: bool,
 }
 
 /// The workers with free capacity for tasks of a step, the best first.
@@ -77,6 +77,19 @@
 pub(super) struct Targets(Vec<Target>);
 
 impl Targets {
+    /// Returns the workers.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.0.iter()
+    }
+
+    /// Returns those in one rack.
+    #[must_use]
+    pub(super) fn within(mut self, workers: &[Worker], rack: &Name) -> Targets {
+        self.0
+            .retain(|target| workers[target.worker].entry.rack == *rack);
+        self
+    }
+
     /// Returns how many workers there are.
     pub(super) fn len(&self) -> usize {
         self.0.len()
@@ -105,6 +118,15 @@
 }
 
 impl Scheduler {
+    /// Returns the workers with free capacity for tasks of a step in the rack to which it is confined.
+    pub(super) fn targets_within(&self, candidate: &Candidate<'_>, rack: Option<&Name>) -> Targets {
+        let targets = self.targets(candidate);
+        match rack {
+            Some(rack) => targets.within(&self.workers, rack),
+            None => targets,
+        }
+    }
+
     /// Returns the workers with free capacity for tasks of a step, ordered by best fit: those first
     /// on which the least capacity is left over.
     pub(super) fn targets(&self, candidate: &Candidate<'_>) -> Targets {
@@ -133,6 +155,12 @@
             // The loss of any of its workers ends a gang, so it uses as few as possible.
             targets.sort_by_key(|target| Reverse(target.count));
         }
+        if let Some(near) = &candidate.step.near
+            && candidate.step.gang
+            && self.setup.remote_slowdown.is_some()
+        {
+            targets.sort_by_key(|target| self.workers[target.worker].entry.rack != *near);
+        }
         if candidate.step.same_rack {
             self.prefer_one_rack(&mut targets, u64::from(candidate.step.count));
         }
--- a/crates/decide/src/batch/scheduler/worker.rs
+++ b/crates/decide/src/batch/scheduler/worker.rs
@@ -206,6 +206,7 @@
             return;
         };
         task.record_progress(running);
+        task.progress_at = now;
         match &mut task.place {
             Place::On {
                 worker, run, phase, ..
--- a/crates/decide/tests/store_rows.rs
+++ b/crates/decide/tests/store_rows.rs
@@ -86,6 +86,7 @@
         takeover_grace: Duration::ZERO,
         gang_wait: GANG_WAIT,
         longest_lease: LONGEST_LEASE,
+        remote_slowdown: None,
     };
     Scheduler::new(setup, Time::from_millis(1_000), config, stored)
 }
--- a/crates/decide/tests/support/batch/bench.rs
+++ b/crates/decide/tests/support/batch/bench.rs
@@ -170,6 +170,7 @@
         takeover_grace: grace,
         gang_wait: GANG_WAIT,
         longest_lease: LONGEST_LEASE,
+        remote_slowdown: None,
     };
     Scheduler::new(setup, now, Arc::new(config), stored)
 }
@@ -195,6 +196,7 @@
             takeover_grace: Duration::ZERO,
             gang_wait: GANG_WAIT,
             longest_lease: LONGEST_LEASE,
+            remote_slowdown: None,
         };
         let now = Time::from_millis(1_000);
         let mut bench = Bench {
--- a/crates/decide/tests/support/batch/world/leader.rs
+++ b/crates/decide/tests/support/batch/world/leader.rs
@@ -56,6 +56,7 @@
             takeover_grace: inherited_until.since(now),
             gang_wait: GANG_WAIT,
             longest_lease: LONGEST_LEASE,
+            remote_slowdown: None,
         };
         let leader = Leader {
             scheduler: Scheduler::new(setup, now, config(), self.store.read()),
--- a/crates/decide/tests/support/load/mod.rs
+++ b/crates/decide/tests/support/load/mod.rs
@@ -195,6 +195,7 @@
             takeover_grace: Duration::ZERO,
             gang_wait: Duration::from_secs(3),
             longest_lease: Duration::from_secs(6),
+            remote_slowdown: None,
         };
         let now = Time::from_millis(1_000);
         let capacity = Size {
--- a/crates/server/src/cluster/decision.rs
+++ b/crates/server/src/cluster/decision.rs
@@ -59,10 +59,26 @@
             fitting,
             eligible,
             age,
+            at_most,
         } => {
             info!(log, "step waits"; "step" => %step, "cause" => %cause, "tasks" => tasks,
                 "fitting" => fitting, "eligible" => eligible,
-                "age_ms" => age.as_millis() as u64, "epoch" => epoch);
+                "age_ms" => age.as_millis() as u64,
+                "at_most_ms" => at_most.map(|wait| wait.as_millis() as u64), "epoch" => epoch);
+        }
+        Decision::Located {
+            step,
+            placement,
+            tasks,
+            waited,
+        } => {
+            metrics
+                .located
+                .add(*tasks as u64, &[kind(placement.to_string())]);
+            if !waited.is_zero() {
+                info!(log, "wait for rack ended"; "step" => %step, "where" => %placement,
+                    "tasks" => tasks, "waited_ms" => waited.as_millis() as u64, "epoch" => epoch);
+            }
         }
         Decision::Started {
             step,
--- a/crates/server/src/cluster/leader.rs
+++ b/crates/server/src/cluster/leader.rs
@@ -138,6 +138,7 @@
             epoch,
             origin_ms: clock::wall_ms().saturating_sub(now.0 / 1_000),
             gang_wait: context.settings().gang_wait,
+            remote_slowdown: context.settings().remote_slowdown,
             longest_lease: renewal::expiry_bound(context.settings().lease),
             takeover_grace: if epoch == 1 {
                 Duration::ZERO
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -50,6 +50,8 @@
     pub jobs: Counter<u64>,
     /// Orders to start a task, by whether the leader was confirmed recently.
     pub starts: Counter<u64>,
+    /// Started tasks that run faster in some racks, by whether they run in one.
+    pub located: Counter<u64>,
     /// Task runs that ended without completing their work, by outcome.
     pub ends: Counter<u64>,
     /// The time from a job's acceptance to the start of a step, in seconds.
@@ -113,6 +115,7 @@
         Cluster {
             jobs: counter("azurepath.jobs"),
             starts: counter("azurepath.task.starts"),
+            located: counter("azurepath.tasks.located"),
             ends: counter("azurepath.task.ends"),
             start_age: histogram("azurepath.start.age"),
             job_age: histogram("azurepath.job.age"),
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -49,6 +49,9 @@
     pub millicores: u64,
     /// The speed of the instance's network link in kbit/s.
     pub link_kbps: u64,
+    /// The factor on the run time of tasks that run outside the rack with their data, or on several
+    /// racks where one is wanted; without it, nothing waits for such a rack.
+    pub remote_slowdown: Option<f64>,
 }
 
 impl Settings {
@@ -104,6 +107,7 @@
             grace: document.duration(SECTION, "grace", Duration::from_secs(6)),
             millicores: document.millicores(SECTION, "cores", 1_000),
             link_kbps: document.megabits(SECTION, "link", 1_000_000),
+            remote_slowdown: document.factor(SECTION, "remote_slowdown"),
         };
         for (key, duration) in [
             ("lease", settings.lease),
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -211,6 +211,21 @@
             .unwrap_or(default)
     }
 
+    /// Reads a factor of 1 or more, such as `1.5`, if it is given. The template leaves the value empty
+    /// where a deployment has none.
+    pub(super) fn factor(&mut self, section: &'static str, key: &'static str) -> Option<f64> {
+        let remedy = "give a number of 1 or more, such as 1.5, or leave it out";
+        let read = |text: &str| match text {
+            "" => Some(None),
+            text => text
+                .parse()
+                .ok()
+                .filter(|factor: &f64| factor.is_finite() && *factor >= 1.0)
+                .map(Some),
+        };
+        self.optional(section, key, remedy, read).flatten()
+    }
+
     /// Reads a SHA-256 as hexadecimal digits, if it is given.
     pub(super) fn hash(&mut self, section: &'static str, key: &'static str) -> Option<String> {
         let remedy = "give the SHA-256 of the token as 64 hexadecimal digits";
--- a/crates/server/tests/settings_file.rs
+++ b/crates/server/tests/settings_file.rs
@@ -77,6 +77,27 @@
     insta::assert_snapshot!(faults, @"e1.ini:11: [cluster] gang_wait: clashes with another setting; give 1s or more");
 }
 
+/// A deployment without a factor, for which the template leaves the value empty, waits for racks; or
+/// a factor under 1 is taken.
+#[test]
+fn remote_slowdown() {
+    let parse = |line: &str| {
+        let text = format!(
+            "[server]\nname = e1\nregion = r\nfailure_domain = a\n\
+             http = 127.0.0.1:8080\npeers = 127.0.0.1:8081\n\
+             [cluster]\nready = 127.0.0.1:8082\nmetrics = 127.0.0.1:8083\n\
+             store = 127.0.0.1:9000\n{line}\n"
+        );
+        cluster::Settings::parse("e1.ini", &text)
+            .map(|settings| settings.and_then(|settings| settings.remote_slowdown))
+    };
+    assert_eq!(parse(""), Ok(None));
+    assert_eq!(parse("remote_slowdown ="), Ok(None));
+    assert_eq!(parse("remote_slowdown = 1.5"), Ok(Some(1.5)));
+    let fault = parse("remote_slowdown = 0.5").expect_err("the factor is too small");
+    insta::assert_snapshot!(fault, @r#"e1.ini:11: [cluster] remote_slowdown: can't be "0.5"; give a number of 1 or more, such as 1.5, or leave it out"#);
+}
+
 #[test]
 fn duplicate_key() {
     let text = VALID.replace("region = ch-north", "region = ch-north\nregion = ch-west");
