--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -58,6 +58,8 @@
     pub refused_jobs: Counter<u64>,
     /// Orders to start a task, by whether the leader was confirmed recently.
     pub starts: Counter<u64>,
+    /// Started tasks that run faster in some racks, by whether they run in one.
+    pub located: Counter<u64>,
     /// Task runs that ended without completing their work, by outcome.
     pub ends: Counter<u64>,
     /// The time from a job's acceptance to the start of a step, in seconds.
@@ -126,6 +128,7 @@
             jobs: counter("azurepath.jobs"),
             refused_jobs: counter("azurepath.jobs.refused"),
             starts: counter("azurepath.task.starts"),
+            located: counter("azurepath.tasks.located"),
             ends: counter("azurepath.task.ends"),
             start_age: histogram("azurepath.start.age"),
             job_age: histogram("azurepath.job.age"),
--- a/crates/server/src/settings/cluster.rs
+++ b/crates/server/src/settings/cluster.rs
@@ -53,6 +53,9 @@
     pub memory_bytes: u64,
     /// How many file descriptors the instance may have open.
     pub descriptors: u64,
+    /// The factor on the run time of tasks that run outside the rack with their data, or on several
+    /// racks where one is wanted; without it, nothing waits for such a rack.
+    pub remote_slowdown: Option<f64>,
 }
 
 impl Settings {
@@ -111,6 +114,7 @@
             link_kbps: document.megabits(SECTION, "link", 1_000_000),
             memory_bytes: document.bytes(SECTION, "memory", 512 << 20),
             descriptors: document.count(SECTION, "descriptors", 8_192),
+            remote_slowdown: document.factor(SECTION, "remote_slowdown"),
         };
         for (key, duration) in [
             ("lease", settings.lease),
