--- a/crates/decide/tests/support/batch/team.rs
+++ b/crates/decide/tests/support/batch/team.rs
@@ -187,6 +187,7 @@
             takeover_grace: Duration::ZERO,
             gang_wait: GANG_WAIT,
             longest_lease: LONGEST_LEASE,
+            remote_slowdown: None,
         };
         let now = Time::from_millis(1_000);
         let mut play = Play {
