Lets groups wait only for racks with room for all of them

A gang, or a step that wants one rack, that would be late elsewhere waited while a quarter of the places that it lacked was expected. Such a step gains nothing by some of the places, so its wait was mostly in vain. The smaller chance now suffices only for steps whose tasks are near one by one.

--- a/crates/decide/src/batch/scheduler/locality.rs
+++ b/crates/decide/src/batch/scheduler/locality.rs
@@ -115,7 +115,8 @@
             return Scope::default();
         };
         let within = deadline.since(self.now);
-        let late_elsewhere = terms.is_late_elsewhere(self.now);
+        // Tasks that only run fast together need all places, so a chance of some is not enough.
+        let late_elsewhere = !whole && terms.is_late_elsewhere(self.now);
         let mut best: Option<(u64, Name)> = None;
         for (rack, workers) in racks {
             let missing = needed.saturating_sub(valid(&rack));
