Measures only overloaded accounts against their limits

Cause: a limit that holds few large jobs refused or delayed them by the estimate, or by the part kept free for urgent jobs, although the account kept within its weight and they would have been on time. Change: both apply only to accounts that have sent more than their weight within the last 5 s, and to those without a weight. Result: account_within_weight and the other tests of account_admission.rs and account_order.rs pass.

--- a/crates/decide/src/batch/scheduler/account.rs
+++ b/crates/decide/src/batch/scheduler/account.rs
@@ -1,5 +1,7 @@
 //! Resource usage and submission rates of client accounts.
 
+use std::time::Duration;
+
 use crate::name::Name;
 use crate::size::Size;
 use crate::time::Time;
@@ -14,6 +16,10 @@
 /// second.
 const EXCESS_WINDOW_S: f64 = 2.0;
 
+/// How long an account counts as overloaded after it has sent more than its weight: until the work that it
+/// sent then has run, mostly.
+const OVERLOAD_MEMORY: Duration = Duration::from_secs(5);
+
 /// The resource usage and submission rate of a client account.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Account {
@@ -23,6 +29,8 @@
     recent_jobs: f64,
     /// When `recent_jobs` was last updated.
     updated_at: Time,
+    /// When it last sent more than its weight allows.
+    exceeded_at: Option<Time>,
     /// The rates of accepted work.
     pub(super) inflow: Inflow,
 }
@@ -59,6 +67,9 @@
         let Some(name) = job.and_then(|job| job.account.as_ref()) else {
             return u64::MAX;
         };
+        if !self.is_overloaded(name) {
+            return u64::MAX;
+        }
         let (Some(configured), Some(account), Some(load)) = (
             self.config.account(name),
             self.accounts.get(name),
@@ -72,6 +83,21 @@
         load.allowed(share, at_once, account.inflow.headroom(self.now))
     }
 
+    /// Tells whether an account's work is measured against its limit: it has sent more than its weight
+    /// lately, or has none. The others are admitted and placed by the fleet's backlog alone. Small
+    /// accounts, whose limit holds few large jobs, lost jobs on quiet days when theirs were measured too.
+    pub(super) fn is_overloaded(&self, name: &Name) -> bool {
+        let configured = self.config.account(name);
+        if configured.is_none_or(|account| account.weight <= 0.0) {
+            return true;
+        }
+        let exceeded = self
+            .accounts
+            .get(name)
+            .and_then(|account| account.exceeded_at);
+        exceeded.is_some_and(|at| self.now.since(at) < OVERLOAD_MEMORY)
+    }
+
     /// Adds started tasks to the part of an account's limit that its work of other than the highest
     /// priority has in use.
     pub(super) fn hold_by_others(&mut self, account: Option<&Name>, queue: &Name, size: &Size) {
@@ -173,6 +199,7 @@
         account.recent_jobs = (account.recent_jobs - passed * weight).max(0.0);
         account.updated_at = now;
         if account.recent_jobs + 1.0 > weight * EXCESS_WINDOW_S {
+            account.exceeded_at = Some(now);
             return true;
         }
         account.recent_jobs += 1.0;
--- a/crates/decide/src/batch/scheduler/admission.rs
+++ b/crates/decide/src/batch/scheduler/admission.rs
@@ -64,7 +64,9 @@
             let demand = self.first_demand(name, spec, critical_path)?;
             Some((name.clone(), demand))
         });
-        if let Some((name, demand)) = &demand {
+        if let Some((name, demand)) = &demand
+            && self.is_overloaded(name)
+        {
             let wait = self.wait_for_limit(name, class, *demand);
             if let Some(pause) = admission::retry_after(wait, slack) {
                 return Some(Refused {
--- a/crates/decide/tests/account_admission.rs
+++ b/crates/decide/tests/account_admission.rs
@@ -145,3 +145,17 @@
     let pauses = play.burst(Kind::Medium, 0.1);
     assert!(pauses.iter().all(Option::is_none), "{pauses:?}");
 }
+
+/// A small account whose limit holds few large jobs was refused some of them, although it kept within its
+/// weight and they would have been on time.
+#[test]
+fn account_within_weight() {
+    /// More jobs a second than arrive.
+    const WEIGHT: f64 = 1_000.0;
+    let mut play = Play::new(WEIGHT);
+    play.run(1.0, Duration::from_secs(20));
+    for kind in Kind::ALL {
+        let tally = play.tally(kind);
+        assert_eq!(tally.refused, 0, "{kind:?}: {tally:?}");
+    }
+}
